Add core types and the supervisor tree runtime

Cause: every part needs ids, units, deadlines, errors as values, and tasks that talk by messages. Change: core (strong ids and units, boot clock, deadlines, outcome, digests, socket addresses) and runtime (event loop, bounded mailbox, address, sink, task, timer, supervisor with one_for_one and rest_for_one).

--- /dev/null
+++ b/src/runtime/restart_strategy.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include <cstddef>
+#include <string_view>
+#include <vector>
+
+namespace burdockshelf
+{
+
+/// Which children a supervisor restarts when one of them fails.
+class restart_strategy
+{
+public:
+    virtual ~restart_strategy() = default;
+
+    virtual std::string_view name() const = 0;
+    /// Indexes of the children to restart, in start order.
+    virtual std::vector<std::size_t> affected(std::size_t failed, std::size_t childCount) const = 0;
+};
+
+/// Restarts the failed child alone.
+class one_for_one : public restart_strategy
+{
+public:
+    std::string_view name() const override;
+    std::vector<std::size_t> affected(std::size_t failed, std::size_t childCount) const override;
+};
+
+/// Restarts the failed child and those started after it, which may depend on it.
+class rest_for_one : public restart_strategy
+{
+public:
+    std::string_view name() const override;
+    std::vector<std::size_t> affected(std::size_t failed, std::size_t childCount) const override;
+};
+
+} // namespace burdockshelf
