--- /dev/null
+++ b/src/http/http_client.cpp
@@ -0,0 +1,284 @@
+#include "http/http_client.h"
+
+#include <algorithm>
+#include <utility>
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <event2/http.h>
+#include <event2/keyvalq_struct.h>
+#include <glog/logging.h>
+
+namespace burdockshelf
+{
+
+namespace
+{
+
+constexpr std::size_t maxIdleConnections = 64;
+
+struct method_name
+{
+    std::string_view name;
+    evhttp_cmd_type type;
+};
+
+constexpr method_name methods[] = {
+    {"GET", EVHTTP_REQ_GET},
+    {"POST", EVHTTP_REQ_POST},
+    {"PUT", EVHTTP_REQ_PUT},
+    {"DELETE", EVHTTP_REQ_DELETE},
+    {"HEAD", EVHTTP_REQ_HEAD},
+    {"PATCH", EVHTTP_REQ_PATCH},
+    {"OPTIONS", EVHTTP_REQ_OPTIONS},
+};
+
+evhttp_cmd_type methodType(std::string_view name)
+{
+    for (const method_name &method : methods) {
+        if (method.name == name) {
+            return method.type;
+        }
+    }
+    return EVHTTP_REQ_GET;
+}
+
+http_response readHeaders(evhttp_request *request)
+{
+    http_response response;
+    response.status = evhttp_request_get_response_code(request);
+    const evkeyvalq *fields = evhttp_request_get_input_headers(request);
+    for (const evkeyval *field = fields->tqh_first; field != nullptr; field = field->next.tqe_next) {
+        response.headers.add(field->key, field->value);
+    }
+    return response;
+}
+
+std::string drain(evbuffer *buffer)
+{
+    std::string bytes(evbuffer_get_length(buffer), '\0');
+    evbuffer_remove(buffer, bytes.data(), bytes.size());
+    return bytes;
+}
+
+} // namespace
+
+/// One connection to the server; used by at most one call at a time.
+struct http_client::connection
+{
+    evhttp_connection *handle = nullptr;
+    bool hasSent = false;
+    bool isClosed = false;
+
+    connection(event_loop &loop, const socket_address &server)
+        : handle(evhttp_connection_base_new(loop.base(), nullptr, server.ip.c_str(), server.port))
+    {
+        evhttp_connection_set_retries(handle, 0);
+        evhttp_connection_set_closecb(handle, &connection::onClose, this);
+        evbuffer_add_cb(bufferevent_get_output(evhttp_connection_get_bufferevent(handle)), &connection::onOutput, this);
+    }
+
+    ~connection()
+    {
+        evhttp_connection_set_closecb(handle, nullptr, nullptr);
+        evhttp_connection_free(handle);
+    }
+
+    connection(const connection &) = delete;
+    connection &operator=(const connection &) = delete;
+
+    static void onClose(evhttp_connection * /*handle*/, void *self)
+    {
+        static_cast<connection *>(self)->isClosed = true;
+    }
+
+    // evhttp writes the request only after the connect has succeeded: without output nothing can have reached the server.
+    static void onOutput(evbuffer * /*buffer*/, const evbuffer_cb_info *info, void *self)
+    {
+        if (info->n_added > 0) {
+            static_cast<connection *>(self)->hasSent = true;
+        }
+    }
+};
+
+/// A call on its way. Its address is the argument of evhttp's callbacks, so it lives until the request object is gone.
+struct http_client::call
+{
+    http_client *client = nullptr;
+    http_call_id id;
+    http_call_handlers handlers;
+    std::unique_ptr<connection> link;
+    evhttp_request *request = nullptr;
+    std::unique_ptr<timer> expiry;
+
+    http_call_error lost(error_code code, std::string message) const
+    {
+        return {{code, std::move(message)}, !link->hasSent};
+    }
+
+    static int onHeaders(evhttp_request *request, void *self)
+    {
+        auto *current = static_cast<call *>(self);
+        if (current->handlers.onHeaders) {
+            const auto notify = current->handlers.onHeaders;
+            notify(readHeaders(request));
+        }
+        return 0;
+    }
+
+    static void onChunk(evhttp_request *request, void *self)
+    {
+        auto *current = static_cast<call *>(self);
+        const std::string bytes = drain(evhttp_request_get_input_buffer(request));
+        const auto notify = current->handlers.onData;
+        notify(bytes);
+    }
+
+    static void onDone(evhttp_request *request, void *self)
+    {
+        auto *current = static_cast<call *>(self);
+        current->request = nullptr;
+        const bool isLost = request == nullptr || evhttp_request_get_response_code(request) == 0;
+        if (isLost) {
+            const bool isNotSent = !current->link->hasSent;
+            const auto code = isNotSent ? error_code::connection_refused : error_code::connection_lost;
+            const std::string text =
+                current->client->m_server.toString() + (isNotSent ? " refused the connection" : " closed the connection");
+            current->client->finishCall(current->id, current->lost(code, text), false);
+            return;
+        }
+        http_response response = readHeaders(request);
+        response.body = drain(evhttp_request_get_input_buffer(request));
+        const bool isKeptOpen =
+            !response.headers.has("Connection") || strcasecmp(std::string(response.headers.value("Connection")).c_str(), "close") != 0;
+        current->client->finishCall(current->id, std::move(response), isKeptOpen);
+    }
+};
+
+http_client::http_client(event_loop &loop, socket_address server)
+    : m_loop(loop)
+    , m_server(std::move(server))
+    , m_discardTimer(loop, [this] { m_discarded.clear(); })
+{
+}
+
+http_client::~http_client()
+{
+    while (!m_calls.empty()) {
+        cancel(m_calls.begin()->first);
+    }
+    m_discarded.clear();
+}
+
+http_call_id http_client::send(const http_request &request, http_call_handlers handlers, deadline until)
+{
+    m_lastCall += http_call_id(1);
+    const http_call_id id = m_lastCall;
+    auto started = std::make_unique<call>();
+    started->client = this;
+    started->id = id;
+    started->handlers = std::move(handlers);
+    started->link = takeConnection();
+    started->request = evhttp_request_new(&call::onDone, started.get());
+    evhttp_request_set_header_cb(started->request, &call::onHeaders);
+    if (started->handlers.onData) {
+        evhttp_request_set_chunked_cb(started->request, &call::onChunk);
+    }
+    evkeyvalq *fields = evhttp_request_get_output_headers(started->request);
+    evhttp_add_header(fields, "Host", m_server.toString().c_str());
+    for (const http_header &field : request.headers.fields()) {
+        evhttp_add_header(fields, field.name.c_str(), field.value.c_str());
+    }
+    evbuffer_add(evhttp_request_get_output_buffer(started->request), request.body.data(), request.body.size());
+    started->expiry = std::make_unique<timer>(m_loop, [this, id] {
+        const auto found = m_calls.find(id);
+        if (found != m_calls.end()) {
+            finishCall(id, found->second->lost(error_code::deadline_exceeded, m_server.toString() + " did not answer in time"), false);
+        }
+    });
+    started->expiry->start(until);
+    call &entry = *started;
+    m_calls.emplace(id, std::move(started));
+    const int result = evhttp_make_request(entry.link->handle, entry.request, methodType(request.method), request.target.c_str());
+    if (result != 0 && m_calls.contains(id)) {
+        // evhttp has freed the request. The failure is reported from the loop, after the caller has got its id.
+        entry.request = nullptr;
+        entry.expiry = std::make_unique<timer>(m_loop, [this, id] {
+            finishCall(id, m_calls.at(id)->lost(error_code::connection_refused, m_server.toString() + " cannot be reached"), false);
+        });
+        entry.expiry->start(deadline());
+    }
+    return id;
+}
+
+void http_client::cancel(http_call_id call)
+{
+    const auto found = m_calls.find(call);
+    if (found == m_calls.end()) {
+        return;
+    }
+    if (found->second->request != nullptr) {
+        evhttp_cancel_request(found->second->request);
+    }
+    // evhttp_cancel_request() has reset the connection; the object is freed from the loop.
+    discard(std::move(found->second->link));
+    m_calls.erase(found);
+}
+
+void http_client::extend(http_call_id call, deadline until)
+{
+    const auto found = m_calls.find(call);
+    if (found != m_calls.end()) {
+        found->second->expiry->start(until);
+    }
+}
+
+const socket_address &http_client::server() const
+{
+    return m_server;
+}
+
+std::size_t http_client::activeCalls() const
+{
+    return m_calls.size();
+}
+
+std::unique_ptr<http_client::connection> http_client::takeConnection()
+{
+    while (!m_idle.empty()) {
+        std::unique_ptr<connection> candidate = std::move(m_idle.back());
+        m_idle.pop_back();
+        if (!candidate->isClosed) {
+            candidate->hasSent = false;
+            return candidate;
+        }
+        discard(std::move(candidate));
+    }
+    return std::make_unique<connection>(m_loop, m_server);
+}
+
+void http_client::finishCall(http_call_id id, http_call_result result, bool keepConnection)
+{
+    const auto found = m_calls.find(id);
+    CHECK(found != m_calls.end()) << "http: a call ended twice.";
+    std::unique_ptr<call> ended = std::move(found->second);
+    m_calls.erase(found);
+    if (ended->request != nullptr) {
+        evhttp_cancel_request(ended->request);
+    }
+    if (keepConnection && !ended->link->isClosed && m_idle.size() < maxIdleConnections) {
+        m_idle.push_back(std::move(ended->link));
+    } else {
+        discard(std::move(ended->link));
+    }
+    ended->handlers.onDone(std::move(result));
+}
+
+void http_client::discard(std::unique_ptr<connection> unwanted)
+{
+    m_discarded.push_back(std::move(unwanted));
+    m_discardTimer.start(deadline());
+}
+
+} // namespace burdockshelf
