--- /dev/null
+++ b/src/policy/peer_message.h
@@ -0,0 +1,129 @@
+#pragma once
+
+#include "core/ids.h"
+#include "core/units.h"
+#include "state/stored_record.h"
+
+#include <chrono>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace burdockshelf
+{
+
+/// Asks a peer how fresh its view of the log is, for authority by relay or pledge.
+struct freshness_ask
+{
+    roster_epoch epoch;
+};
+
+struct freshness_answer
+{
+    roster_epoch epoch;
+    log_offset covered;
+    /// Age of the peer's last successful read, counted from its sending.
+    std::chrono::milliseconds age {};
+    /// True when the peer cannot reach the log and promises to propose no roster change for the pledged time.
+    bool isPledge = false;
+    std::chrono::milliseconds pledged {};
+};
+
+/// Asks the home of a workspace, or the home in another data centre, for tokens.
+struct loan_ask
+{
+    data_centre_id dataCentre;
+    roster_epoch epoch;
+    workspace_id workspace;
+    token_count amount;
+};
+
+struct loan_answer
+{
+    roster_epoch epoch;
+    token_count amount;
+};
+
+/// Gives back tokens of a loan whose request cost less, while the loan lasts.
+struct loan_refund
+{
+    workspace_id workspace;
+    token_count amount;
+};
+
+/// Asks the owner of an endpoint for a slot.
+struct slot_ask
+{
+    roster_epoch epoch;
+    endpoint_id endpoint;
+    request_id request;
+};
+
+struct slot_answer
+{
+    roster_epoch epoch;
+    bool isGranted = false;
+};
+
+enum class attempt_verdict
+{
+    succeeded,
+    failed,
+    slow,
+    /// Not to be counted for or against the endpoint.
+    cancelled,
+};
+
+/// Gives a slot back, with what the attempt tells of the endpoint.
+struct slot_return
+{
+    endpoint_id endpoint;
+    request_id request;
+    attempt_verdict verdict = attempt_verdict::succeeded;
+};
+
+/// The slots that a member holds, told to an endpoint's owner again and again so that a new owner can rebuild its state.
+struct slot_holdings
+{
+    roster_epoch epoch;
+    std::vector<std::pair<endpoint_id, request_id>> held;
+};
+
+/// Log records that the sender has read and the receiver may lack.
+struct record_relay
+{
+    std::vector<stored_record> records;
+};
+
+/// Asks for the whole state, at a start without the platform.
+struct state_ask
+{
+};
+
+struct state_answer
+{
+    snapshot state;
+};
+
+/// An answer without content, or the refusal of a message.
+struct acknowledgement
+{
+    bool isAccepted = true;
+};
+
+/// What instances say to each other. Each message is answered by exactly one peer_message.
+using peer_message = std::variant<freshness_ask,
+                                  freshness_answer,
+                                  loan_ask,
+                                  loan_answer,
+                                  loan_refund,
+                                  slot_ask,
+                                  slot_answer,
+                                  slot_return,
+                                  slot_holdings,
+                                  record_relay,
+                                  state_ask,
+                                  state_answer,
+                                  acknowledgement>;
+
+} // namespace burdockshelf
--- /dev/null
+++ b/src/state/configuration.h
@@ -0,0 +1,106 @@
+#pragma once
+
+#include "core/ids.h"
+#include "core/socket_address.h"
+#include "core/units.h"
+
+#include <chrono>
+#include <map>
+#include <optional>
+#include <string>
+
+namespace burdockshelf
+{
+
+/// What a workspace bought, for the fleet as a whole.
+struct workspace_settings
+{
+    token_rate rate;
+    token_count burst;
+    /// Weight of each data centre in the split of rate and burst; a data centre that is not named has weight 1.
+    std::map<data_centre_id, int> shareWeights;
+
+    friend bool operator==(const workspace_settings &, const workspace_settings &) = default;
+};
+
+enum class service_kind
+{
+    /// A language model on prefill and decode endpoints.
+    model,
+    /// A plain HTTP service.
+    plain,
+};
+
+struct service_settings
+{
+    service_kind kind = service_kind::model;
+    /// Requests whose path starts with this go to the service. For models it is empty: they are found by the "model" field.
+    std::string pathPrefix;
+    /// False for calls that must run at most once.
+    bool isRepeatable = true;
+    /// True when no key is needed.
+    bool isOpenToAll = false;
+    urgency_class_id defaultUrgency;
+    /// Lower bound of prompt bytes per token, for the charge before the run.
+    std::int64_t promptBytesPerToken = 2;
+    /// Output bound when the caller names none.
+    token_count defaultMaxTokens {256};
+    /// Tokens charged for a call of a plain service.
+    token_count callCost {1};
+
+    friend bool operator==(const service_settings &, const service_settings &) = default;
+};
+
+enum class endpoint_role
+{
+    prefill,
+    decode,
+    plain,
+};
+
+struct endpoint_settings
+{
+    service_id service;
+    data_centre_id dataCentre;
+    endpoint_role role = endpoint_role::plain;
+    socket_address address;
+    slot_count slots {20};
+    /// False when the endpoint ignores old fencing tokens.
+    bool checksFencing = false;
+
+    friend bool operator==(const endpoint_settings &, const endpoint_settings &) = default;
+};
+
+struct urgency_class_settings
+{
+    /// Lower is more urgent.
+    int priority = 0;
+    std::chrono::milliseconds firstTokenTarget {1200};
+    std::chrono::milliseconds betweenTokensTarget {28};
+    /// Longest wait before dispatch; a request that cannot start in time is shed.
+    std::chrono::milliseconds maxQueueTime {10000};
+
+    friend bool operator==(const urgency_class_settings &, const urgency_class_settings &) = default;
+};
+
+struct data_centre_settings
+{
+    region_id region;
+
+    friend bool operator==(const data_centre_settings &, const data_centre_settings &) = default;
+};
+
+/// The operators' configuration at one version. A plain value; the instance's configuration_task owns the one in force.
+struct configuration
+{
+    configuration_version version;
+    std::map<data_centre_id, data_centre_settings> dataCentres;
+    std::map<workspace_id, workspace_settings> workspaces;
+    std::map<service_id, service_settings> services;
+    std::map<endpoint_id, endpoint_settings> endpoints;
+    std::map<urgency_class_id, urgency_class_settings> urgencyClasses;
+
+    friend bool operator==(const configuration &, const configuration &) = default;
+};
+
+} // namespace burdockshelf
