Define the messages inside routing

Cause: quota, slots, claims and the router are tasks of their own and are built side by side. Change: state_view and decision_authority as shared immutable values; the messages of the routing tasks; slots are asked per endpoint, and the owner's answer carries its load. Ruled out: one owner per pool, because the loss of one instance would stop a pool for lease + margin.

--- a/src/endpoints/endpoint_messages.h
+++ b/src/endpoints/endpoint_messages.h
@@ -167,7 +167,12 @@
     error cause;
 };
 
+/// Asks the endpoint for its load once; only the endpoint's owner asks.
+struct load_query
+{
+};
+
 using endpoint_task_message =
-    std::variant<prefill_call, decode_call, resume_call, plain_call, cancel_attempt, abort_request, release_kv, endpoint_order>;
+    std::variant<prefill_call, decode_call, resume_call, plain_call, cancel_attempt, abort_request, release_kv, endpoint_order, load_query>;
 
 } // namespace burdockshelf
--- a/src/policy/peer_message.h
+++ b/src/policy/peer_message.h
@@ -63,6 +63,9 @@
 {
     roster_epoch epoch;
     bool isGranted = false;
+    /// Load as the owner knows it; the limit is that of slow start.
+    slot_count used;
+    slot_count limit;
 };
 
 enum class attempt_verdict
--- /dev/null
+++ b/src/routing/routing_messages.h
@@ -0,0 +1,156 @@
+#pragma once
+
+#include "callers/caller_messages.h"
+#include "core/deadline.h"
+#include "endpoints/endpoint_messages.h"
+#include "mesh/mesh_messages.h"
+#include "platform/platform_messages.h"
+#include "policy/decision_authority.h"
+#include "runtime/sink.h"
+#include "state/state_view.h"
+
+#include <memory>
+#include <optional>
+#include <variant>
+#include <vector>
+
+namespace burdockshelf
+{
+
+/// The state in force has changed.
+struct view_changed
+{
+    state_view_ptr view;
+};
+
+/// The authority of this member has changed or was extended.
+struct authority_changed
+{
+    std::shared_ptr<const decision_authority> authority;
+};
+
+/// Claims and outcomes that were read from the log, in order.
+struct claims_changed
+{
+    /// Claims as replay has left them.
+    std::vector<claim_state> states;
+    std::vector<claim_id> expired;
+};
+
+/// Asks quota_task to charge a request to its workspace.
+struct charge_request
+{
+    request_id request;
+    workspace_id workspace;
+    token_count amount;
+    /// Latest time for the answer; loans are tried until then.
+    deadline until;
+    sink<struct charge_answer> reply;
+};
+
+struct charge_answer
+{
+    request_id request;
+    bool isGranted = false;
+    /// Time until the workspace's rate allows the amount; none when it never will.
+    std::optional<std::chrono::milliseconds> retryAfter;
+};
+
+/// Ends a granted charge with what the request really cost.
+struct charge_settlement
+{
+    request_id request;
+    token_count actual;
+};
+
+/// Asks slot_task for a slot of an endpoint, wherever its owner is.
+struct slot_request
+{
+    request_id request;
+    endpoint_id endpoint;
+    deadline until;
+    sink<struct slot_decision> reply;
+};
+
+struct slot_decision
+{
+    request_id request;
+    endpoint_id endpoint;
+    bool isGranted = false;
+    /// Load as the owner knows it; the limit is that of slow start.
+    slot_count used;
+    slot_count limit;
+};
+
+struct slot_release
+{
+    request_id request;
+    endpoint_id endpoint;
+    attempt_verdict verdict = attempt_verdict::succeeded;
+};
+
+/// Asks claim_task for the right to dispatch a non-idempotent call.
+struct claim_request
+{
+    claim wanted;
+    deadline until;
+    sink<struct claim_decision> reply;
+};
+
+enum class claim_verdict
+{
+    /// This request may be dispatched, once.
+    won,
+    /// Another request has run; its outcome is known.
+    done,
+    /// Another request holds the claim and has not ended.
+    in_progress,
+    /// Another request held the claim and its claimant is gone.
+    outcome_unknown,
+    /// The key was used with another request.
+    mismatch,
+    /// The log could not be used; nothing was dispatched and nothing will be.
+    unavailable,
+};
+
+struct claim_decision
+{
+    request_id request;
+    claim_verdict verdict = claim_verdict::unavailable;
+    std::optional<claim_outcome> ended;
+};
+
+/// Records how a claimed call ended, or releases a claim that was never dispatched.
+struct claim_end
+{
+    claim_outcome ended;
+};
+
+using quota_task_message =
+    std::variant<view_changed, authority_changed, charge_request, charge_settlement, peer_received, peer_answer, peer_status>;
+using slot_task_message = std::variant<view_changed,
+                                       authority_changed,
+                                       slot_request,
+                                       slot_release,
+                                       load_report,
+                                       endpoint_unreachable,
+                                       peer_received,
+                                       peer_answer,
+                                       peer_status>;
+using claim_task_message = std::variant<view_changed, authority_changed, claims_changed, claim_request, claim_end, append_result>;
+using configuration_task_message = std::variant<log_batch, log_unreachable, peer_received, peer_answer, peer_status, append_result>;
+using roster_task_message =
+    std::variant<view_changed, log_batch, log_unreachable, instance_list, append_result, peer_received, peer_answer, peer_status>;
+using router_task_message = std::variant<view_changed,
+                                         caller_request,
+                                         caller_gone,
+                                         charge_answer,
+                                         slot_decision,
+                                         claim_decision,
+                                         prefill_done,
+                                         decode_event,
+                                         decode_done,
+                                         plain_done,
+                                         attempt_failed>;
+
+} // namespace burdockshelf
