--- /dev/null
+++ b/src/policy/request_machine.h
@@ -0,0 +1,169 @@
+#pragma once
+
+#include "core/deadline.h"
+#include "policy/request_action.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace burdockshelf
+{
+
+/// What is known of a request when it is accepted.
+struct request_facts
+{
+    request_id id;
+    service_kind kind = service_kind::model;
+    /// Empty on a route that is open to all.
+    workspace_id workspace;
+    bool isRepeatable = true;
+    bool hasIdempotencyKey = false;
+    token_count charge;
+    token_count promptCharge;
+    token_count maxTokens;
+    /// Latest time for the dispatch.
+    deadline dispatchUntil;
+
+    bool needsClaim() const
+    {
+        return !isRepeatable && hasIdempotencyKey;
+    }
+};
+
+/// What every event needs to know of the moment.
+struct event_context
+{
+    instant now;
+    /// True while the key that came with the request is in force, and always on routes open to all.
+    bool isAuthorised = true;
+};
+
+/// How a request for a claim was decided; the router's view of claim_verdict without its encoding.
+enum class claim_result
+{
+    won,
+    done,
+    in_progress,
+    outcome_unknown,
+    mismatch,
+    unavailable,
+};
+
+/// How an attempt at an endpoint ended without an answer.
+struct attempt_failure
+{
+    error cause;
+    bool isNotSent = false;
+};
+
+/// The life of one request as a state machine: typed events in, actions out, no clock, no socket. It sees to it that the request is
+/// answered once, that every slot, charge and claim it took is given back once, and that a call which must not be repeated is dispatched
+/// once. Late events of earlier attempts are ignored by their attempt id.
+class request_machine
+{
+public:
+    explicit request_machine(request_facts facts);
+
+    request_actions start(const event_context &context);
+    request_actions charged(bool isGranted, std::optional<std::chrono::milliseconds> retryAfter, const event_context &context);
+    request_actions claimed(claim_result result, const event_context &context);
+    /// The admission queue has chosen this request.
+    request_actions popped(const event_context &context);
+    /// The endpoints for the role that was offered, best first; empty when the pool has none.
+    request_actions offered(endpoint_role role, std::vector<endpoint_id> candidates, const event_context &context);
+    request_actions slotDecided(const endpoint_id &endpoint, bool isGranted, const event_context &context);
+    request_actions prefillDone(const attempt_id &attempt, const event_context &context);
+    request_actions decodeEvent(const attempt_id &attempt, std::int64_t position, std::string_view text, const event_context &context);
+    request_actions decodeDone(const attempt_id &attempt, token_count prompt, token_count completion, const event_context &context);
+    request_actions plainDone(const attempt_id &attempt, int status, const event_context &context);
+    request_actions attemptFailed(const attempt_id &attempt, const attempt_failure &failure, const event_context &context);
+    request_actions callerGone(const event_context &context);
+    /// Called once the deadline of dispatchUntil() has passed while the request waits.
+    request_actions queueExpired(const event_context &context);
+    /// The queue foresees that the deadline cannot be met.
+    request_actions shed(const event_context &context);
+
+    const request_facts &facts() const;
+    /// Text that was generated so far, for a continuation at another engine.
+    const std::string &generated() const;
+    /// Output tokens still allowed.
+    token_count remainingTokens() const;
+    bool isFinished() const;
+    /// True while the request waits in the admission queue.
+    bool isQueued() const;
+    /// Latest time for the next dispatch; a request that has run in part gets new time for each retry.
+    deadline dispatchUntil() const;
+
+private:
+    enum class phase
+    {
+        created,
+        charging,
+        claiming,
+        queued,
+        reserving,
+        prefilling,
+        decoding,
+        calling,
+        finished,
+    };
+
+    struct reservation
+    {
+        endpoint_role role = endpoint_role::plain;
+        std::vector<endpoint_id> candidates;
+        std::size_t next = 0;
+        /// The endpoint whose owner has been asked and has not answered.
+        std::optional<endpoint_id> asked;
+        std::optional<endpoint_id> held;
+    };
+
+    attempt_id nextAttempt();
+    bool isCurrent(const attempt_id &attempt) const;
+    void beginReservation(request_actions &actions);
+    void askNext(reservation &wanted, request_actions &actions);
+    void reservationRefused(request_actions &actions);
+    void dispatch(const event_context &context, request_actions &actions);
+    void startDecode(request_actions &actions);
+    void retryOrFail(const attempt_failure &failure, const event_context &context, request_actions &actions);
+    void releaseAfterFailure(request_actions &actions);
+    void failForGood(const attempt_failure &failure, request_actions &actions);
+    void releaseKv(request_actions &actions);
+    endpoint_role runningRole() const;
+    void releaseSlots(attempt_verdict verdict, request_actions &actions);
+    void releaseSlot(reservation &held, attempt_verdict verdict, request_actions &actions);
+    void endClaim(bool isReleased, request_actions &actions);
+    void settle(token_count actual, request_actions &actions);
+    void refuse(int status, error cause, bool isNotRun, std::optional<std::chrono::milliseconds> retryAfter, request_actions &actions);
+    void finish(request_actions &actions);
+    token_count costSoFar() const;
+    reservation *findReservation(endpoint_role role);
+    std::optional<endpoint_id> heldEndpoint(endpoint_role role) const;
+
+    request_facts m_facts;
+    phase m_phase = phase::created;
+    std::vector<reservation> m_reservations;
+    attempt_id m_attempt;
+    int m_attemptCount = 0;
+    int m_retryCount = 0;
+    int m_resumeCount = 0;
+    bool m_isCharged = false;
+    bool m_isClaimed = false;
+    // True once a byte of the call could have reached an endpoint.
+    bool m_isDispatched = false;
+    bool m_isAnswerStarted = false;
+    // True while a prefill result waits at its engine.
+    bool m_isPrefillHeld = false;
+    endpoint_id m_prefillEndpoint;
+    deadline m_dispatchUntil;
+    std::string m_generated;
+    std::int64_t m_nextPosition = 0;
+    token_count m_earlierCompletion;
+    token_count m_completion;
+    // Slots whose owner was asked before the request ended or moved on; a late grant is given back at once.
+    std::vector<endpoint_id> m_abandoned;
+};
+
+} // namespace burdockshelf
