--- /dev/null
+++ b/src/callers/answer_writer.cpp
@@ -0,0 +1,143 @@
+#include "callers/answer_writer.h"
+
+#include "wire/completion_codec.h"
+
+#include <algorithm>
+#include <array>
+#include <string_view>
+#include <strings.h>
+#include <utility>
+
+namespace burdockshelf
+{
+
+namespace
+{
+
+// About 4,000 events: far more than a caller that reads at all leaves unread.
+constexpr std::size_t maxPendingBytes = 1024 * 1024;
+
+// Header fields that belong to one connection and not to the answer.
+constexpr std::array<std::string_view, 7> connectionHeaders = {
+    "Connection", "Keep-Alive", "Transfer-Encoding", "Content-Length", "Upgrade", "Trailer", "TE"};
+
+bool isConnectionHeader(std::string_view name)
+{
+    return std::any_of(connectionHeaders.begin(), connectionHeaders.end(), [name](std::string_view other) {
+        return name.size() == other.size() && strncasecmp(name.data(), other.data(), name.size()) == 0;
+    });
+}
+
+} // namespace
+
+answer_writer::answer_writer(std::shared_ptr<http_exchange> exchange, request_id request, std::optional<model_request> model)
+    : m_exchange(std::move(exchange))
+    , m_request(std::move(request))
+    , m_model(std::move(model))
+{
+}
+
+bool answer_writer::write(const caller_answer &part)
+{
+    return std::visit([this](const auto &typed) { return writePart(typed); }, part);
+}
+
+bool answer_writer::isCongested() const
+{
+    return m_exchange->pendingBytes() > maxPendingBytes;
+}
+
+const std::shared_ptr<http_exchange> &answer_writer::exchange() const
+{
+    return m_exchange;
+}
+
+void answer_writer::closeAfterAnswer()
+{
+    m_closesAfterAnswer = true;
+}
+
+bool answer_writer::writePart(const model_started &part)
+{
+    m_servedBy = part.prefill.value() + ", " + part.decode.value();
+    if (m_model && m_model->isStream && !m_isStreaming) {
+        m_isStreaming = true;
+        http_headers headers = {{"Content-Type", "text/event-stream"}, {"Cache-Control", "no-store"}};
+        headers.add("X-Request-Id", m_request.value());
+        headers.add("X-Served-By", m_servedBy);
+        if (m_closesAfterAnswer) {
+            headers.add("Connection", "close");
+        }
+        m_exchange->startStream(200, headers);
+    }
+    return false;
+}
+
+bool answer_writer::writePart(const model_event &part)
+{
+    if (m_isStreaming) {
+        m_exchange->sendData(encodeStreamEvent(part.data));
+    } else {
+        m_text += part.text;
+    }
+    return false;
+}
+
+bool answer_writer::writePart(const model_finished &part)
+{
+    if (m_isStreaming) {
+        m_exchange->sendData(streamEnd());
+        m_exchange->endStream();
+        return true;
+    }
+    http_response response;
+    response.headers.add("Content-Type", "application/json");
+    response.headers.add("X-Served-By", m_servedBy);
+    response.body = encodeCompletion(*m_model, m_request, m_text, part.usage, part.finishReason);
+    respond(std::move(response));
+    return true;
+}
+
+bool answer_writer::writePart(const plain_answer &part)
+{
+    http_response response;
+    response.status = part.response.status;
+    for (const http_header &field : part.response.headers.fields()) {
+        if (!isConnectionHeader(field.name)) {
+            response.headers.add(field.name, field.value);
+        }
+    }
+    response.headers.add("X-Served-By", part.endpoint.value());
+    response.body = part.response.body;
+    respond(std::move(response));
+    return true;
+}
+
+bool answer_writer::writePart(const refusal &part)
+{
+    if (m_isStreaming) {
+        m_exchange->abort();
+        return true;
+    }
+    http_response response;
+    response.status = part.status;
+    response.headers.add("Content-Type", "application/json");
+    if (part.retryAfter) {
+        const auto seconds = std::chrono::ceil<std::chrono::seconds>(*part.retryAfter);
+        response.headers.add("Retry-After", std::to_string(std::max<std::int64_t>(seconds.count(), 1)));
+    }
+    response.body = encodeRefusal({part.cause, part.isNotRun, part.isEarlierUnknown});
+    respond(std::move(response));
+    return true;
+}
+
+void answer_writer::respond(http_response response)
+{
+    response.headers.add("X-Request-Id", m_request.value());
+    if (m_closesAfterAnswer) {
+        response.headers.add("Connection", "close");
+    }
+    m_exchange->respond(response);
+}
+
+} // namespace burdockshelf
--- /dev/null
+++ b/src/callers/caller_listener_task.h
@@ -0,0 +1,71 @@
+#pragma once
+
+#include "callers/answer_writer.h"
+#include "callers/caller_messages.h"
+#include "core/random_source.h"
+#include "http/http_server.h"
+#include "runtime/task.h"
+#include "runtime/timer.h"
+
+#include <chrono>
+#include <deque>
+#include <map>
+#include <memory>
+
+namespace burdockshelf
+{
+
+struct caller_listener_settings
+{
+    socket_address listen;
+    http_server_limits limits;
+    /// Time between SIGTERM and the end of accepting, in which the load balancer sees that the instance is not ready.
+    std::chrono::milliseconds shutdownGrace {5000};
+};
+
+/// Where the listener sends what callers want.
+struct caller_listener_links
+{
+    sink<caller_request> requests;
+    sink<caller_gone> gone;
+    /// Told the address once the listener is open.
+    std::function<void(const socket_address &)> onListening;
+};
+
+/// Takes the requests of callers: parses them, takes the key out, hands them to the router, and writes the answers. Owns the callers'
+/// connections.
+class caller_listener_task : public task<caller_answer>
+{
+public:
+    caller_listener_task(event_loop &loop,
+                         std::shared_ptr<mailbox<caller_answer>> box,
+                         caller_listener_settings settings,
+                         caller_listener_links links);
+
+    outcome<void> start() override;
+    void beginShutdown() override;
+
+protected:
+    void handle(caller_answer &&part) override;
+
+private:
+    void onRequest(const std::shared_ptr<http_exchange> &exchange);
+    void onCallerClosed(const request_id &request);
+    void reportGone();
+    void finishWhenIdle();
+
+    event_loop &m_loop;
+    caller_listener_settings m_settings;
+    caller_listener_links m_links;
+    random_source m_random;
+    http_server m_server;
+    std::map<request_id, answer_writer> m_answers;
+    // Callers that have left and of whom the router has not been told because its mailbox was full.
+    std::deque<request_id> m_gone;
+    timer m_goneTimer;
+    timer m_graceTimer;
+    bool m_isClosing = false;
+    bool m_isFinished = false;
+};
+
+} // namespace burdockshelf
--- a/src/callers/caller_messages.h
+++ b/src/callers/caller_messages.h
@@ -14,33 +14,40 @@
 namespace burdockshelf
 {
 
-/// Part of an answer to a caller.
-struct answer_start
+/// The first part of a model's answer: where the request runs.
+struct model_started
 {
     request_id request;
-    int status = 200;
-    http_headers headers;
+    endpoint_id prefill;
+    endpoint_id decode;
 };
 
-struct answer_data
+/// One event of a model's answer, in order and without repetition.
+struct model_event
 {
     request_id request;
-    std::string bytes;
+    std::string text;
+    /// The event's JSON as the engine sent it.
+    std::string data;
 };
 
-struct answer_end
+/// The answer of a model is whole.
+struct model_finished
 {
     request_id request;
+    token_usage usage;
+    std::string finishReason;
 };
 
-/// A whole answer.
-struct whole_answer
+/// The answer of a plain service, whole.
+struct plain_answer
 {
     request_id request;
     http_response response;
+    endpoint_id endpoint;
 };
 
-/// A refusal or failure. After answer_start the stream is cut instead, so that the caller cannot take it for whole.
+/// A refusal or failure. After the first event of a stream the connection is cut, so that the caller cannot take the answer for whole.
 struct refusal
 {
     request_id request;
@@ -48,10 +55,12 @@
     error cause;
     /// True only when the request was provably never dispatched.
     bool isNotRun = true;
+    /// True when the request carries an idempotency key and it is not known whether an earlier request with that key has run.
+    bool isEarlierUnknown = false;
     std::optional<std::chrono::milliseconds> retryAfter;
 };
 
-using caller_answer = std::variant<answer_start, answer_data, answer_end, whole_answer, refusal>;
+using caller_answer = std::variant<model_started, model_event, model_finished, plain_answer, refusal>;
 
 /// A request as it came, with the key taken out of everything that goes on.
 struct caller_request
--- a/src/endpoints/endpoint_messages.h
+++ b/src/endpoints/endpoint_messages.h
@@ -6,6 +6,7 @@
 #include "core/units.h"
 #include "http/http_message.h"
 #include "runtime/sink.h"
+#include "state/state_view.h"
 
 #include <optional>
 #include <string>
@@ -21,7 +22,11 @@
     bool isChat = false;
     bool isStream = false;
     token_count maxTokens;
+    /// True when a streaming caller wants the usage as the last event.
+    bool wantsUsage = false;
     byte_count promptBytes;
+    /// Hash of the beginning of the prompt; requests that share it share cached prefixes.
+    std::uint64_t prefixHash = 0;
     std::string body;
 };
 
@@ -45,6 +50,8 @@
     request_id request;
     model_request model;
     int priority = 0;
+    /// Text that earlier attempts have generated and that belongs to the prompt of this one.
+    std::string generated;
     deadline until;
 };
 
@@ -68,6 +75,8 @@
     attempt_id attempt;
     request_id request;
     std::int64_t from = 0;
+    /// Finish reason of an event before this position, empty when there was none.
+    std::string finishReason;
     deadline until;
     boot_clock::duration betweenEvents {};
 };
@@ -125,6 +134,12 @@
     std::string text;
     /// The event's JSON as the caller shall get it.
     std::string data;
+    /// Empty but in the last event with text.
+    std::string finishReason;
+    /// Usage that came with this event. The engine is always asked for it, also when the caller is not to see it.
+    std::optional<token_usage> usage;
+    /// True for the event without text that only reports usage.
+    bool isUsageOnly = false;
 };
 
 struct decode_done
@@ -132,6 +147,8 @@
     attempt_id attempt;
     token_usage usage;
     std::string finishReason;
+    /// False when the engine has reported no usage in this attempt.
+    bool isUsageKnown = false;
 };
 
 struct plain_done
@@ -175,4 +192,19 @@
 using endpoint_task_message =
     std::variant<prefill_call, decode_call, resume_call, plain_call, cancel_attempt, abort_request, release_kv, endpoint_order, load_query>;
 
+/// A message for the task of one endpoint. A call that cannot be handed on ends with attempt_failed and isNotSent.
+struct endpoint_post
+{
+    endpoint_id to;
+    endpoint_task_message message;
+};
+
+/// The endpoints in force; endpoints_supervisor starts and ends tasks accordingly.
+struct endpoints_changed
+{
+    state_view_ptr view;
+};
+
+using endpoints_message = std::variant<endpoint_post, endpoints_changed>;
+
 } // namespace burdockshelf
--- /dev/null
+++ b/src/routing/router_settings.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include "core/ids.h"
+
+#include <chrono>
+#include <cstddef>
+#include <string>
+
+namespace burdockshelf
+{
+
+/// What the router of one instance needs to know. Durations become deadlines when a request needs them.
+struct router_settings
+{
+    data_centre_id dataCentre;
+    /// Names of the strategies, see makePlacement() and makeQueueOrder().
+    std::string placement = "affinity";
+    std::string queueOrder = "fair";
+    std::chrono::milliseconds chargeTimeout {500};
+    std::chrono::milliseconds slotTimeout {1000};
+    std::chrono::milliseconds claimTimeout {5000};
+    std::chrono::milliseconds prefillTimeout {60000};
+    std::chrono::milliseconds firstEventTimeout {10000};
+    std::chrono::milliseconds betweenEventsTimeout {5000};
+    std::chrono::milliseconds plainTimeout {30000};
+    /// Requests of one service that look for a slot at the same time.
+    std::size_t concurrentReservations = 8;
+    std::size_t maxRequests = 20000;
+};
+
+} // namespace burdockshelf
--- /dev/null
+++ b/src/routing/router_task.cpp
@@ -0,0 +1,698 @@
+#include "routing/router_task.h"
+
+#include "core/digest.h"
+#include "state/find_workspace_for_key.h"
+
+#include <algorithm>
+#include <deque>
+#include <type_traits>
+#include <utility>
+
+#include <boost/outcome/try.hpp>
+#include <glog/logging.h>
+
+namespace burdockshelf
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+// How long a pool without a free slot waits for news before it asks again; slots that this instance returns end the wait at once.
+constexpr auto poolPause = 10ms;
+
+namespace http_status
+{
+constexpr int badRequest = 400;
+constexpr int unauthorized = 401;
+constexpr int notFound = 404;
+constexpr int unavailable = 503;
+} // namespace http_status
+
+int statusOf(error_code code)
+{
+    switch (code) {
+    case error_code::unknown_key:
+    case error_code::key_withdrawn:
+        return http_status::unauthorized;
+    case error_code::not_found:
+        return http_status::notFound;
+    case error_code::unavailable:
+    case error_code::overloaded:
+        return http_status::unavailable;
+    default:
+        return http_status::badRequest;
+    }
+}
+
+claim_result resultOf(claim_verdict verdict)
+{
+    switch (verdict) {
+    case claim_verdict::won:
+        return claim_result::won;
+    case claim_verdict::done:
+        return claim_result::done;
+    case claim_verdict::in_progress:
+        return claim_result::in_progress;
+    case claim_verdict::outcome_unknown:
+        return claim_result::outcome_unknown;
+    case claim_verdict::mismatch:
+        return claim_result::mismatch;
+    case claim_verdict::unavailable:
+        break;
+    }
+    return claim_result::unavailable;
+}
+
+// An attempt's id begins with the id of its request.
+request_id requestOf(const attempt_id &attempt)
+{
+    return request_id(attempt.value().substr(0, attempt.value().find('.')));
+}
+
+token_count promptCharge(byte_count bytes, std::int64_t bytesPerToken)
+{
+    return token_count((bytes.value() + bytesPerToken - 1) / bytesPerToken);
+}
+
+} // namespace
+
+router_task::router_task(
+    event_loop &loop, std::shared_ptr<mailbox<router_task_message>> box, router_settings settings, router_links links, random_source random)
+    : task(std::move(box))
+    , m_settings(std::move(settings))
+    , m_links(std::move(links))
+    , m_random(std::move(random))
+    , m_placement(makePlacement(m_settings.placement))
+    , m_queueOrder(makeQueueOrder(m_settings.queueOrder))
+    , m_directory(m_settings.dataCentre)
+    , m_settlements(loop, m_links.settlements)
+    , m_slotReleases(loop, m_links.slotReleases)
+    , m_claimEnds(loop, m_links.claimEnds)
+    , m_cancellations(loop, m_links.endpoints)
+    , m_timer(loop, [this] {
+        expireQueues();
+        pumpAll();
+    })
+{
+}
+
+outcome<void> router_task::start()
+{
+    if (!m_placement || !m_queueOrder) {
+        return failure(error_code::invalid_settings, "unknown placement or queue order strategy");
+    }
+    return success();
+}
+
+void router_task::beginShutdown()
+{
+    m_isShuttingDown = true;
+    finishWhenIdle();
+}
+
+void router_task::handle(router_task_message &&message)
+{
+    std::visit([this](auto &&typed) { take(std::forward<decltype(typed)>(typed)); }, std::move(message));
+    pumpAll();
+    finishWhenIdle();
+}
+
+void router_task::take(view_changed &&changed)
+{
+    m_view = std::move(changed.view);
+    m_directory.setView(m_view);
+    for (auto &[service, waiting] : m_pools) {
+        waiting.pausedUntil = deadline();
+        m_ready.insert(service);
+    }
+}
+
+void router_task::take(caller_request &&call)
+{
+    const request_id id = call.id;
+    const sink<caller_answer> reply = call.reply;
+    caller_request outline;
+    outline.id = id;
+    outline.reply = reply;
+    if (m_isShuttingDown || m_requests.size() >= m_settings.maxRequests) {
+        refuseUnaccepted(outline, {error_code::overloaded, "the instance takes no further request"});
+        return;
+    }
+    auto made = makeRequest(std::move(call));
+    if (!made) {
+        refuseUnaccepted(outline, made.error());
+        return;
+    }
+    active_request &active = m_requests.emplace(id, std::move(made).value()).first->second;
+    perform(id, active.machine.start(contextOf(active)));
+}
+
+void router_task::take(caller_gone &&gone)
+{
+    if (active_request *active = find(gone.request)) {
+        VLOG(1) << "routing: request " << gone.request << ": the caller has left.";
+        perform(gone.request, active->machine.callerGone(contextOf(*active)));
+    }
+}
+
+void router_task::take(charge_answer &&answer)
+{
+    if (active_request *active = find(answer.request)) {
+        perform(answer.request, active->machine.charged(answer.isGranted, answer.retryAfter, contextOf(*active)));
+    } else if (answer.isGranted) {
+        m_settlements.post({answer.request, {}});
+    }
+}
+
+void router_task::take(slot_decision &&decision)
+{
+    m_directory.noteLoad(decision.endpoint, decision.used, decision.limit, !decision.isGranted, boot_clock::now());
+    if (active_request *active = find(decision.request)) {
+        perform(decision.request, active->machine.slotDecided(decision.endpoint, decision.isGranted, contextOf(*active)));
+    } else if (decision.isGranted) {
+        m_slotReleases.post({decision.request, decision.endpoint, attempt_verdict::cancelled});
+    }
+}
+
+void router_task::take(claim_decision &&decision)
+{
+    active_request *active = find(decision.request);
+    if (active == nullptr) {
+        // The caller left while the claim was decided. claim_task releases claims that are not dispatched in time.
+        return;
+    }
+    active->recorded = std::move(decision.ended);
+    perform(decision.request, active->machine.claimed(resultOf(decision.verdict), contextOf(*active)));
+}
+
+void router_task::take(prefill_done &&done)
+{
+    if (active_request *active = findByAttempt(done.attempt)) {
+        active->kv = std::move(done.kv);
+        perform(requestOf(done.attempt), active->machine.prefillDone(done.attempt, contextOf(*active)));
+    }
+}
+
+void router_task::take(decode_event &&event)
+{
+    if (active_request *active = findByAttempt(event.attempt)) {
+        const attempt_id attempt = event.attempt;
+        active->lastEvent = std::move(event);
+        perform(requestOf(attempt),
+                active->machine.decodeEvent(attempt, active->lastEvent.position, active->lastEvent.text, contextOf(*active)));
+    }
+}
+
+void router_task::take(decode_done &&done)
+{
+    if (active_request *active = findByAttempt(done.attempt)) {
+        const request_facts &facts = active->machine.facts();
+        if (!done.isUsageKnown) {
+            done.usage = {facts.promptCharge, facts.maxTokens};
+        }
+        active->usage = done.usage;
+        active->finishReason = done.finishReason;
+        perform(requestOf(done.attempt),
+                active->machine.decodeDone(done.attempt, done.usage.prompt, done.usage.completion, contextOf(*active)));
+    }
+}
+
+void router_task::take(plain_done &&done)
+{
+    if (active_request *active = findByAttempt(done.attempt)) {
+        active->plainResponse = std::move(done.response);
+        perform(requestOf(done.attempt), active->machine.plainDone(done.attempt, active->plainResponse.status, contextOf(*active)));
+    }
+}
+
+void router_task::take(attempt_failed &&failed)
+{
+    if (active_request *active = findByAttempt(failed.attempt)) {
+        LOG(INFO) << "routing: attempt " << failed.attempt << " failed: " << failed.cause << ".";
+        perform(requestOf(failed.attempt),
+                active->machine.attemptFailed(failed.attempt, {failed.cause, failed.isNotSent}, contextOf(*active)));
+    }
+}
+
+outcome<active_request> router_task::makeRequest(caller_request &&call) const
+{
+    if (!m_view || m_view->config.version == configuration_version()) {
+        return failure(error_code::unavailable, "no configuration is in force yet");
+    }
+    BOOST_OUTCOME_TRY(service, findService(call));
+    const service_settings &settings = m_view->config.services.at(service);
+    request_facts facts;
+    facts.id = call.id;
+    facts.kind = settings.kind;
+    facts.isRepeatable = settings.isRepeatable;
+    facts.hasIdempotencyKey = !call.idempotency.isEmpty();
+    if (!settings.isOpenToAll) {
+        BOOST_OUTCOME_TRY(workspace, findWorkspaceForKey(*m_view, call.presentedKey));
+        facts.workspace = workspace;
+    }
+    const urgency_class_id wanted = call.urgency.isEmpty() ? settings.defaultUrgency : call.urgency;
+    const auto urgency = m_view->config.urgencyClasses.find(wanted);
+    if (urgency == m_view->config.urgencyClasses.end()) {
+        return failure(error_code::invalid_argument, "the urgency class is not known");
+    }
+    if (call.model) {
+        model_request &model = *call.model;
+        model.maxTokens = model.maxTokens > token_count() ? model.maxTokens : settings.defaultMaxTokens;
+        facts.maxTokens = model.maxTokens;
+        facts.promptCharge = promptCharge(model.promptBytes, settings.promptBytesPerToken);
+        facts.charge = facts.promptCharge + facts.maxTokens;
+    } else {
+        facts.charge = settings.callCost;
+    }
+    const instant now = boot_clock::now();
+    facts.dispatchUntil = deadline::after(now, urgency->second.maxQueueTime);
+    active_request active(request_machine(std::move(facts)), std::move(call), service);
+    active.priority = urgency->second.priority;
+    active.prefixHash = active.call.model ? active.call.model->prefixHash : 0;
+    active.acceptedAt = now;
+    return active;
+}
+
+outcome<service_id> router_task::findService(const caller_request &call) const
+{
+    const auto &services = m_view->config.services;
+    if (call.model) {
+        const auto found = services.find(call.model->service);
+        if (found == services.end() || found->second.kind != service_kind::model) {
+            return failure(error_code::not_found, "the model is not known");
+        }
+        return found->first;
+    }
+    const std::string_view path = call.request.path();
+    const service_id *best = nullptr;
+    std::size_t bestLength = 0;
+    for (const auto &[id, settings] : services) {
+        const bool isMatch = settings.kind == service_kind::plain && path.starts_with(settings.pathPrefix);
+        if (isMatch && settings.pathPrefix.size() >= bestLength) {
+            best = &id;
+            bestLength = settings.pathPrefix.size();
+        }
+    }
+    if (best == nullptr) {
+        return failure(error_code::not_found, "no service has this path");
+    }
+    return *best;
+}
+
+void router_task::refuseUnaccepted(const caller_request &call, const error &cause)
+{
+    LOG(INFO) << "routing: request " << call.id << " refused: " << cause << ".";
+    const post_result posted = call.reply.post(refusal {call.id, statusOf(cause.code), cause, true, false, std::nullopt});
+    LOG_IF(WARNING, posted != post_result::delivered) << "routing: request " << call.id << ": the refusal could not be delivered.";
+}
+
+event_context router_task::contextOf(const active_request &active) const
+{
+    event_context context;
+    context.now = boot_clock::now();
+    const workspace_id &workspace = active.machine.facts().workspace;
+    if (!workspace.isEmpty() && (active.machine.isQueued() || active.queueEntry)) {
+        const auto current = findWorkspaceForKey(*m_view, active.call.presentedKey);
+        context.isAuthorised = current.has_value() && current.value() == workspace;
+    }
+    return context;
+}
+
+active_request *router_task::find(const request_id &request)
+{
+    const auto found = m_requests.find(request);
+    return found == m_requests.end() ? nullptr : &found->second;
+}
+
+active_request *router_task::findByAttempt(const attempt_id &attempt)
+{
+    return find(requestOf(attempt));
+}
+
+router_task::pool &router_task::poolOf(const service_id &service)
+{
+    return m_pools.try_emplace(service, pool {admission_queue(m_queueOrder), 0, deadline()}).first->second;
+}
+
+// Some actions have an answer at once, which leads to further actions.
+void router_task::perform(const request_id &request, request_actions actions)
+{
+    std::deque<request_action> pending(std::make_move_iterator(actions.begin()), std::make_move_iterator(actions.end()));
+    while (!pending.empty()) {
+        active_request *active = find(request);
+        if (active == nullptr) {
+            return;
+        }
+        const request_action action = std::move(pending.front());
+        pending.pop_front();
+        request_actions more = std::visit([&](const auto &typed) { return carryOut(*active, typed); }, action);
+        pending.insert(pending.end(), std::make_move_iterator(more.begin()), std::make_move_iterator(more.end()));
+    }
+}
+
+request_actions router_task::carryOut(active_request &active, const charge_action &action)
+{
+    const request_facts &facts = active.machine.facts();
+    charge_request charge;
+    charge.request = facts.id;
+    charge.workspace = facts.workspace;
+    charge.amount = action.amount;
+    charge.until = deadline::after(boot_clock::now(), m_settings.chargeTimeout);
+    charge.reply = makeSink<charge_answer>(self());
+    if (m_links.charges.post(std::move(charge)) != post_result::delivered) {
+        return active.machine.charged(false, 1s, contextOf(active));
+    }
+    return {};
+}
+
+request_actions router_task::carryOut(active_request &active, const settle_action &action)
+{
+    m_settlements.post({active.call.id, action.actual});
+    return {};
+}
+
+request_actions router_task::carryOut(active_request &active, const claim_action & /*action*/)
+{
+    const http_request &request = active.call.request;
+    const std::string &body = active.call.model ? active.call.model->body : request.body;
+    claim_request wanted;
+    wanted.wanted.id = {active.machine.facts().workspace, active.call.idempotency};
+    wanted.wanted.request = active.call.id;
+    wanted.wanted.fingerprint = sha256Hex(request.method + "\n" + request.target + "\n" + body);
+    wanted.until = deadline::after(boot_clock::now(), m_settings.claimTimeout);
+    wanted.reply = makeSink<claim_decision>(self());
+    if (m_links.claims.post(std::move(wanted)) != post_result::delivered) {
+        return active.machine.claimed(claim_result::unavailable, contextOf(active));
+    }
+    return {};
+}
+
+request_actions router_task::carryOut(active_request &active, const end_claim_action &action)
+{
+    claim_outcome ended;
+    ended.id = {active.machine.facts().workspace, active.call.idempotency};
+    ended.request = active.call.id;
+    ended.isReleased = action.isReleased;
+    if (!action.isReleased) {
+        ended.status = active.plainResponse.status;
+        ended.contentType = std::string(active.plainResponse.headers.value("Content-Type"));
+        ended.body = active.plainResponse.body;
+    }
+    m_claimEnds.post({std::move(ended)});
+    return {};
+}
+
+request_actions router_task::carryOut(active_request &active, const enqueue_action & /*action*/)
+{
+    pool &waiting = poolOf(active.service);
+    const instant now = boot_clock::now();
+    m_ready.insert(active.service);
+    if (active.queueEntry) {
+        // It found no endpoint. The pool waits a little, so that the same question is not asked again and again.
+        leaveReservation(active);
+        waiting.pausedUntil = deadline::after(now, poolPause);
+        waiting.queue.putBack(*active.queueEntry);
+        return {};
+    }
+    const request_facts &facts = active.machine.facts();
+    queued_request entry = {facts.id, facts.workspace, active.priority, facts.charge, now, active.machine.dispatchUntil(), 0};
+    if (!waiting.queue.push(std::move(entry), now)) {
+        return active.machine.shed(contextOf(active));
+    }
+    return {};
+}
+
+request_actions router_task::carryOut(active_request &active, const dequeue_action & /*action*/)
+{
+    poolOf(active.service).queue.remove(active.call.id);
+    return {};
+}
+
+request_actions router_task::carryOut(active_request &active, const admitted_action & /*action*/)
+{
+    poolOf(active.service).queue.noteDispatch(*active.queueEntry, boot_clock::now());
+    leaveReservation(active);
+    active.queueEntry.reset();
+    return {};
+}
+
+request_actions router_task::carryOut(active_request &active, const offer_action &action)
+{
+    const instant now = boot_clock::now();
+    const placement_query query = {active.prefixHash, {}, now};
+    std::vector<endpoint_id> ordered = m_placement->order(query, m_directory.candidates(active.service, action.role), m_random);
+    return active.machine.offered(action.role, std::move(ordered), contextOf(active));
+}
+
+request_actions router_task::carryOut(active_request &active, const ask_slot_action &action)
+{
+    slot_request wanted;
+    wanted.request = active.call.id;
+    wanted.endpoint = action.endpoint;
+    wanted.until = deadline::after(boot_clock::now(), m_settings.slotTimeout);
+    wanted.reply = makeSink<slot_decision>(self());
+    if (m_links.slots.post(std::move(wanted)) != post_result::delivered) {
+        return active.machine.slotDecided(action.endpoint, false, contextOf(active));
+    }
+    return {};
+}
+
+request_actions router_task::carryOut(active_request &active, const release_slot_action &action)
+{
+    m_slotReleases.post({active.call.id, action.endpoint, action.verdict});
+    // A slot that was given back unused says nothing of the pool's room; asking again at once would go on without end.
+    if (action.verdict != attempt_verdict::cancelled) {
+        poolOf(active.service).pausedUntil = deadline();
+        m_ready.insert(active.service);
+    }
+    return {};
+}
+
+request_actions router_task::carryOut(active_request &active, const prefill_action &action)
+{
+    const deadline until = deadline::after(boot_clock::now(), m_settings.prefillTimeout);
+    prefill_call call = {action.attempt, active.call.id, modelFor(active), active.priority, active.machine.generated(), until};
+    return startAttempt(active, action.endpoint, action.attempt, std::move(call));
+}
+
+request_actions router_task::carryOut(active_request &active, const decode_action &action)
+{
+    decode_call call;
+    call.attempt = action.attempt;
+    call.request = active.call.id;
+    call.model = modelFor(active);
+    call.kv = active.kv;
+    call.priority = active.priority;
+    call.generated = active.machine.generated();
+    call.until = deadline::after(boot_clock::now(), m_settings.firstEventTimeout);
+    call.betweenEvents = m_settings.betweenEventsTimeout;
+    return startAttempt(active, action.endpoint, action.attempt, std::move(call));
+}
+
+request_actions router_task::carryOut(active_request &active, const resume_action &action)
+{
+    LOG(INFO) << "routing: request " << active.call.id << ": resuming at " << action.endpoint << " from event " << action.from << ".";
+    resume_call call;
+    call.attempt = action.attempt;
+    call.request = active.call.id;
+    call.from = action.from;
+    call.finishReason = active.lastEvent.finishReason;
+    call.until = deadline::after(boot_clock::now(), m_settings.firstEventTimeout);
+    call.betweenEvents = m_settings.betweenEventsTimeout;
+    return startAttempt(active, action.endpoint, action.attempt, std::move(call));
+}
+
+request_actions router_task::carryOut(active_request &active, const plain_call_action &action)
+{
+    const deadline until = deadline::after(boot_clock::now(), m_settings.plainTimeout);
+    return startAttempt(active, action.endpoint, action.attempt, plain_call {action.attempt, active.call.request, until});
+}
+
+request_actions router_task::carryOut(active_request & /*active*/, const cancel_attempt_action &action)
+{
+    m_cancellations.post({action.endpoint, cancel_attempt {action.attempt}});
+    return {};
+}
+
+request_actions router_task::carryOut(active_request &active, const release_kv_action &action)
+{
+    m_cancellations.post({action.prefill, release_kv {active.call.id, active.kv}});
+    return {};
+}
+
+request_actions router_task::carryOut(active_request & /*active*/, const note_failure_action &action)
+{
+    m_directory.noteFailure(action.endpoint, boot_clock::now());
+    return {};
+}
+
+request_actions router_task::carryOut(active_request &active, const answer_started_action &action)
+{
+    active.firstTokenAt = boot_clock::now();
+    answer(active, model_started {active.call.id, action.prefill, action.decode});
+    return {};
+}
+
+request_actions router_task::carryOut(active_request &active, const answer_event_action & /*action*/)
+{
+    const decode_event &event = active.lastEvent;
+    if (!event.isUsageOnly || active.call.model->wantsUsage) {
+        answer(active, model_event {active.call.id, event.text, event.data});
+    }
+    return {};
+}
+
+request_actions router_task::carryOut(active_request &active, const answer_finished_action & /*action*/)
+{
+    answer(active, model_finished {active.call.id, active.usage, active.finishReason});
+    return {};
+}
+
+request_actions router_task::carryOut(active_request &active, const answer_plain_action &action)
+{
+    answer(active, plain_answer {active.call.id, std::move(active.plainResponse), action.endpoint});
+    return {};
+}
+
+request_actions router_task::carryOut(active_request &active, const answer_recorded_action & /*action*/)
+{
+    plain_answer recorded;
+    recorded.request = active.call.id;
+    recorded.response.status = active.recorded->status;
+    if (!active.recorded->contentType.empty()) {
+        recorded.response.headers.add("Content-Type", active.recorded->contentType);
+    }
+    recorded.response.headers.add("Idempotency-Replayed", "true");
+    recorded.response.body = active.recorded->body;
+    answer(active, std::move(recorded));
+    return {};
+}
+
+request_actions router_task::carryOut(active_request &active, const refuse_action &action)
+{
+    LOG(INFO) << "routing: request " << active.call.id << " of workspace " << active.machine.facts().workspace
+              << " refused: " << action.cause << ".";
+    answer(active, refusal {active.call.id, action.status, action.cause, action.isNotRun, action.isEarlierUnknown, action.retryAfter});
+    return {};
+}
+
+request_actions router_task::carryOut(active_request &active, const finished_action & /*action*/)
+{
+    if (active.isReserving) {
+        leaveReservation(active);
+    }
+    m_ready.insert(active.service);
+    m_requests.erase(active.call.id);
+    return {};
+}
+
+request_actions
+router_task::startAttempt(active_request &active, const endpoint_id &endpoint, const attempt_id &attempt, endpoint_task_message message)
+{
+    if (m_links.endpoints.post({endpoint, std::move(message)}) != post_result::delivered) {
+        const error cause = {error_code::overloaded, "the endpoint's task is too far behind"};
+        return active.machine.attemptFailed(attempt, {cause, true}, contextOf(active));
+    }
+    return {};
+}
+
+model_request router_task::modelFor(const active_request &active) const
+{
+    model_request model = *active.call.model;
+    model.maxTokens = active.machine.remainingTokens();
+    return model;
+}
+
+void router_task::answer(active_request &active, caller_answer part)
+{
+    if (active.call.reply.post(std::move(part)) == post_result::full) {
+        // The listener drains its mailbox in every round of the loop; if it cannot, no caller is served any more.
+        LOG(ERROR) << "routing: request " << active.call.id << ": the callers' mailbox is full.";
+        fail({error_code::overloaded, "the callers' mailbox is full"});
+    }
+}
+
+// Called once for each popped request, when it has found its endpoints or has given up.
+void router_task::leaveReservation(active_request &active)
+{
+    pool &waiting = poolOf(active.service);
+    CHECK_GT(waiting.reservations, 0U) << "routing: a reservation ended twice.";
+    --waiting.reservations;
+    active.isReserving = false;
+}
+
+void router_task::pump(const service_id &service)
+{
+    pool &waiting = poolOf(service);
+    const instant now = boot_clock::now();
+    while (waiting.reservations < m_settings.concurrentReservations && waiting.pausedUntil.hasPassed(now)) {
+        std::optional<queued_request> next = waiting.queue.pop(now);
+        if (!next) {
+            return;
+        }
+        active_request *active = find(next->id);
+        if (active == nullptr) {
+            continue;
+        }
+        const request_id id = next->id;
+        active->queueEntry = std::move(next);
+        active->isReserving = true;
+        ++waiting.reservations;
+        perform(id, active->machine.popped(contextOf(*active)));
+    }
+}
+
+// What a pool does may make another one ready, or itself after a request has ended at once.
+void router_task::pumpAll()
+{
+    while (!m_ready.empty()) {
+        const service_id service = *m_ready.begin();
+        m_ready.erase(m_ready.begin());
+        pump(service);
+    }
+    scheduleTimer();
+}
+
+void router_task::expireQueues()
+{
+    const instant now = boot_clock::now();
+    for (auto &[service, waiting] : m_pools) {
+        for (const queued_request &expired : waiting.queue.takeExpired(now)) {
+            if (active_request *active = find(expired.id)) {
+                active->queueEntry.reset();
+                perform(expired.id, active->machine.queueExpired(contextOf(*active)));
+            }
+        }
+        m_ready.insert(service);
+    }
+}
+
+void router_task::scheduleTimer()
+{
+    const instant now = boot_clock::now();
+    deadline next = deadline::never();
+    for (const auto &[service, waiting] : m_pools) {
+        if (waiting.queue.size() == 0) {
+            continue;
+        }
+        next = std::min(next, waiting.queue.nextDeadline());
+        if (!waiting.pausedUntil.hasPassed(now)) {
+            next = std::min(next, waiting.pausedUntil);
+        }
+    }
+    if (next != m_timer.at()) {
+        m_timer.start(next);
+    }
+}
+
+void router_task::finishWhenIdle()
+{
+    if (m_isShuttingDown && m_requests.empty() && !m_isFinished) {
+        m_isFinished = true;
+        finish();
+    }
+}
+
+} // namespace burdockshelf
--- /dev/null
+++ b/src/routing/router_task.h
@@ -0,0 +1,138 @@
+#pragma once
+
+#include "core/random_source.h"
+#include "policy/admission_queue.h"
+#include "policy/endpoint_directory.h"
+#include "policy/placement.h"
+#include "routing/active_request.h"
+#include "routing/router_settings.h"
+#include "routing/routing_messages.h"
+#include "runtime/outbox.h"
+#include "runtime/task.h"
+#include "runtime/timer.h"
+
+#include <map>
+#include <memory>
+#include <set>
+
+namespace burdockshelf
+{
+
+/// The tasks that the router works with.
+struct router_links
+{
+    sink<charge_request> charges;
+    sink<charge_settlement> settlements;
+    sink<slot_request> slots;
+    sink<slot_release> slotReleases;
+    sink<claim_request> claims;
+    sink<claim_end> claimEnds;
+    sink<endpoint_post> endpoints;
+};
+
+/// Takes every accepted request from its arrival to its end. Feeds the request machines with events and carries out their actions; decides
+/// nothing by itself. Owns the requests and the admission queues.
+class router_task : public task<router_task_message>
+{
+public:
+    router_task(event_loop &loop,
+                std::shared_ptr<mailbox<router_task_message>> box,
+                router_settings settings,
+                router_links links,
+                random_source random);
+
+    outcome<void> start() override;
+    /// Finishes when the last request has ended.
+    void beginShutdown() override;
+
+protected:
+    void handle(router_task_message &&message) override;
+
+private:
+    /// The requests of one service that wait for endpoints.
+    struct pool
+    {
+        admission_queue queue;
+        std::size_t reservations = 0;
+        // No endpoint had room: nothing is tried before this, unless a slot comes back.
+        deadline pausedUntil;
+    };
+
+    void take(view_changed &&changed);
+    void take(caller_request &&call);
+    void take(caller_gone &&gone);
+    void take(charge_answer &&answer);
+    void take(slot_decision &&decision);
+    void take(claim_decision &&decision);
+    void take(prefill_done &&done);
+    void take(decode_event &&event);
+    void take(decode_done &&done);
+    void take(plain_done &&done);
+    void take(attempt_failed &&failed);
+
+    outcome<active_request> makeRequest(caller_request &&call) const;
+    outcome<service_id> findService(const caller_request &call) const;
+    void refuseUnaccepted(const caller_request &call, const error &cause);
+    event_context contextOf(const active_request &active) const;
+    active_request *find(const request_id &request);
+    active_request *findByAttempt(const attempt_id &attempt);
+    pool &poolOf(const service_id &service);
+
+    void perform(const request_id &request, request_actions actions);
+    request_actions carryOut(active_request &active, const charge_action &action);
+    request_actions carryOut(active_request &active, const settle_action &action);
+    request_actions carryOut(active_request &active, const claim_action &action);
+    request_actions carryOut(active_request &active, const end_claim_action &action);
+    request_actions carryOut(active_request &active, const enqueue_action &action);
+    request_actions carryOut(active_request &active, const dequeue_action &action);
+    request_actions carryOut(active_request &active, const admitted_action &action);
+    request_actions carryOut(active_request &active, const offer_action &action);
+    request_actions carryOut(active_request &active, const ask_slot_action &action);
+    request_actions carryOut(active_request &active, const release_slot_action &action);
+    request_actions carryOut(active_request &active, const prefill_action &action);
+    request_actions carryOut(active_request &active, const decode_action &action);
+    request_actions carryOut(active_request &active, const resume_action &action);
+    request_actions carryOut(active_request &active, const plain_call_action &action);
+    request_actions carryOut(active_request &active, const cancel_attempt_action &action);
+    request_actions carryOut(active_request &active, const release_kv_action &action);
+    request_actions carryOut(active_request &active, const note_failure_action &action);
+    request_actions carryOut(active_request &active, const answer_started_action &action);
+    request_actions carryOut(active_request &active, const answer_event_action &action);
+    request_actions carryOut(active_request &active, const answer_finished_action &action);
+    request_actions carryOut(active_request &active, const answer_plain_action &action);
+    request_actions carryOut(active_request &active, const answer_recorded_action &action);
+    request_actions carryOut(active_request &active, const refuse_action &action);
+    request_actions carryOut(active_request &active, const finished_action &action);
+
+    request_actions
+    startAttempt(active_request &active, const endpoint_id &endpoint, const attempt_id &attempt, endpoint_task_message message);
+    model_request modelFor(const active_request &active) const;
+    void answer(active_request &active, caller_answer part);
+    void leaveReservation(active_request &active);
+    void pump(const service_id &service);
+    void pumpAll();
+    void expireQueues();
+    void scheduleTimer();
+    void finishWhenIdle();
+
+    router_settings m_settings;
+    router_links m_links;
+    random_source m_random;
+    std::unique_ptr<placement_strategy> m_placement;
+    std::shared_ptr<const queue_order> m_queueOrder;
+    endpoint_directory m_directory;
+    state_view_ptr m_view;
+    std::map<request_id, active_request> m_requests;
+    std::map<service_id, pool> m_pools;
+    // Pools that may be able to place a request since the last message.
+    std::set<service_id> m_ready;
+    outbox<charge_settlement> m_settlements;
+    outbox<slot_release> m_slotReleases;
+    outbox<claim_end> m_claimEnds;
+    outbox<endpoint_post> m_cancellations;
+    timer m_timer;
+    bool m_isShuttingDown = false;
+    bool m_isFinished = false;
+};
+
+} // namespace burdockshelf
