--- /dev/null
+++ b/src/state/is_drained.h
@@ -0,0 +1,14 @@
+#pragma once
+
+#include "state/state_view.h"
+
+namespace burdockshelf
+{
+
+/// True while operators keep the endpoint or its data centre out of service.
+bool isDrained(const state_view &view, const endpoint_id &endpoint);
+
+/// True while operators keep the instance or its data centre out of service.
+bool isDrained(const state_view &view, const instance_id &instance, const data_centre_id &dataCentre);
+
+} // namespace burdockshelf
--- a/src/state/log_record.h
+++ b/src/state/log_record.h
@@ -156,6 +156,8 @@
 struct unknown_record
 {
     std::string kind;
+    /// As it stands in the log, so that a relay passes the record on unchanged to a build that may know it.
+    std::string body;
 
     friend bool operator==(const unknown_record &, const unknown_record &) = default;
 };
--- /dev/null
+++ b/src/state/log_replay.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include "state/claim_replay.h"
+#include "state/replay_result.h"
+#include "state/state_view.h"
+#include "state/stored_record.h"
+
+#include <cstdint>
+#include <map>
+#include <vector>
+
+namespace burdockshelf
+{
+
+/// Deterministic replay of the platform's log. Records may come twice and in any order: they are applied in the order of their offsets,
+/// without gaps. Behind a gap, as at the start behind a truncated log, they wait for the missing ones or for a snapshot that covers them.
+/// The covered offset never goes back.
+class log_replay
+{
+public:
+    /// Claims are forgotten once the highest record time is past theirs by the window.
+    explicit log_replay(record_time idempotencyWindow);
+
+    replay_result apply(const std::vector<stored_record> &records);
+    /// Takes over a peer's state. Does nothing unless it covers more than this one.
+    replay_result load(const snapshot &state);
+
+    /// Offset of the last record in the state, -1 when there is none.
+    log_offset covered() const;
+    /// True while records wait for missing ones.
+    bool hasGap() const;
+    std::size_t waitingRecords() const;
+    /// Records of unknown kinds or versions that were skipped.
+    std::uint64_t skippedRecords() const;
+
+    /// The whole state, as it goes into a snapshot record or to a peer.
+    snapshot state() const;
+    state_view_ptr view() const;
+    const std::map<claim_id, claim_state> &claims() const;
+
+private:
+    using rejection = std::optional<record_rejection>;
+
+    void advance(replay_result &result);
+    void applyNext(const stored_record &record, replay_result &result);
+    const snapshot *findUsableSnapshot() const;
+    void replaceState(const snapshot &state, replay_result &result);
+
+    rejection decide(const configuration_change &change, replay_result &result);
+    rejection decide(const key_grant &grant, replay_result &result);
+    rejection decide(const key_withdrawal &withdrawal, replay_result &result);
+    rejection decide(const drain_change &change, replay_result &result);
+    rejection decide(const roster_change &change, replay_result &result);
+    rejection decide(const roster_takeover &takeover, replay_result &result);
+    rejection decide(const roster_reset &reset, replay_result &result);
+    rejection decide(const claim_batch &batch, replay_result &result);
+    rejection decide(const outcome_batch &batch, replay_result &result);
+    rejection decide(const snapshot &state, replay_result &result);
+    rejection decide(const unknown_record &record, replay_result &result);
+
+    state_view m_view;
+    claim_replay m_claims;
+    std::map<log_offset, stored_record> m_waiting;
+    std::uint64_t m_skipped = 0;
+};
+
+} // namespace burdockshelf
--- a/src/state/snapshot.h
+++ b/src/state/snapshot.h
@@ -47,8 +47,11 @@
 struct claim_state
 {
     claim winner;
+    /// The highest time of any record that has won this claim; the claim is kept for the idempotency window from here.
     record_time at {};
     std::optional<claim_outcome> ended;
+    /// Requests that have released the claim. A late copy of their claims must not win it again: nobody would end it.
+    std::vector<request_id> released;
 
     friend bool operator==(const claim_state &, const claim_state &) = default;
 };
