--- /dev/null
+++ b/src/wire/bytes_codec.cpp
@@ -0,0 +1,73 @@
+#include "wire/bytes_codec.h"
+
+#include <nlohmann/json.hpp>
+
+namespace burdockshelf
+{
+
+namespace
+{
+
+using json = nlohmann::json;
+
+constexpr std::string_view hexDigits = "0123456789abcdef";
+constexpr std::string_view hexSuffix = "_hex";
+
+// Only bytes that are not UTF-8 are handled differently by the two ways to write them.
+bool isUtf8(std::string_view bytes)
+{
+    const json value = std::string(bytes);
+    return value.dump(-1, ' ', false, json::error_handler_t::ignore) == value.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+std::string toHex(std::string_view bytes)
+{
+    std::string text;
+    for (const char character : bytes) {
+        const auto byte = static_cast<unsigned char>(character);
+        text.push_back(hexDigits[byte >> 4]);
+        text.push_back(hexDigits[byte & 0x0f]);
+    }
+    return text;
+}
+
+bool isHex(std::string_view text)
+{
+    return text.size() % 2 == 0 && text.find_first_not_of(hexDigits) == std::string_view::npos;
+}
+
+std::string fromHex(std::string_view text)
+{
+    std::string bytes;
+    for (std::size_t i = 0; i < text.size(); i += 2) {
+        bytes.push_back(static_cast<char>(hexDigits.find(text[i]) << 4 | hexDigits.find(text[i + 1])));
+    }
+    return bytes;
+}
+
+} // namespace
+
+void writeBytes(json_writer &writer, std::string_view key, std::string_view bytes)
+{
+    if (isUtf8(bytes)) {
+        writer.set(key, bytes);
+    } else {
+        writer.set(std::string(key) + std::string(hexSuffix), toHex(bytes));
+    }
+}
+
+std::string readBytes(json_reader &reader, std::string_view key)
+{
+    const std::string hexKey = std::string(key) + std::string(hexSuffix);
+    if (!reader.has(hexKey)) {
+        return reader.text(key);
+    }
+    const std::string text = reader.text(hexKey);
+    if (!isHex(text)) {
+        reader.reject(hexKey, "pairs of the digits 0123456789abcdef");
+        return {};
+    }
+    return fromHex(text);
+}
+
+} // namespace burdockshelf
--- /dev/null
+++ b/src/wire/claim_codec.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include "state/log_record.h"
+#include "wire/json_reader.h"
+#include "wire/json_writer.h"
+
+namespace burdockshelf
+{
+
+/// Claims and their outcomes inside other documents. Errors stay in the reader.
+void writeClaim(json_writer &writer, const claim &entry);
+claim readClaim(json_reader &reader);
+void writeClaimOutcome(json_writer &writer, const claim_outcome &entry);
+claim_outcome readClaimOutcome(json_reader &reader);
+
+} // namespace burdockshelf
--- /dev/null
+++ b/src/wire/drain_target_codec.h
@@ -0,0 +1,14 @@
+#pragma once
+
+#include "state/log_record.h"
+#include "wire/json_reader.h"
+#include "wire/json_writer.h"
+
+namespace burdockshelf
+{
+
+/// A drain's target, as the members "target_kind" and "target". Errors stay in the reader.
+void writeDrainTarget(json_writer &writer, const drain_target &target);
+drain_target readDrainTarget(json_reader &reader);
+
+} // namespace burdockshelf
--- /dev/null
+++ b/src/wire/json_reader.cpp
@@ -0,0 +1,325 @@
+#include "wire/json_reader.h"
+
+#include <deque>
+#include <optional>
+#include <set>
+#include <utility>
+
+#include <nlohmann/json.hpp>
+
+namespace burdockshelf
+{
+
+namespace
+{
+
+using json = nlohmann::json;
+
+// Longer texts are cut in error messages.
+constexpr std::size_t maxShownCharacters = 60;
+
+std::string describe(const json &value)
+{
+    if (value.is_object()) {
+        return "an object";
+    }
+    if (value.is_array()) {
+        return "an array";
+    }
+    std::string shown = value.dump(-1, ' ', true, json::error_handler_t::replace);
+    if (shown.size() > maxShownCharacters) {
+        shown = shown.substr(0, maxShownCharacters) + "...";
+    }
+    return shown;
+}
+
+std::string escapePointer(std::string_view key)
+{
+    std::string escaped;
+    for (const char character : key) {
+        if (character == '~') {
+            escaped += "~0";
+        } else if (character == '/') {
+            escaped += "~1";
+        } else {
+            escaped += character;
+        }
+    }
+    return escaped;
+}
+
+std::string describeRange(number_range range)
+{
+    if (range.most == std::numeric_limits<std::int64_t>::max()) {
+        return "a whole number from " + std::to_string(range.least);
+    }
+    return "a whole number from " + std::to_string(range.least) + " to " + std::to_string(range.most);
+}
+
+bool isInRange(const json &value, number_range range)
+{
+    if (value.is_number_unsigned()) {
+        const auto number = value.get<std::uint64_t>();
+        const auto most = static_cast<std::uint64_t>(std::numeric_limits<std::int64_t>::max());
+        return number <= most && static_cast<std::int64_t>(number) >= range.least && static_cast<std::int64_t>(number) <= range.most;
+    }
+    if (!value.is_number_integer()) {
+        return false;
+    }
+    const auto number = value.get<std::int64_t>();
+    return number >= range.least && number <= range.most;
+}
+
+const json &emptyObject()
+{
+    static const json empty = json::object();
+    return empty;
+}
+
+} // namespace
+
+/// An object that a reader stands on, and which members were asked for, there or not.
+struct json_reader::node
+{
+    const json *value;
+    std::string pointer;
+    std::set<std::string, std::less<>> asked;
+};
+
+struct json_reader::document
+{
+    json root;
+    error_code code = error_code::invalid_message;
+    std::optional<error> firstError;
+    std::deque<node> nodes;
+
+    node *addNode(const json *value, std::string pointer)
+    {
+        nodes.push_back({value, std::move(pointer), {}});
+        return &nodes.back();
+    }
+
+    void note(const std::string &pointer, const std::string &found, std::string_view allowed)
+    {
+        if (!firstError) {
+            firstError = error {code, pointer + ": found " + found + ", allowed: " + std::string(allowed)};
+        }
+    }
+};
+
+json_reader::json_reader(std::shared_ptr<document> whole, node *self)
+    : m_document(std::move(whole))
+    , m_node(self)
+{
+}
+
+json_reader::~json_reader() = default;
+
+outcome<json_reader> json_reader::parse(std::string_view text, error_code code)
+{
+    auto whole = std::make_shared<document>();
+    whole->code = code;
+    whole->root = json::parse(text, nullptr, false);
+    if (whole->root.is_discarded()) {
+        return failure(code, "the document: found text that is not JSON, allowed: an object");
+    }
+    if (!whole->root.is_object()) {
+        return failure(code, "the document: found " + describe(whole->root) + ", allowed: an object");
+    }
+    node *root = whole->addNode(&whole->root, "");
+    return json_reader(std::move(whole), root);
+}
+
+bool json_reader::has(std::string_view key) const
+{
+    return find(key) != nullptr;
+}
+
+bool json_reader::isNull(std::string_view key) const
+{
+    const auto *value = static_cast<const json *>(find(key));
+    return value != nullptr && value->is_null();
+}
+
+std::vector<std::string> json_reader::names() const
+{
+    std::vector<std::string> names;
+    for (const auto &member : m_node->value->items()) {
+        names.push_back(member.key());
+    }
+    return names;
+}
+
+std::string json_reader::text(std::string_view key)
+{
+    const auto *value = static_cast<const json *>(require(key));
+    if (value == nullptr) {
+        return {};
+    }
+    if (!value->is_string()) {
+        reject(key, "a text");
+        return {};
+    }
+    return value->get<std::string>();
+}
+
+std::string json_reader::textOr(std::string_view key, std::string_view fallback)
+{
+    return has(key) ? text(key) : std::string(fallback);
+}
+
+std::string json_reader::nonEmptyText(std::string_view key)
+{
+    std::string value = text(key);
+    if (value.empty()) {
+        reject(key, "a text with at least one character");
+    }
+    return value;
+}
+
+std::int64_t json_reader::integer(std::string_view key, number_range range)
+{
+    const auto *value = static_cast<const json *>(require(key));
+    if (value == nullptr) {
+        return range.least;
+    }
+    if (!isInRange(*value, range)) {
+        reject(key, describeRange(range));
+        return range.least;
+    }
+    return value->get<std::int64_t>();
+}
+
+std::int64_t json_reader::integerOr(std::string_view key, std::int64_t fallback, number_range range)
+{
+    return has(key) ? integer(key, range) : fallback;
+}
+
+bool json_reader::boolean(std::string_view key)
+{
+    const auto *value = static_cast<const json *>(require(key));
+    if (value == nullptr) {
+        return false;
+    }
+    if (!value->is_boolean()) {
+        reject(key, "true or false");
+        return false;
+    }
+    return value->get<bool>();
+}
+
+bool json_reader::booleanOr(std::string_view key, bool fallback)
+{
+    return has(key) ? boolean(key) : fallback;
+}
+
+json_reader json_reader::object(std::string_view key)
+{
+    const auto *value = static_cast<const json *>(require(key));
+    if (value != nullptr && !value->is_object()) {
+        reject(key, "an object");
+        value = nullptr;
+    }
+    return json_reader(m_document, m_document->addNode(value == nullptr ? &emptyObject() : value, pointer(key)));
+}
+
+std::vector<json_reader> json_reader::objects(std::string_view key)
+{
+    std::vector<json_reader> readers;
+    const auto *value = static_cast<const json *>(require(key));
+    if (value == nullptr) {
+        return readers;
+    }
+    if (!value->is_array()) {
+        reject(key, "an array of objects");
+        return readers;
+    }
+    for (std::size_t i = 0; i < value->size(); ++i) {
+        const json &element = (*value)[i];
+        const std::string elementPointer = pointer(key) + "/" + std::to_string(i);
+        if (!element.is_object()) {
+            m_document->note(elementPointer, describe(element), "an object");
+            return readers;
+        }
+        readers.push_back(json_reader(m_document, m_document->addNode(&element, elementPointer)));
+    }
+    return readers;
+}
+
+std::vector<std::string> json_reader::texts(std::string_view key)
+{
+    std::vector<std::string> texts;
+    const auto *value = static_cast<const json *>(require(key));
+    if (value == nullptr) {
+        return texts;
+    }
+    if (!value->is_array()) {
+        reject(key, "an array of texts");
+        return texts;
+    }
+    for (std::size_t i = 0; i < value->size(); ++i) {
+        const json &element = (*value)[i];
+        if (!element.is_string()) {
+            m_document->note(pointer(key) + "/" + std::to_string(i), describe(element), "a text");
+            return texts;
+        }
+        texts.push_back(element.get<std::string>());
+    }
+    return texts;
+}
+
+void json_reader::reject(std::string_view key, std::string_view allowed)
+{
+    const auto *value = static_cast<const json *>(find(key));
+    m_document->note(pointer(key), value == nullptr ? "nothing" : describe(*value), allowed);
+}
+
+std::string json_reader::pointer(std::string_view key) const
+{
+    return m_node->pointer + "/" + escapePointer(key);
+}
+
+outcome<void> json_reader::result() const
+{
+    if (m_document->firstError) {
+        return *m_document->firstError;
+    }
+    return success();
+}
+
+outcome<void> json_reader::finish() const
+{
+    for (const node &visited : m_document->nodes) {
+        if (m_document->firstError) {
+            break;
+        }
+        for (const auto &member : visited.value->items()) {
+            if (!visited.asked.contains(member.key())) {
+                std::string allowed = "only";
+                for (const std::string &name : visited.asked) {
+                    allowed += " " + name;
+                }
+                m_document->note(visited.pointer + "/" + escapePointer(member.key()), "an unknown key", allowed);
+            }
+        }
+    }
+    return result();
+}
+
+const void *json_reader::find(std::string_view key) const
+{
+    const auto found = m_node->value->find(key);
+    m_node->asked.emplace(key);
+    return found == m_node->value->end() ? nullptr : &*found;
+}
+
+const void *json_reader::require(std::string_view key)
+{
+    const void *value = find(key);
+    if (value == nullptr) {
+        m_document->note(pointer(key), "nothing", "a value");
+    }
+    return value;
+}
+
+} // namespace burdockshelf
--- /dev/null
+++ b/src/wire/roster_codec.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include "state/log_record.h"
+#include "wire/json_reader.h"
+#include "wire/json_writer.h"
+
+#include <string_view>
+#include <vector>
+
+namespace burdockshelf
+{
+
+/// Members of rosters and takeovers inside other documents. Errors stay in the reader.
+void writeMembers(json_writer &writer, std::string_view key, const std::vector<roster_member> &members);
+std::vector<roster_member> readMembers(json_reader &reader, std::string_view key);
+void writeRosterTakeover(json_writer &writer, const roster_takeover &takeover);
+roster_takeover readRosterTakeover(json_reader &reader);
+
+} // namespace burdockshelf
--- /dev/null
+++ b/src/wire/snapshot_codec.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include "core/outcome.h"
+#include "state/snapshot.h"
+#include "wire/json_reader.h"
+#include "wire/json_writer.h"
+
+#include <string>
+#include <string_view>
+
+namespace burdockshelf
+{
+
+/// A snapshot as a document of its own, with its format version.
+std::string encodeSnapshot(const snapshot &state);
+outcome<snapshot> decodeSnapshot(std::string_view text);
+
+/// A snapshot inside another document. Errors stay in the reader.
+void writeSnapshot(json_writer &writer, const snapshot &state);
+snapshot readSnapshot(json_reader &reader);
+
+} // namespace burdockshelf
