--- a/src/endpoints/endpoint_messages.h
+++ b/src/endpoints/endpoint_messages.h
@@ -6,6 +6,7 @@
 #include "core/units.h"
 #include "http/http_message.h"
 #include "runtime/sink.h"
+#include "state/state_view.h"
 
 #include <optional>
 #include <string>
@@ -68,6 +69,8 @@
     attempt_id attempt;
     request_id request;
     std::int64_t from = 0;
+    /// Finish reason of an event before this position, empty when there was none.
+    std::string finishReason;
     deadline until;
     boot_clock::duration betweenEvents {};
 };
@@ -125,6 +128,12 @@
     std::string text;
     /// The event's JSON as the caller shall get it.
     std::string data;
+    /// Empty but in the last event with text.
+    std::string finishReason;
+    /// Usage that came with this event. The engine is always asked for it, also when the caller is not to see it.
+    std::optional<token_usage> usage;
+    /// True for the event without text that only reports usage.
+    bool isUsageOnly = false;
 };
 
 struct decode_done
@@ -132,6 +141,8 @@
     attempt_id attempt;
     token_usage usage;
     std::string finishReason;
+    /// False when the engine has reported no usage in this attempt.
+    bool isUsageKnown = false;
 };
 
 struct plain_done
@@ -175,4 +186,19 @@
 using endpoint_task_message =
     std::variant<prefill_call, decode_call, resume_call, plain_call, cancel_attempt, abort_request, release_kv, endpoint_order, load_query>;
 
+/// A message for the task of one endpoint. A call that cannot be handed on ends with attempt_failed and isNotSent.
+struct endpoint_post
+{
+    endpoint_id to;
+    endpoint_task_message message;
+};
+
+/// The endpoints in force; endpoints_supervisor starts and ends tasks accordingly.
+struct endpoints_changed
+{
+    state_view_ptr view;
+};
+
+using endpoints_message = std::variant<endpoint_post, endpoints_changed>;
+
 } // namespace burdockshelf
--- /dev/null
+++ b/tests/wire/sse_parser_test.cpp
@@ -0,0 +1,54 @@
+#include "wire/sse_parser.h"
+
+#include "support/property.h"
+
+using namespace burdockshelf;
+
+namespace
+{
+
+constexpr byte_count limit(1000);
+
+std::vector<sse_event> parseInPieces(std::string_view text, const std::vector<std::uint8_t> &sizes)
+{
+    sse_parser parser(limit);
+    std::vector<sse_event> events;
+    std::size_t piece = 0;
+    while (!text.empty()) {
+        const std::size_t size = sizes.empty() ? text.size() : sizes[piece++ % sizes.size()] % 7U + 1U;
+        const auto completed = parser.feed(text.substr(0, size));
+        events.insert(events.end(), completed.value().begin(), completed.value().end());
+        text.remove_prefix(std::min(size, text.size()));
+    }
+    return events;
+}
+
+} // namespace
+
+TEST_GROUP(sse_parsers) {};
+
+// Guards against events that are lost or joined when the network cuts the stream elsewhere.
+TEST(sse_parsers, giveTheSameEventsForAnyChunking)
+{
+    const std::string text =
+        ": note\r\nid: 4\r\ndata: {\"a\":1}\r\n\r\ndata:two\ndata:  lines\n\nevent: x\n\ndata\n\rid:9\rdata: [DONE]\r\rdata: open";
+    const std::vector<sse_event> expected = {{"4", "{\"a\":1}"}, {"", "two\n lines"}, {"", ""}, {"9", "[DONE]"}};
+    CHECK_TRUE(parseInPieces(text, {}) == expected);
+    CHECK_PROPERTY("any chunking gives the same events",
+                   [&](const std::vector<std::uint8_t> &sizes) { RC_ASSERT(parseInPieces(text, sizes) == expected); });
+}
+
+// Guards against an engine that fills the router's memory with an event that never ends.
+TEST(sse_parsers, refuseAnEventOverTheLimit)
+{
+    sse_parser oneLine(limit);
+    CHECK_TRUE(oneLine.feed("data: " + std::string(990, 'x')).has_value());
+    CHECK_TRUE(oneLine.feed("xxxxxxxxxx").error().code == error_code::too_large);
+    CHECK_TRUE(oneLine.feed("\n\ndata: y\n\n").has_error());
+    sse_parser manyLines(limit);
+    std::string lines;
+    for (int i = 0; i < 100; ++i) {
+        lines += "data: 0123456789\n";
+    }
+    CHECK_TRUE(manyLines.feed(lines).has_error());
+}
