Add endpoint_task and endpoints_supervisor

Cause: the router needs calls to endpoints that end exactly once and streams whose cut is never taken for an end. Change: endpoint_task makes all calls to one endpoint, decode_stream numbers and checks the events, and endpoints_supervisor runs one task per endpoint of the configuration.

--- /dev/null
+++ b/src/endpoints/endpoint_task.cpp
@@ -0,0 +1,429 @@
+#include "endpoints/endpoint_task.h"
+
+#include "wire/engine_codec.h"
+
+#include <algorithm>
+#include <utility>
+
+#include <glog/logging.h>
+
+namespace burdockshelf
+{
+
+namespace
+{
+
+/// Wait before a full mailbox is tried again. Receivers drain theirs in one round of the loop, far below this.
+constexpr auto backlogRetryDelay = std::chrono::milliseconds(2);
+
+// Fields that belong to one connection, and those that can hold a caller's key. The front end has taken the key out already; a front end
+// that forgets a field must not leak it.
+constexpr const char *withheldFields[] = {
+    "Connection",
+    "Keep-Alive",
+    "Proxy-Connection",
+    "Proxy-Authorization",
+    "Transfer-Encoding",
+    "Content-Length",
+    "Host",
+    "TE",
+    "Upgrade",
+    "Expect",
+    "Authorization",
+    "X-Api-Key",
+    "Cookie",
+};
+
+bool isSuccess(int status)
+{
+    return status >= 200 && status < 300;
+}
+
+const attempt_id &attemptOf(const attempt_event &event)
+{
+    return std::visit([](const auto &content) -> const attempt_id & { return content.attempt; }, event);
+}
+
+} // namespace
+
+endpoint_task::endpoint_task(event_loop &loop,
+                             std::shared_ptr<mailbox<endpoint_task_message>> box,
+                             endpoint_id endpoint,
+                             const socket_address &server,
+                             endpoint_reports reports,
+                             endpoint_task_settings settings,
+                             random_source random)
+    : task(std::move(box))
+    , m_loop(loop)
+    , m_endpoint(std::move(endpoint))
+    , m_reports(std::move(reports))
+    , m_settings(settings)
+    , m_random(random)
+    , m_client(loop, server)
+    , m_backlogTimer(loop, [this] { flushBacklog(); })
+{
+}
+
+// Attempts that run when the task is restarted still get their terminal event.
+endpoint_task::~endpoint_task()
+{
+    m_isFinished = true;
+    while (!m_attempts.empty()) {
+        const attempt_id id = m_attempts.begin()->first;
+        m_client.cancel(m_attempts.begin()->second.call);
+        m_attempts.erase(m_attempts.begin());
+        report(attempt_failed {id, {error_code::connection_lost, "the endpoint's task has ended"}, false});
+    }
+    flushBacklog();
+    LOG_IF(ERROR, !m_backlog.empty()) << "endpoints: " << m_endpoint << ": " << m_backlog.size() << " events were not taken.";
+}
+
+outcome<void> endpoint_task::start()
+{
+    return success();
+}
+
+void endpoint_task::beginShutdown()
+{
+    m_isShuttingDown = true;
+    finishIfIdle();
+}
+
+void endpoint_task::handle(endpoint_task_message &&message)
+{
+    std::visit([this](const auto &content) { take(content); }, message);
+}
+
+void endpoint_task::take(const prefill_call &call)
+{
+    if (!admits(call.attempt)) {
+        return;
+    }
+    const auto request = engine_codec::prefillRequest(call);
+    if (!request) {
+        report(attempt_failed {call.attempt, request.error(), true});
+        return;
+    }
+    startWhole(call.attempt, {{}, call.request, std::nullopt, {}, 0}, request.value(), call.until, false);
+}
+
+void endpoint_task::take(const decode_call &call)
+{
+    if (!admits(call.attempt)) {
+        return;
+    }
+    const auto request = engine_codec::decodeRequest(call);
+    if (!request) {
+        report(attempt_failed {call.attempt, request.error(), true});
+        return;
+    }
+    decode_stream stream(call.attempt, 0, {}, m_settings.maxEventBytes);
+    startStream(call.attempt, {{}, call.request, std::move(stream), call.betweenEvents, 0}, request.value(), call.until);
+}
+
+void endpoint_task::take(const resume_call &call)
+{
+    if (!admits(call.attempt)) {
+        return;
+    }
+    decode_stream stream(call.attempt, call.from, call.finishReason, m_settings.maxEventBytes);
+    const http_request request = engine_codec::resumeRequest(call);
+    startStream(call.attempt, {{}, call.request, std::move(stream), call.betweenEvents, 0}, request, call.until);
+}
+
+void endpoint_task::take(const plain_call &call)
+{
+    if (!admits(call.attempt)) {
+        return;
+    }
+    http_request request = call.request;
+    for (const char *name : withheldFields) {
+        request.headers.remove(name);
+    }
+    startWhole(call.attempt, {}, request, call.until, true);
+}
+
+void endpoint_task::take(const cancel_attempt &cancelled)
+{
+    std::erase_if(m_backlog, [&](const attempt_event &event) { return attemptOf(event) == cancelled.attempt; });
+    const auto found = m_attempts.find(cancelled.attempt);
+    if (found == m_attempts.end()) {
+        finishIfIdle();
+        return;
+    }
+    const request_id request = found->second.request;
+    m_client.cancel(found->second.call);
+    m_attempts.erase(found);
+    if (!request.isEmpty()) {
+        control(engine_codec::abortRequest(request));
+    }
+    finishIfIdle();
+}
+
+void endpoint_task::take(const abort_request &abort)
+{
+    control(engine_codec::abortRequest(abort.request));
+}
+
+void endpoint_task::take(const release_kv &release)
+{
+    auto request = engine_codec::releaseRequest(release);
+    if (!request) {
+        LOG(WARNING) << "endpoints: " << m_endpoint << ": request " << release.request << ": no release: " << request.error() << ".";
+        return;
+    }
+    control(std::move(request).value());
+}
+
+void endpoint_task::take(const endpoint_order &order)
+{
+    const auto ended = [reply = order.reply](const http_call_result &result) {
+        outcome<void> answer = success();
+        if (!result) {
+            answer = result.error().cause;
+        } else if (result.value().status == 409) {
+            answer = error {error_code::stale_epoch, "the endpoint has seen a newer fencing token"};
+        } else if (!isSuccess(result.value().status)) {
+            answer = engine_codec::readRefusal(result.value().status);
+        }
+        if (reply.post(std::move(answer)) != post_result::delivered) {
+            LOG(WARNING) << "endpoints: the answer to an order was not taken.";
+        }
+    };
+    m_client.send(
+        engine_codec::orderRequest(order), {nullptr, nullptr, ended}, deadline::after(boot_clock::now(), m_settings.controlTimeout));
+}
+
+void endpoint_task::take(const load_query & /*query*/)
+{
+    if (std::exchange(m_isLoadAsked, true)) {
+        return;
+    }
+    m_client.send(engine_codec::loadRequest(),
+                  {nullptr,
+                   nullptr,
+                   [this](const http_call_result &result) {
+                       loadEnded(result);
+                   }},
+                  deadline::after(boot_clock::now(), m_settings.loadTimeout));
+}
+
+bool endpoint_task::admits(const attempt_id &id)
+{
+    CHECK(!m_attempts.contains(id)) << "endpoints: attempt " << id << " was started twice.";
+    if (m_isShuttingDown) {
+        report(attempt_failed {id, {error_code::unavailable, "the endpoint is leaving"}, true});
+    }
+    return !m_isShuttingDown;
+}
+
+void endpoint_task::startWhole(const attempt_id &id, attempt entry, const http_request &request, deadline until, bool isPlain)
+{
+    attempt &running = m_attempts.emplace(id, std::move(entry)).first->second;
+    const auto ended = [this, id, isPlain](http_call_result result) {
+        wholeEnded(id, std::move(result), isPlain);
+    };
+    running.call = m_client.send(request, {nullptr, nullptr, ended}, until);
+}
+
+void endpoint_task::startStream(const attempt_id &id, attempt entry, const http_request &request, deadline until)
+{
+    attempt &running = m_attempts.emplace(id, std::move(entry)).first->second;
+    running.call = m_client.send(request,
+                                 {[this, id](const http_response &response) { streamHeaders(id, response.status); },
+                                  [this, id](std::string_view bytes) { streamData(id, bytes); },
+                                  [this, id](const http_call_result &result) {
+                                      streamEnded(id, result);
+                                  }},
+                                 until);
+}
+
+void endpoint_task::streamHeaders(const attempt_id &id, int status)
+{
+    const auto found = m_attempts.find(id);
+    if (found != m_attempts.end()) {
+        found->second.status = status;
+    }
+}
+
+void endpoint_task::streamData(const attempt_id &id, std::string_view bytes)
+{
+    const auto found = m_attempts.find(id);
+    if (found == m_attempts.end() || !isSuccess(found->second.status)) {
+        return;
+    }
+    decode_progress progress = found->second.stream->feed(bytes);
+    if (!progress.events.empty() && found->second.betweenEvents > boot_clock::duration::zero()) {
+        m_client.extend(found->second.call, deadline::after(boot_clock::now(), found->second.betweenEvents));
+    }
+    for (decode_event &event : progress.events) {
+        report(std::move(event));
+    }
+    if (progress.end && std::holds_alternative<decode_done>(*progress.end)) {
+        // The call itself goes on to the end of the response, so that its connection can be used again.
+        end(id, std::get<decode_done>(*progress.end));
+    } else if (progress.end) {
+        cancelCall(id);
+        end(id, std::get<attempt_failed>(*progress.end));
+    } else if (m_backlog.size() > m_settings.maxBacklog) {
+        cancelCall(id);
+        endFailed(id, {error_code::overloaded, "the receiver of the stream is too far behind"}, false);
+    }
+}
+
+void endpoint_task::streamEnded(const attempt_id &id, const http_call_result &result)
+{
+    const auto found = m_attempts.find(id);
+    if (found == m_attempts.end()) {
+        finishIfIdle();
+        return;
+    }
+    if (!result) {
+        endFailed(id, result.error().cause, result.error().isNotSent);
+    } else if (!isSuccess(result.value().status)) {
+        endFailed(id, engine_codec::readRefusal(result.value().status), false);
+    } else {
+        endFailed(id, {error_code::connection_lost, "the stream ended without [DONE]"}, false);
+    }
+}
+
+void endpoint_task::wholeEnded(const attempt_id &id, http_call_result result, bool isPlain)
+{
+    if (!result) {
+        endFailed(id, result.error().cause, result.error().isNotSent);
+        return;
+    }
+    if (isPlain) {
+        end(id, plain_done {id, std::move(result).value()});
+        return;
+    }
+    if (!isSuccess(result.value().status)) {
+        endFailed(id, engine_codec::readRefusal(result.value().status), false);
+        return;
+    }
+    const auto answer = engine_codec::readPrefill(result.value().body);
+    if (!answer) {
+        endFailed(id, answer.error(), false);
+        return;
+    }
+    end(id, prefill_done {id, answer.value().kv, answer.value().usage});
+}
+
+void endpoint_task::end(const attempt_id &id, attempt_event event)
+{
+    m_attempts.erase(id);
+    report(std::move(event));
+    finishIfIdle();
+}
+
+void endpoint_task::endFailed(const attempt_id &id, error cause, bool isNotSent)
+{
+    VLOG(1) << "endpoints: " << m_endpoint << ": attempt " << id << " failed: " << cause << ".";
+    end(id, attempt_failed {id, std::move(cause), isNotSent});
+}
+
+void endpoint_task::cancelCall(const attempt_id &id)
+{
+    m_client.cancel(m_attempts.at(id).call);
+}
+
+void endpoint_task::control(http_request request)
+{
+    const std::uint64_t id = ++m_lastControl;
+    const deadline until = deadline::after(boot_clock::now(), m_settings.controlRetryTime);
+    m_controls.emplace(id, control_call {std::move(request), until, m_settings.firstRetryDelay, nullptr});
+    sendControl(id);
+}
+
+void endpoint_task::sendControl(std::uint64_t id)
+{
+    m_client.send(m_controls.at(id).request,
+                  {nullptr,
+                   nullptr,
+                   [this, id](const http_call_result &result) {
+                       controlEnded(id, result);
+                   }},
+                  deadline::after(boot_clock::now(), m_settings.controlTimeout));
+}
+
+void endpoint_task::controlEnded(std::uint64_t id, const http_call_result &result)
+{
+    control_call &entry = m_controls.at(id);
+    const instant now = boot_clock::now();
+    // An answer below 500, also "not found", says that the endpoint holds nothing any more.
+    const bool isTaken = result.has_value() && result.value().status < 500;
+    if (isTaken || entry.retryUntil.hasPassed(now)) {
+        LOG_IF(WARNING, !isTaken) << "endpoints: " << m_endpoint << ": gave up on " << entry.request.path() << ".";
+        m_controls.erase(id);
+        finishIfIdle();
+        return;
+    }
+    const auto jittered = std::chrono::duration_cast<boot_clock::duration>(entry.delay * (0.5 + m_random.uniform()));
+    entry.delay *= 2;
+    entry.retry = std::make_unique<timer>(m_loop, [this, id] { sendControl(id); });
+    entry.retry->start(deadline::after(now, jittered));
+}
+
+void endpoint_task::loadEnded(const http_call_result &result)
+{
+    m_isLoadAsked = false;
+    if (!result) {
+        reportUnreachable(result.error().cause);
+        return;
+    }
+    if (!isSuccess(result.value().status)) {
+        reportUnreachable(engine_codec::readRefusal(result.value().status));
+        return;
+    }
+    const auto report = engine_codec::readLoad(m_endpoint, result.value().body);
+    if (!report) {
+        reportUnreachable(report.error());
+        return;
+    }
+    LOG_IF(WARNING, m_reports.load.post(report.value()) != post_result::delivered)
+        << "endpoints: " << m_endpoint << ": a load report was not taken.";
+}
+
+void endpoint_task::reportUnreachable(error cause)
+{
+    LOG_IF(WARNING, m_reports.unreachable.post({m_endpoint, std::move(cause)}) != post_result::delivered)
+        << "endpoints: " << m_endpoint << ": a failed load query was not taken.";
+}
+
+// Events keep their order: none overtakes those that wait for a full mailbox.
+void endpoint_task::report(attempt_event event)
+{
+    if (m_backlog.empty() && postEvent(event)) {
+        return;
+    }
+    m_backlog.push_back(std::move(event));
+    m_backlogTimer.start(deadline::after(boot_clock::now(), backlogRetryDelay));
+}
+
+void endpoint_task::flushBacklog()
+{
+    while (!m_backlog.empty() && postEvent(m_backlog.front())) {
+        m_backlog.pop_front();
+    }
+    if (!m_backlog.empty()) {
+        m_backlogTimer.start(deadline::after(boot_clock::now(), backlogRetryDelay));
+    }
+    finishIfIdle();
+}
+
+// True when the event needs no further try: a receiver that is gone for good takes nothing.
+bool endpoint_task::postEvent(const attempt_event &event)
+{
+    return m_reports.attempts.post(event) != post_result::full;
+}
+
+void endpoint_task::finishIfIdle()
+{
+    if (!m_isShuttingDown || m_isFinished || !m_attempts.empty() || !m_controls.empty() || !m_backlog.empty()) {
+        return;
+    }
+    m_isFinished = true;
+    finish();
+}
+
+} // namespace burdockshelf
--- /dev/null
+++ b/src/endpoints/endpoints_supervisor.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "endpoints/endpoint_messages.h"
+#include "endpoints/endpoint_task.h"
+#include "runtime/supervisor.h"
+
+#include <map>
+#include <memory>
+#include <string>
+
+namespace burdockshelf
+{
+
+/// Runs one endpoint_task per endpoint of the configuration in force, and hands messages to the task that they are for. An endpoint whose
+/// address changes gets a new task; the old one finishes its attempts.
+class endpoints_supervisor : public supervisor
+{
+public:
+    endpoints_supervisor(event_loop &loop,
+                         std::shared_ptr<mailbox<endpoints_message>> box,
+                         endpoint_reports reports,
+                         endpoint_task_settings settings = {});
+    ~endpoints_supervisor() override;
+
+private:
+    /// The running task of an endpoint as its supervisor knows it.
+    struct entry
+    {
+        std::string child;
+        socket_address server;
+        std::shared_ptr<mailbox<endpoint_task_message>> box;
+    };
+
+    void take(const endpoint_post &post);
+    void take(const endpoints_changed &change);
+    void add(const endpoint_id &endpoint, const socket_address &server);
+    void remove(const endpoint_id &endpoint);
+    void refuse(const endpoint_task_message &message, const endpoint_id &endpoint, post_result reason);
+
+    event_loop &m_loop;
+    std::shared_ptr<mailbox<endpoints_message>> m_box;
+    endpoint_reports m_reports;
+    endpoint_task_settings m_settings;
+    std::map<endpoint_id, entry> m_entries;
+    std::uint64_t m_lastChild = 0;
+};
+
+} // namespace burdockshelf
