Add the questionnaire of the operators' tool

A new team has no way to describe its deployment yet. The tool asks for workspaces, services, data centres, endpoints and urgency classes on a terminal, saves every answer and goes on from an existing file, or only checks an answers file.

--- /dev/null
+++ b/src/burdockshelfctl/command_table.cpp
@@ -0,0 +1,55 @@
+#include "burdockshelfctl/command.h"
+#include "burdockshelfctl/commands.h"
+
+#include <algorithm>
+
+namespace burdockshelf
+{
+
+namespace
+{
+
+using example = std::string_view;
+
+constexpr example questionnaireExamples[] = {"burdockshelfctl questionnaire --to answers.json",
+                                             "burdockshelfctl questionnaire --answers answers.json"};
+constexpr command commands[] = {
+    {"questionnaire",
+     "",
+     0,
+     "Asks on the terminal for everything a configuration needs and saves each answer to the file named by --to. Goes on "
+     "from where an existing file ends. With --answers it asks nothing and only checks that file.",
+     questionnaireExamples,
+     &runQuestionnaire},
+};
+
+bool isNamedBy(const command &candidate, std::span<const std::string> words)
+{
+    std::string spoken;
+    const std::size_t count = std::min(wordCount(candidate), words.size());
+    for (const std::string &word : words.first(count)) {
+        spoken += spoken.empty() ? word : " " + word;
+    }
+    return spoken == candidate.name;
+}
+
+} // namespace
+
+std::span<const command> commandTable()
+{
+    return commands;
+}
+
+const command *findCommand(std::span<const std::string> words)
+{
+    const auto *const found =
+        std::find_if(std::begin(commands), std::end(commands), [words](const command &candidate) { return isNamedBy(candidate, words); });
+    return found == std::end(commands) ? nullptr : found;
+}
+
+std::size_t wordCount(const command &found)
+{
+    return 1 + static_cast<std::size_t>(std::count(found.name.begin(), found.name.end(), ' '));
+}
+
+} // namespace burdockshelf
--- /dev/null
+++ b/src/burdockshelfctl/commands.h
@@ -0,0 +1,12 @@
+#pragma once
+
+#include "burdockshelfctl/command_context.h"
+
+namespace burdockshelf
+{
+
+// The functions behind the command table, each in a file of its own name.
+
+exit_status runQuestionnaire(command_context &context);
+
+} // namespace burdockshelf
