Continue generated text in prefill calls and glob sources

Cause: a continuation at another engine prefilled only the original prompt, so its KV cache would not have matched the decode call; and side-by-side branches conflicted in source lists. Change: prefill_call carries the generated text and the engine codec appends it; libraries take every .cpp file of their folder but main.cpp.

--- a/cmake/burdockshelf.cmake
+++ b/cmake/burdockshelf.cmake
@@ -1,7 +1,8 @@
-# A library of the project: every .cpp file of src/<name>, found by other parts as "<name>/<file>.h".
+# A library of the project: every .cpp file of src/<name> but main.cpp, found by other parts as "<name>/<file>.h".
 function(burdockshelf_library name)
     cmake_parse_arguments(ARG "" "" "LIBRARIES" ${ARGN})
     file(GLOB sources CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/*.cpp)
+    list(FILTER sources EXCLUDE REGEX "/main\\.cpp$")
     add_library(${name} STATIC ${sources})
     target_include_directories(${name} PUBLIC ${PROJECT_SOURCE_DIR}/src)
     target_link_libraries(${name} PUBLIC ${ARG_LIBRARIES})
--- a/src/endpoints/endpoint_messages.h
+++ b/src/endpoints/endpoint_messages.h
@@ -22,12 +22,12 @@
     bool isChat = false;
     bool isStream = false;
     token_count maxTokens;
+    byte_count promptBytes;
+    std::string body;
     /// True when a streaming caller wants the usage as the last event.
     bool wantsUsage = false;
-    byte_count promptBytes;
     /// Hash of the beginning of the prompt; requests that share it share cached prefixes.
     std::uint64_t prefixHash = 0;
-    std::string body;
 };
 
 /// The prefill's returned kv_transfer_params, opaque to the router.
@@ -50,9 +50,9 @@
     request_id request;
     model_request model;
     int priority = 0;
+    deadline until;
     /// Text that earlier attempts have generated and that belongs to the prompt of this one.
     std::string generated;
-    deadline until;
 };
 
 struct decode_call
--- a/src/routing/router_task.cpp
+++ b/src/routing/router_task.cpp
@@ -473,7 +473,7 @@
 request_actions router_task::carryOut(active_request &active, const prefill_action &action)
 {
     const deadline until = deadline::after(boot_clock::now(), m_settings.prefillTimeout);
-    prefill_call call = {action.attempt, active.call.id, modelFor(active), active.priority, active.machine.generated(), until};
+    prefill_call call = {action.attempt, active.call.id, modelFor(active), active.priority, until, active.machine.generated()};
     return startAttempt(active, action.endpoint, action.attempt, std::move(call));
 }
 
--- a/src/wire/engine_codec.cpp
+++ b/src/wire/engine_codec.cpp
@@ -160,6 +160,14 @@
     return encoded;
 }
 
+outcome<void> appendGenerated(json &body, const model_request &model, const std::string &generated)
+{
+    if (generated.empty()) {
+        return success();
+    }
+    return model.isChat ? appendToMessages(body, generated) : appendToPrompt(body, generated);
+}
+
 } // namespace
 
 outcome<http_request> engine_codec::prefillRequest(const prefill_call &call)
@@ -169,6 +177,7 @@
     body["stream"] = false;
     body.erase("stream_options");
     body["kv_transfer_params"] = {{"do_remote_decode", true}};
+    BOOST_OUTCOME_TRYV(appendGenerated(body, call.model, call.generated));
     return postJson(modelTarget(call.model), body);
 }
 
@@ -183,9 +192,7 @@
         BOOST_OUTCOME_TRY(parameters, parseObject(call.kv.parameters, "kv_transfer_params"));
         body["kv_transfer_params"] = std::move(parameters);
     }
-    if (!call.generated.empty()) {
-        BOOST_OUTCOME_TRYV(call.model.isChat ? appendToMessages(body, call.generated) : appendToPrompt(body, call.generated));
-    }
+    BOOST_OUTCOME_TRYV(appendGenerated(body, call.model, call.generated));
     return postJson(modelTarget(call.model), body);
 }
 
