--- a/src/policy/request_action.h
+++ b/src/policy/request_action.h
@@ -32,10 +32,20 @@
 {
 };
 
-/// Record the answer of the claimed call, or release the claim.
+enum class claim_ending
+{
+    /// The answer of the call is recorded.
+    answered,
+    /// The call was never dispatched; the key may be claimed anew.
+    released,
+    /// The call may have run; its answer is lost.
+    unknown,
+};
+
+/// Say in the log how a claimed call has ended.
 struct end_claim_action
 {
-    bool isReleased = false;
+    claim_ending ending = claim_ending::answered;
 };
 
 /// Wait in the admission queue.
--- a/src/policy/request_machine.cpp
+++ b/src/policy/request_machine.cpp
@@ -87,7 +87,7 @@
     if (m_phase == phase::finished) {
         // The caller left while the claim was decided. The call was never dispatched.
         if (result == claim_result::won) {
-            actions.push_back(end_claim_action {true});
+            actions.push_back(end_claim_action {claim_ending::released});
         }
         return actions;
     }
@@ -265,7 +265,7 @@
     }
     const endpoint_id endpoint = *heldEndpoint(endpoint_role::plain);
     releaseSlots(attempt_verdict::succeeded, actions);
-    endClaim(false, actions);
+    endClaim(claim_ending::answered, actions);
     settle(m_facts.charge, actions);
     actions.push_back(answer_plain_action {endpoint});
     finish(actions);
@@ -305,7 +305,7 @@
     }
     releaseKv(actions);
     releaseSlots(attempt_verdict::cancelled, actions);
-    endClaim(true, actions);
+    endClaim(claim_ending::released, actions);
     settle(costSoFar(), actions);
     finish(actions);
     return actions;
@@ -422,6 +422,15 @@
 
 void request_machine::dispatch(const event_context &context, request_actions &actions)
 {
+    if (!m_facts.isRepeatable && m_dispatchUntil.hasPassed(context.now)) {
+        // The process may have been paused for so long that the claim is forgotten and won by somebody else.
+        refuse(http_status::unavailable,
+               {error_code::deadline_exceeded, "no endpoint became free in time"},
+               true,
+               retryAfterOverload,
+               actions);
+        return;
+    }
     if (!context.isAuthorised && !m_isDispatched) {
         refuse(http_status::forbidden, {error_code::key_withdrawn, "the key was withdrawn"}, true, std::nullopt, actions);
         return;
@@ -488,10 +497,7 @@
 {
     // A call that provably never left may be given back; otherwise nobody knows whether it ran.
     const bool isNotRun = !m_facts.isRepeatable && failure.isNotSent;
-    if (isNotRun) {
-        endClaim(true, actions);
-    }
-    m_isClaimed = false;
+    endClaim(isNotRun ? claim_ending::released : claim_ending::unknown, actions);
     const bool isUnknown = !m_facts.isRepeatable && !isNotRun;
     error cause = isUnknown ? error {error_code::outcome_unknown, "the call may have run; its answer was lost"} : failure.cause;
     refuse(http_status::badGateway, std::move(cause), isNotRun, std::nullopt, actions);
@@ -536,11 +542,11 @@
     }
 }
 
-void request_machine::endClaim(bool isReleased, request_actions &actions)
+void request_machine::endClaim(claim_ending ending, request_actions &actions)
 {
     if (m_isClaimed) {
         m_isClaimed = false;
-        actions.push_back(end_claim_action {isReleased});
+        actions.push_back(end_claim_action {ending});
     }
 }
 
@@ -558,7 +564,7 @@
     // Before the claim is decided nothing is known of earlier requests with the same key.
     const bool isEarlierUnknown = m_facts.needsClaim() && (m_phase == phase::charging || m_phase == phase::claiming) && isNotRun;
     releaseSlots(attempt_verdict::cancelled, actions);
-    endClaim(true, actions);
+    endClaim(claim_ending::released, actions);
     settle(costSoFar(), actions);
     actions.push_back(refuse_action {status, std::move(cause), isNotRun, isEarlierUnknown, retryAfter});
     finish(actions);
--- a/src/policy/request_machine.h
+++ b/src/policy/request_machine.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/deadline.h"
+#include "policy/claim_ledger.h"
 #include "policy/request_action.h"
 
 #include <cstdint>
@@ -40,17 +41,6 @@
     bool isAuthorised = true;
 };
 
-/// How a request for a claim was decided; the router's view of claim_verdict without its encoding.
-enum class claim_result
-{
-    won,
-    done,
-    in_progress,
-    outcome_unknown,
-    mismatch,
-    unavailable,
-};
-
 /// How an attempt at an endpoint ended without an answer.
 struct attempt_failure
 {
@@ -134,7 +124,7 @@
     endpoint_role runningRole() const;
     void releaseSlots(attempt_verdict verdict, request_actions &actions);
     void releaseSlot(reservation &held, attempt_verdict verdict, request_actions &actions);
-    void endClaim(bool isReleased, request_actions &actions);
+    void endClaim(claim_ending ending, request_actions &actions);
     void settle(token_count actual, request_actions &actions);
     void refuse(int status, error cause, bool isNotRun, std::optional<std::chrono::milliseconds> retryAfter, request_actions &actions);
     void finish(request_actions &actions);
--- a/src/routing/router_task.cpp
+++ b/src/routing/router_task.cpp
@@ -46,31 +46,19 @@
     }
 }
 
-claim_result resultOf(claim_verdict verdict)
-{
-    switch (verdict) {
-    case claim_verdict::won:
-        return claim_result::won;
-    case claim_verdict::done:
-        return claim_result::done;
-    case claim_verdict::in_progress:
-        return claim_result::in_progress;
-    case claim_verdict::outcome_unknown:
-        return claim_result::outcome_unknown;
-    case claim_verdict::mismatch:
-        return claim_result::mismatch;
-    case claim_verdict::unavailable:
-        break;
-    }
-    return claim_result::unavailable;
-}
-
 // An attempt's id begins with the id of its request.
 request_id requestOf(const attempt_id &attempt)
 {
     return request_id(attempt.value().substr(0, attempt.value().find('.')));
 }
 
+// Callers of a route that is open to all share the keys of its service.
+claim_id claimIdOf(const active_request &active)
+{
+    const workspace_id &workspace = active.machine.facts().workspace;
+    return {workspace.isEmpty() ? workspace_id("open:" + active.service.value()) : workspace, active.call.idempotency};
+}
+
 token_count promptCharge(byte_count bytes, std::int64_t bytesPerToken)
 {
     return token_count((bytes.value() + bytesPerToken - 1) / bytesPerToken);
@@ -180,11 +168,14 @@
 {
     active_request *active = find(decision.request);
     if (active == nullptr) {
-        // The caller left while the claim was decided. claim_task releases claims that are not dispatched in time.
+        // The caller left while the claim was decided; nothing was dispatched.
+        if (decision.result == claim_result::won) {
+            m_claimEnds.post({{decision.id, decision.request, true, 0, {}, {}}});
+        }
         return;
     }
     active->recorded = std::move(decision.ended);
-    perform(decision.request, active->machine.claimed(resultOf(decision.verdict), contextOf(*active)));
+    perform(decision.request, active->machine.claimed(decision.result, contextOf(*active)));
 }
 
 void router_task::take(prefill_done &&done)
@@ -378,7 +369,7 @@
     const http_request &request = active.call.request;
     const std::string &body = active.call.model ? active.call.model->body : request.body;
     claim_request wanted;
-    wanted.wanted.id = {active.machine.facts().workspace, active.call.idempotency};
+    wanted.wanted.id = claimIdOf(active);
     wanted.wanted.request = active.call.id;
     wanted.wanted.fingerprint = sha256Hex(request.method + "\n" + request.target + "\n" + body);
     wanted.until = deadline::after(boot_clock::now(), m_settings.claimTimeout);
@@ -392,10 +383,10 @@
 request_actions router_task::carryOut(active_request &active, const end_claim_action &action)
 {
     claim_outcome ended;
-    ended.id = {active.machine.facts().workspace, active.call.idempotency};
+    ended.id = claimIdOf(active);
     ended.request = active.call.id;
-    ended.isReleased = action.isReleased;
-    if (!action.isReleased) {
+    ended.isReleased = action.ending == claim_ending::released;
+    if (action.ending == claim_ending::answered) {
         ended.status = active.plainResponse.status;
         ended.contentType = std::string(active.plainResponse.headers.value("Content-Type"));
         ended.body = active.plainResponse.body;
--- a/src/routing/routing_messages.h
+++ b/src/routing/routing_messages.h
@@ -5,6 +5,7 @@
 #include "endpoints/endpoint_messages.h"
 #include "mesh/mesh_messages.h"
 #include "platform/platform_messages.h"
+#include "policy/claim_ledger.h"
 #include "policy/decision_authority.h"
 #include "runtime/sink.h"
 #include "state/state_view.h"
@@ -97,26 +98,12 @@
     sink<struct claim_decision> reply;
 };
 
-enum class claim_verdict
-{
-    /// This request may be dispatched, once.
-    won,
-    /// Another request has run; its outcome is known.
-    done,
-    /// Another request holds the claim and has not ended.
-    in_progress,
-    /// Another request held the claim and its claimant is gone.
-    outcome_unknown,
-    /// The key was used with another request.
-    mismatch,
-    /// The log could not be used; nothing was dispatched and nothing will be.
-    unavailable,
-};
-
+/// How a claim was decided.
 struct claim_decision
 {
     request_id request;
-    claim_verdict verdict = claim_verdict::unavailable;
+    claim_id id;
+    claim_result result = claim_result::unavailable;
     std::optional<claim_outcome> ended;
 };
 
--- a/src/state/log_record.h
+++ b/src/state/log_record.h
@@ -137,6 +137,7 @@
     request_id request;
     /// True when the call was never dispatched; the key may then be claimed anew.
     bool isReleased = false;
+    /// HTTP status of the answer; 0 when the call may have run and its answer is lost.
     int status = 0;
     std::string contentType;
     std::string body;
--- a/src/wire/claim_codec.cpp
+++ b/src/wire/claim_codec.cpp
@@ -8,7 +8,8 @@
 namespace
 {
 
-constexpr number_range statusRange = {100, 599};
+// 0 stands for an unknown outcome.
+constexpr number_range statusRange = {0, 599};
 
 void writeId(json_writer &writer, const claim_id &id)
 {
--- a/tests/policy/request_machine_test.cpp
+++ b/tests/policy/request_machine_test.cpp
@@ -192,7 +192,6 @@
         m_isClaimed = true;
         const auto result = static_cast<claim_result>(choice % 8 > 5 ? 0 : choice % 6);
         m_claimsWon += result == claim_result::won ? 1 : 0;
-        // A call whose outcome is unknown is left claimed for good; it counts as ended.
         perform(m_machine.claimed(result, m_context));
     }
 
@@ -277,9 +276,6 @@
                 m_callsThatMayHaveRun.erase(action.attempt);
             }
             perform(m_machine.attemptFailed(action.attempt, {{error_code::connection_lost, "lost"}, isNotSent}, m_context));
-            if (!isNotSent && m_machine.isFinished()) {
-                m_claimEnds = m_claimsWon;
-            }
         } else {
             if (m_endedCalls.insert(action.attempt).second) {
                 perform(m_machine.plainDone(action.attempt, 200, m_context));
@@ -444,5 +440,5 @@
     const auto *refused = findAction<refuse_action>(failed);
     CHECK_TRUE(refused != nullptr && !refused->isNotRun);
     CHECK_TRUE(refused->cause.code == error_code::outcome_unknown);
-    CHECK_TRUE(findAction<end_claim_action>(failed) == nullptr);
+    CHECK_TRUE(findAction<end_claim_action>(failed)->ending == claim_ending::unknown);
 }
