Read, append to and announce at the platform

Cause: records have to reach every instance within seconds, and the others have to see this instance.

--- /dev/null
+++ b/src/platform/instance_list_task.cpp
@@ -0,0 +1,148 @@
+#include "platform/instance_list_task.h"
+
+#include "wire/platform_codec.h"
+
+#include <utility>
+
+#include <glog/logging.h>
+
+namespace burdockshelf
+{
+
+namespace
+{
+
+error listError(const http_call_result &result)
+{
+    if (result.has_error()) {
+        return result.error().cause;
+    }
+    return {error_code::unavailable, "the instance list answered " + std::to_string(result.value().status)};
+}
+
+bool isAnswered(const http_call_result &result)
+{
+    return result.has_value() && result.value().status == 200;
+}
+
+} // namespace
+
+instance_list_task::instance_list_task(event_loop &loop,
+                                       std::shared_ptr<mailbox<instance_list_task_message>> box,
+                                       instance_list_settings settings,
+                                       std::vector<sink<instance_list>> receivers,
+                                       random_source random)
+    : task(std::move(box))
+    , m_settings(std::move(settings))
+    , m_receivers(std::move(receivers))
+    , m_random(random)
+    , m_client(loop, m_settings.platform)
+    , m_cycle(loop, [this] { runCycle(); })
+{
+}
+
+outcome<void> instance_list_task::start()
+{
+    runCycle();
+    return success();
+}
+
+void instance_list_task::handle(instance_list_task_message &&message)
+{
+    std::visit([this](const auto &content) { receive(content); }, message);
+}
+
+// The announcement on its way may still carry the old state, so it is dropped.
+void instance_list_task::receive(const announce_state &announcement)
+{
+    m_settings.self.state = announcement.state;
+    if (m_announcement) {
+        m_client.cancel(*std::exchange(m_announcement, std::nullopt));
+    }
+    announce();
+}
+
+// The interval is shortened by up to a tenth at random, so that instances that start together do not stay in step.
+void instance_list_task::runCycle()
+{
+    const auto shortened = std::chrono::duration<double>(m_settings.interval) * (1.0 - 0.1 * m_random.uniform());
+    m_cycle.start(deadline::after(boot_clock::now(), std::chrono::duration_cast<boot_clock::duration>(shortened)));
+    if (!m_announcement) {
+        announce();
+    }
+    if (!m_read) {
+        readList();
+    }
+}
+
+void instance_list_task::announce()
+{
+    const http_request call = {"POST", "/instances/register", {{"Content-Type", "application/json"}}, encodeInstance(m_settings.self)};
+    m_announcement = m_client.send(call,
+                                   {nullptr,
+                                    nullptr,
+                                    [this](const http_call_result &result) {
+                                        finishAnnouncement(result);
+                                    }},
+                                   callDeadline());
+}
+
+void instance_list_task::readList()
+{
+    m_read = m_client.send({"GET", "/instances", {}, {}},
+                           {nullptr,
+                            nullptr,
+                            [this](const http_call_result &result) {
+                                finishList(result);
+                            }},
+                           callDeadline());
+}
+
+void instance_list_task::finishAnnouncement(const http_call_result &result)
+{
+    m_announcement.reset();
+    if (!isAnswered(result)) {
+        note(listError(result));
+    }
+}
+
+void instance_list_task::finishList(const http_call_result &result)
+{
+    m_read.reset();
+    if (!isAnswered(result)) {
+        note(listError(result));
+        return;
+    }
+    auto instances = decodeInstanceList(result.value().body);
+    if (!instances) {
+        note(instances.error());
+        return;
+    }
+    m_isUnreachable = false;
+    publish({std::move(instances).value()});
+}
+
+void instance_list_task::publish(const instance_list &list)
+{
+    for (const sink<instance_list> &receiver : m_receivers) {
+        if (receiver.post(list) == post_result::full) {
+            // The next list replaces this one.
+            LOG(WARNING) << "platform: a receiver is behind and misses one instance list.";
+        }
+    }
+}
+
+void instance_list_task::note(const error &cause)
+{
+    if (!m_isUnreachable) {
+        LOG(WARNING) << "platform: the instance list at " << m_settings.platform << " cannot be used: " << cause << ".";
+    }
+    m_isUnreachable = true;
+}
+
+deadline instance_list_task::callDeadline() const
+{
+    return deadline::after(boot_clock::now(), m_settings.callTimeout);
+}
+
+} // namespace burdockshelf
--- a/src/platform/platform_messages.h
+++ b/src/platform/platform_messages.h
@@ -3,8 +3,8 @@
 #include "core/boot_clock.h"
 #include "core/ids.h"
 #include "core/outcome.h"
-#include "core/socket_address.h"
 #include "core/units.h"
+#include "platform/listed_instance.h"
 #include "runtime/sink.h"
 #include "state/stored_record.h"
 
@@ -55,23 +55,6 @@
 
 using log_task_message = std::variant<append_request, seek_request>;
 
-enum class instance_state
-{
-    live,
-    leaving,
-};
-
-struct listed_instance
-{
-    instance_id instance;
-    incarnation_id incarnation;
-    data_centre_id dataCentre;
-    socket_address mesh;
-    instance_state state = instance_state::live;
-
-    friend bool operator==(const listed_instance &, const listed_instance &) = default;
-};
-
 /// The platform's list of instances, as old as the platform makes it.
 struct instance_list
 {
--- /dev/null
+++ b/src/platform/platform_supervisor.cpp
@@ -0,0 +1,42 @@
+#include "platform/platform_supervisor.h"
+
+namespace burdockshelf
+{
+
+namespace
+{
+
+constexpr std::size_t logMailboxCapacity = 256;
+constexpr std::size_t instancesMailboxCapacity = 16;
+
+} // namespace
+
+platform_supervisor::platform_supervisor(event_loop &loop,
+                                         const platform_settings &settings,
+                                         const platform_sinks &sinks,
+                                         random_source random)
+    : supervisor(loop, "platform", std::make_unique<one_for_one>())
+    , m_logBox(std::make_shared<mailbox<log_task_message>>(loop, logMailboxCapacity))
+    , m_instancesBox(std::make_shared<mailbox<instance_list_task_message>>(loop, instancesMailboxCapacity))
+    , m_random(random)
+{
+    addChild({"log_task", [this, &loop, settings = settings.log, receivers = sinks.log] {
+                  return std::make_unique<log_task>(loop, m_logBox, settings, receivers, random_source(m_random.below(UINT64_MAX)));
+              }});
+    addChild({"instance_list_task", [this, &loop, settings = settings.instances, receivers = sinks.instances] {
+                  const random_source fresh(m_random.below(UINT64_MAX));
+                  return std::make_unique<instance_list_task>(loop, m_instancesBox, settings, receivers, fresh);
+              }});
+}
+
+address<log_task_message> platform_supervisor::log() const
+{
+    return address<log_task_message>(m_logBox);
+}
+
+address<instance_list_task_message> platform_supervisor::instances() const
+{
+    return address<instance_list_task_message>(m_instancesBox);
+}
+
+} // namespace burdockshelf
--- /dev/null
+++ b/src/platform/platform_supervisor.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "platform/instance_list_task.h"
+#include "platform/log_task.h"
+#include "runtime/supervisor.h"
+
+#include <memory>
+#include <vector>
+
+namespace burdockshelf
+{
+
+struct platform_settings
+{
+    log_task_settings log;
+    instance_list_settings instances;
+};
+
+/// Who hears of the platform.
+struct platform_sinks
+{
+    log_task_sinks log;
+    std::vector<sink<instance_list>> instances;
+};
+
+/// The branch of the supervisor tree that talks to the platform. Its mailboxes outlive restarts of their tasks.
+class platform_supervisor : public supervisor
+{
+public:
+    platform_supervisor(event_loop &loop, const platform_settings &settings, const platform_sinks &sinks, random_source random);
+
+    address<log_task_message> log() const;
+    address<instance_list_task_message> instances() const;
+
+private:
+    std::shared_ptr<mailbox<log_task_message>> m_logBox;
+    std::shared_ptr<mailbox<instance_list_task_message>> m_instancesBox;
+    random_source m_random;
+};
+
+} // namespace burdockshelf
