--- /dev/null
+++ b/src/policy/slot_ledger.h
@@ -0,0 +1,101 @@
+#pragma once
+
+#include "core/deadline.h"
+#include "core/ids.h"
+#include "core/units.h"
+#include "policy/slow_start.h"
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <set>
+#include <utility>
+#include <vector>
+
+namespace burdockshelf
+{
+
+/// A slot of an endpoint and the request that holds it.
+using held_slot = std::pair<endpoint_id, request_id>;
+
+/// Load of an endpoint as its owner knows it.
+struct slot_load
+{
+    bool isGranted = false;
+    slot_count used;
+    slot_count limit;
+};
+
+struct slot_ledger_settings
+{
+    slow_start_settings slowStart;
+    /// A member that does not repeat its holdings for this long has lost its slots. Holdings come every 30 s, so two may be lost.
+    std::chrono::milliseconds lease {75000};
+    /// A grant younger than this is kept although its member does not list it: the list may have been made before the grant arrived.
+    std::chrono::milliseconds listingDelay {5000};
+};
+
+/// The slots of the endpoints that this member owns: which request of which member incarnation holds one, and how many there may be. The
+/// limit is the window of slow start and the slots that the endpoint reports.
+class slot_ledger
+{
+public:
+    explicit slot_ledger(slot_ledger_settings settings = {});
+
+    /// Starts to own an endpoint, with a window of 1. Nothing is granted before the earlier owner has surely stopped. No effect on an
+    /// endpoint that is owned already.
+    void own(const endpoint_id &endpoint, slot_count configured, deadline grantsFrom);
+    /// Stops to own an endpoint and forgets its grants; its requests go on.
+    void disown(const endpoint_id &endpoint);
+    bool owns(const endpoint_id &endpoint) const;
+    std::vector<endpoint_id> owned() const;
+
+    /// Asks for a slot. An ask that is repeated by the same member gets the same slot.
+    slot_load ask(const endpoint_id &endpoint, const incarnation_id &member, const request_id &request, instant now);
+    /// Gives a slot back. A return that is repeated, or of an unknown slot, has no effect.
+    void giveBack(const endpoint_id &endpoint, const request_id &request, attempt_verdict verdict);
+    /// Takes the whole list of what a member holds. Listed slots are in use, also over the limit; older grants that are not listed are
+    /// free.
+    void takeHoldings(const incarnation_id &member, const std::vector<held_slot> &held, instant now);
+
+    /// Frees the slots of members that are in no roster, and of those that have been silent for longer than the lease. Returns the requests
+    /// to abort at the endpoints.
+    std::vector<held_slot> freeDead(const std::set<incarnation_id> &living, instant now);
+
+    /// Takes an endpoint's own report, which lags.
+    void observeLoad(const endpoint_id &endpoint, const incarnation_id &incarnation, slot_count used, slot_count total);
+    /// The endpoint has not answered a load query.
+    void observeFailure(const endpoint_id &endpoint);
+
+    slot_load load(const endpoint_id &endpoint) const;
+
+private:
+    struct grant
+    {
+        incarnation_id member;
+        std::uint64_t generation = 0;
+        instant since;
+        deadline leaseUntil;
+    };
+
+    struct endpoint_slots
+    {
+        slot_count total;
+        deadline grantsFrom;
+        slow_start window;
+        std::map<request_id, grant> grants;
+        /// Requests that the endpoint runs but nobody is known to hold, for example those of a member that died with the earlier owner.
+        slot_count unaccounted;
+        /// Returns since the last report and between the two before. Reports lag by about one interval.
+        slot_count returnsSinceReport;
+        slot_count returnsBeforeReport;
+    };
+
+    static slot_load loadOf(const endpoint_slots &slots);
+    void release(endpoint_slots &slots, std::map<request_id, grant>::iterator entry);
+
+    slot_ledger_settings m_settings;
+    std::map<endpoint_id, endpoint_slots> m_endpoints;
+};
+
+} // namespace burdockshelf
