Add the mesh between instances

Instances need exchanges that end exactly once although connections go silent, listeners restart and mailboxes fill up. http2_session carries streams by nghttp2 on a bufferevent; mesh_listener_task passes messages to the task concerned by a table; peer_task keeps one connection with heartbeats and jittered backoff; mesh_supervisor follows the instance list and routes peer_post. once_reply ends an exchange whose message was lost with its mailbox.

--- a/src/mesh/mesh_messages.h
+++ b/src/mesh/mesh_messages.h
@@ -4,6 +4,7 @@
 #include "core/ids.h"
 #include "core/outcome.h"
 #include "core/socket_address.h"
+#include "platform/platform_messages.h"
 #include "policy/peer_message.h"
 #include "runtime/sink.h"
 
@@ -43,7 +44,33 @@
 
 using peer_task_message = std::variant<peer_send>;
 
-/// A message of a peer, for the task that it concerns; answered through the reply sink.
+/// Asks mesh_supervisor to pass a message to the task of a peer.
+struct peer_post
+{
+    instance_id to;
+    peer_send send;
+};
+
+using mesh_supervisor_message = std::variant<instance_list, peer_post>;
+
+/// The answer of the task that a received message concerns, on its way back to the connection it came by.
+struct listener_reply
+{
+    std::uint64_t connection = 0;
+    std::int64_t stream = 0;
+    peer_message message;
+};
+
+using mesh_listener_message = std::variant<listener_reply>;
+
+/// The address that the listener was given by the kernel.
+struct mesh_listening
+{
+    socket_address address;
+};
+
+/// A message of a peer, for the task that it concerns; answered through the reply sink. The peer's incarnation is the one it claims, and
+/// its address is that of the connection, not the one it listens on.
 struct peer_received
 {
     peer from;
--- /dev/null
+++ b/src/mesh/native_address.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include "core/socket_address.h"
+
+#include <sys/socket.h>
+
+namespace burdockshelf
+{
+
+/// A socket address in the form of the operating system's calls.
+class native_address
+{
+public:
+    explicit native_address(const socket_address &address);
+
+    const sockaddr *data() const;
+    sockaddr *data();
+    int size() const;
+
+    static socket_address toSocketAddress(const sockaddr *address);
+    /// The local address of a socket.
+    static socket_address ofSocket(int socket);
+
+private:
+    sockaddr_storage m_storage = {};
+    int m_size = 0;
+};
+
+} // namespace burdockshelf
--- /dev/null
+++ b/src/mesh/once_reply.cpp
@@ -0,0 +1,39 @@
+#include "mesh/once_reply.h"
+
+#include <memory>
+#include <utility>
+
+#include <glog/logging.h>
+
+namespace burdockshelf
+{
+
+once_reply::once_reply(std::uint64_t exchange, instance_id to, sink<peer_answer> reply)
+    : m_exchange(exchange)
+    , m_to(std::move(to))
+    , m_reply(std::move(reply))
+{
+}
+
+once_reply::~once_reply()
+{
+    post({m_exchange, m_to, failure(error_code::connection_lost, "the connection to the peer has ended")});
+}
+
+post_result once_reply::post(peer_answer &&answer)
+{
+    if (std::exchange(m_isAnswered, true)) {
+        return post_result::delivered;
+    }
+    const post_result result = m_reply.post(std::move(answer));
+    LOG_IF(WARNING, result == post_result::full) << "mesh: the answer of " << m_to << " was dropped, the asker's mailbox is full.";
+    return result;
+}
+
+sink<peer_answer> once_reply::wrap(std::uint64_t exchange, instance_id to, sink<peer_answer> reply)
+{
+    const auto shared = std::make_shared<once_reply>(exchange, std::move(to), std::move(reply));
+    return sink<peer_answer>([shared](peer_answer &&answer) { return shared->post(std::move(answer)); });
+}
+
+} // namespace burdockshelf
--- /dev/null
+++ b/src/mesh/peer_sinks.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include "mesh/mesh_messages.h"
+
+namespace burdockshelf
+{
+
+/// The tasks that messages of peers concern.
+struct peer_sinks
+{
+    sink<peer_received> configuration;
+    sink<peer_received> roster;
+    sink<peer_received> quota;
+    sink<peer_received> slots;
+
+    /// The sink for a kind of message; null for answers, which no peer may send unasked.
+    const sink<peer_received> *find(const peer_message &message) const;
+};
+
+} // namespace burdockshelf
--- /dev/null
+++ b/src/mesh/peer_task.h
@@ -0,0 +1,89 @@
+#pragma once
+
+#include "core/random_source.h"
+#include "mesh/http2_session.h"
+#include "mesh/mesh_messages.h"
+#include "mesh/mesh_settings.h"
+#include "mesh/reconnect_backoff.h"
+#include "mesh/status_publisher.h"
+#include "runtime/task.h"
+#include "runtime/timer.h"
+#include "wire/peer_codec.h"
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <utility>
+
+namespace burdockshelf
+{
+
+/// The connection to one peer. Connects, says hello, keeps the connection alive by heartbeats and connects again when it is lost. Exchanges
+/// that come while it is down are refused at once with connection_refused: the caller learns from peer_status when to ask again.
+class peer_task : public task<peer_task_message>
+{
+public:
+    peer_task(event_loop &loop,
+              std::shared_ptr<mailbox<peer_task_message>> box,
+              mesh_settings settings,
+              peer target,
+              peer_codec codec,
+              std::vector<sink<peer_status>> statusSinks,
+              random_source random);
+    ~peer_task() override;
+
+    outcome<void> start() override;
+    void beginShutdown() override;
+
+private:
+    struct exchange
+    {
+        std::uint64_t number = 0;
+        sink<peer_answer> reply;
+        deadline until;
+    };
+
+    void handle(peer_task_message &&message) override;
+    void accept(peer_send &&send);
+    void connect();
+    void sayHello();
+    void receive(http2_stream_id stream, const outcome<http2_response> &response);
+    void receiveHello(const outcome<http2_response> &response);
+    outcome<peer_message> readAnswer(const outcome<http2_response> &response) const;
+    void endExchange(http2_stream_id stream, outcome<peer_message> answer);
+    void endAllExchanges(const error &cause);
+    void expireExchanges();
+    void armExpiry();
+    void beat();
+    void disconnect(const error &cause);
+    void handlePhaseTimer();
+    void publish(bool isUp);
+    void finishWhenIdle();
+
+    event_loop &m_loop;
+    mesh_settings m_settings;
+    peer m_target;
+    peer_codec m_codec;
+    status_publisher m_status;
+    random_source m_random;
+    reconnect_backoff m_backoff;
+    std::unique_ptr<http2_session> m_session;
+    std::optional<http2_stream_id> m_helloStream;
+    std::map<http2_stream_id, exchange> m_exchanges;
+    std::set<std::pair<deadline, http2_stream_id>> m_expiries;
+    timer m_expiryTimer;
+    timer m_heartbeatTimer;
+    // Ends what the connection waits for: connect and hello, the wait before the next attempt, or the drain at a shutdown.
+    timer m_phaseTimer;
+    // Calls disconnect() outside of the session's callbacks, since it destroys the session.
+    timer m_closedTimer;
+    error m_closeCause;
+    error m_reportedCause;
+    // A heartbeat must be answered until then.
+    deadline m_silentAt = deadline::never();
+    bool m_isUp = false;
+    bool m_isShuttingDown = false;
+};
+
+} // namespace burdockshelf
