--- a/src/burdockshelfctl/answer_field.cpp
+++ b/src/burdockshelfctl/answer_field.cpp
@@ -27,7 +27,7 @@
 
 } // namespace
 
-bool readMember(std::string_view text, number_range range, const configuration & /*known*/, std::chrono::milliseconds &member)
+bool readMember(std::string_view text, answer_range range, const configuration & /*known*/, std::chrono::milliseconds &member)
 {
     std::int64_t value = 0;
     const bool isAllowed = readAnswer(text, range, value);
@@ -35,12 +35,12 @@
     return isAllowed;
 }
 
-bool readMember(std::string_view text, number_range range, const configuration & /*known*/, std::int64_t &member)
+bool readMember(std::string_view text, answer_range range, const configuration & /*known*/, std::int64_t &member)
 {
     return readAnswer(text, range, member);
 }
 
-bool readMember(std::string_view text, number_range range, const configuration & /*known*/, int &member)
+bool readMember(std::string_view text, answer_range range, const configuration & /*known*/, int &member)
 {
     std::int64_t value = 0;
     const bool isAllowed = readAnswer(text, range, value);
@@ -48,49 +48,49 @@
     return isAllowed;
 }
 
-bool readMember(std::string_view text, number_range /*range*/, const configuration & /*known*/, bool &member)
+bool readMember(std::string_view text, answer_range /*range*/, const configuration & /*known*/, bool &member)
 {
     return readAnswer(text, member);
 }
 
-bool readMember(std::string_view text, number_range /*range*/, const configuration & /*known*/, service_kind &member)
+bool readMember(std::string_view text, answer_range /*range*/, const configuration & /*known*/, service_kind &member)
 {
     return readAnswer(text, member);
 }
 
-bool readMember(std::string_view text, number_range /*range*/, const configuration & /*known*/, endpoint_role &member)
+bool readMember(std::string_view text, answer_range /*range*/, const configuration & /*known*/, endpoint_role &member)
 {
     return readAnswer(text, member);
 }
 
-bool readMember(std::string_view text, number_range /*range*/, const configuration & /*known*/, socket_address &member)
+bool readMember(std::string_view text, answer_range /*range*/, const configuration & /*known*/, socket_address &member)
 {
     return readAnswer(text, member);
 }
 
-bool readMember(std::string_view text, number_range /*range*/, const configuration & /*known*/, std::string &member)
+bool readMember(std::string_view text, answer_range /*range*/, const configuration & /*known*/, std::string &member)
 {
     member = isPathPrefix(text) ? text : member;
     return isPathPrefix(text);
 }
 
-bool readMember(std::string_view text, number_range /*range*/, const configuration & /*known*/, region_id &member)
+bool readMember(std::string_view text, answer_range /*range*/, const configuration & /*known*/, region_id &member)
 {
     member = isPlainName(text) ? region_id(std::string(text)) : member;
     return isPlainName(text);
 }
 
-bool readMember(std::string_view text, number_range /*range*/, const configuration &known, service_id &member)
+bool readMember(std::string_view text, answer_range /*range*/, const configuration &known, service_id &member)
 {
     return readKnownName(text, known.services, member);
 }
 
-bool readMember(std::string_view text, number_range /*range*/, const configuration &known, data_centre_id &member)
+bool readMember(std::string_view text, answer_range /*range*/, const configuration &known, data_centre_id &member)
 {
     return readKnownName(text, known.dataCentres, member);
 }
 
-bool readMember(std::string_view text, number_range /*range*/, const configuration &known, urgency_class_id &member)
+bool readMember(std::string_view text, answer_range /*range*/, const configuration &known, urgency_class_id &member)
 {
     return readKnownName(text, known.urgencyClasses, member);
 }
--- a/src/burdockshelfctl/answer_field.h
+++ b/src/burdockshelfctl/answer_field.h
@@ -22,8 +22,8 @@
     std::string_view allowed;
     /// The answer when none is given; the question must be answered when this is empty.
     std::string_view fallback;
-    number_range range;
-    bool (*read)(std::string_view text, number_range range, const configuration &known, Settings &settings);
+    answer_range range;
+    bool (*read)(std::string_view text, answer_range range, const configuration &known, Settings &settings);
     nlohmann::json (*write)(const Settings &settings);
     /// Names that may be answered, when they are those of other entries.
     std::string (*choices)(const configuration &known);
@@ -34,7 +34,7 @@
 // Reading, writing and choices by type of the member.
 
 template<typename Tag>
-bool readMember(std::string_view text, number_range range, const configuration & /*known*/, quantity<Tag> &member)
+bool readMember(std::string_view text, answer_range range, const configuration & /*known*/, quantity<Tag> &member)
 {
     std::int64_t value = 0;
     const bool isAllowed = readAnswer(text, range, value);
@@ -42,18 +42,18 @@
     return isAllowed;
 }
 
-bool readMember(std::string_view text, number_range range, const configuration &known, std::chrono::milliseconds &member);
-bool readMember(std::string_view text, number_range range, const configuration &known, std::int64_t &member);
-bool readMember(std::string_view text, number_range range, const configuration &known, int &member);
-bool readMember(std::string_view text, number_range range, const configuration &known, bool &member);
-bool readMember(std::string_view text, number_range range, const configuration &known, service_kind &member);
-bool readMember(std::string_view text, number_range range, const configuration &known, endpoint_role &member);
-bool readMember(std::string_view text, number_range range, const configuration &known, socket_address &member);
-bool readMember(std::string_view text, number_range range, const configuration &known, std::string &member);
-bool readMember(std::string_view text, number_range range, const configuration &known, region_id &member);
-bool readMember(std::string_view text, number_range range, const configuration &known, service_id &member);
-bool readMember(std::string_view text, number_range range, const configuration &known, data_centre_id &member);
-bool readMember(std::string_view text, number_range range, const configuration &known, urgency_class_id &member);
+bool readMember(std::string_view text, answer_range range, const configuration &known, std::chrono::milliseconds &member);
+bool readMember(std::string_view text, answer_range range, const configuration &known, std::int64_t &member);
+bool readMember(std::string_view text, answer_range range, const configuration &known, int &member);
+bool readMember(std::string_view text, answer_range range, const configuration &known, bool &member);
+bool readMember(std::string_view text, answer_range range, const configuration &known, service_kind &member);
+bool readMember(std::string_view text, answer_range range, const configuration &known, endpoint_role &member);
+bool readMember(std::string_view text, answer_range range, const configuration &known, socket_address &member);
+bool readMember(std::string_view text, answer_range range, const configuration &known, std::string &member);
+bool readMember(std::string_view text, answer_range range, const configuration &known, region_id &member);
+bool readMember(std::string_view text, answer_range range, const configuration &known, service_id &member);
+bool readMember(std::string_view text, answer_range range, const configuration &known, data_centre_id &member);
+bool readMember(std::string_view text, answer_range range, const configuration &known, urgency_class_id &member);
 
 template<typename Tag>
 nlohmann::json memberJson(const quantity<Tag> &member)
@@ -96,14 +96,14 @@
 };
 
 template<typename Settings, auto Member>
-constexpr answer_field<Settings> answerField(question_text text, number_range range = {}, bool (*applies)(const Settings &) = nullptr)
+constexpr answer_field<Settings> answerField(question_text text, answer_range range = {}, bool (*applies)(const Settings &) = nullptr)
 {
     return {text.key,
             text.question,
             text.allowed,
             text.fallback,
             range,
-            [](std::string_view answer, number_range allowed, const configuration &known, Settings &settings) {
+            [](std::string_view answer, answer_range allowed, const configuration &known, Settings &settings) {
                 return readMember(answer, allowed, known, settings.*Member);
             },
             [](const Settings &settings) { return memberJson(settings.*Member); },
--- a/src/burdockshelfctl/answer_section.cpp
+++ b/src/burdockshelfctl/answer_section.cpp
@@ -7,11 +7,11 @@
 {
 
 // Limits that keep sums of quotas and times within 64 bits with a wide margin.
-constexpr number_range tokenRange = {1, 1'000'000'000'000};
-constexpr number_range timeRange = {1, 86'400'000};
-constexpr number_range priorityRange = {0, 100};
-constexpr number_range slotRange = {1, 100'000};
-constexpr number_range bytesPerTokenRange = {1, 16};
+constexpr answer_range tokenRange = {1, 1'000'000'000'000};
+constexpr answer_range timeRange = {1, 86'400'000};
+constexpr answer_range priorityRange = {0, 100};
+constexpr answer_range slotRange = {1, 100'000};
+constexpr answer_range bytesPerTokenRange = {1, 16};
 
 bool isModel(const service_settings &settings)
 {
--- a/src/burdockshelfctl/answer_text.cpp
+++ b/src/burdockshelfctl/answer_text.cpp
@@ -49,7 +49,7 @@
 
 } // namespace
 
-bool readAnswer(std::string_view text, number_range range, std::int64_t &value)
+bool readAnswer(std::string_view text, answer_range range, std::int64_t &value)
 {
     std::int64_t number = 0;
     const auto parsed = std::from_chars(text.data(), text.data() + text.size(), number);
--- a/src/burdockshelfctl/answer_text.h
+++ b/src/burdockshelfctl/answer_text.h
@@ -15,7 +15,7 @@
 {
 
 /// The whole numbers that an answer may be.
-struct number_range
+struct answer_range
 {
     std::int64_t lowest = 0;
     std::int64_t highest = std::numeric_limits<std::int64_t>::max();
@@ -24,7 +24,7 @@
 // Answers are typed on a terminal or stand in a file, so all of them are read from text. readAnswer() is false when the text is not
 // allowed; names of other entries must be among those known so far.
 
-bool readAnswer(std::string_view text, number_range range, std::int64_t &value);
+bool readAnswer(std::string_view text, answer_range range, std::int64_t &value);
 bool readAnswer(std::string_view text, bool &value);
 bool readAnswer(std::string_view text, service_kind &value);
 bool readAnswer(std::string_view text, endpoint_role &value);
--- a/src/burdockshelfctl/answers_reader.cpp
+++ b/src/burdockshelfctl/answers_reader.cpp
@@ -168,7 +168,7 @@
         const auto column = before.size() - (before.rfind('\n') == std::string_view::npos ? 0 : before.rfind('\n') + 1) + 1;
         return failure(error_code::invalid_settings,
                        fileName + ": line " + std::to_string(line) + ", column " + std::to_string(column)
-                           + ": found no valid JSON; allowed: an "
+                           + ": found no valid JSON, allowed: an "
                            + "object with the lists urgency_classes, data_centres, workspaces, services and endpoints");
     }
 }
--- a/src/burdockshelfctl/command_table.cpp
+++ b/src/burdockshelfctl/command_table.cpp
@@ -13,6 +13,10 @@
 
 constexpr example questionnaireExamples[] = {"burdockshelfctl questionnaire --to answers.json",
                                              "burdockshelfctl questionnaire --answers answers.json"};
+constexpr example statusExamples[] = {"burdockshelfctl status --instance 10.0.0.11:9100 --instance 10.0.0.12:9100"};
+constexpr example reportBurnExamples[] = {
+    "burdockshelfctl report burn --instance 10.0.0.11:9100 --instance 10.0.0.12:9100 --html burn.html"};
+
 constexpr command commands[] = {
     {"questionnaire",
      "",
@@ -21,6 +25,13 @@
      "from where an existing file ends. With --answers it asks nothing and only checks that file.",
      questionnaireExamples,
      &runQuestionnaire},
+    {"status", "", 0, "Shows what the given instances say of themselves, and which cannot be reached.", statusExamples, &runStatus},
+    {"report burn",
+     "",
+     0,
+     "Shows how fast each workspace and urgency class uses up its error budget, summed over the given instances.",
+     reportBurnExamples,
+     &runReportBurn},
 };
 
 bool isNamedBy(const command &candidate, std::span<const std::string> words)
--- a/src/burdockshelfctl/finding.cpp
+++ b/src/burdockshelfctl/finding.cpp
@@ -5,7 +5,7 @@
 
 std::string finding::line(const std::string &fileName) const
 {
-    return fileName + ": " + (pointer.empty() ? "/" : pointer) + ": found " + found + "; allowed: " + allowed;
+    return fileName + ": " + (pointer.empty() ? "/" : pointer) + ": found " + found + ", allowed: " + allowed;
 }
 
 std::string joinFindings(const std::vector<finding> &findings, const std::string &fileName)
