Add generate, check and diff to the operators' tool

Answers could be checked but led to no configuration document. generate writes it through the configuration codec, check reads a document and checks it as a whole, diff shows the entries and fields in which two documents differ.

--- a/src/burdockshelfctl/command_context.cpp
+++ b/src/burdockshelfctl/command_context.cpp
@@ -21,4 +21,11 @@
     return written.has_value() ? exit_status::done : fail(written.error());
 }
 
+exit_status command_context::writeResult(const std::string &text, const nlohmann::json &value) const
+{
+    constexpr int indent = 2;
+    const bool isJson = options.output == output_format::json;
+    return write(isJson ? value.dump(indent, ' ', false, nlohmann::json::error_handler_t::replace) + "\n" : text);
+}
+
 } // namespace burdockshelf
--- a/src/burdockshelfctl/command_context.h
+++ b/src/burdockshelfctl/command_context.h
@@ -10,6 +10,8 @@
 #include <ostream>
 #include <string>
 
+#include <nlohmann/json.hpp>
+
 namespace burdockshelf
 {
 
@@ -27,6 +29,8 @@
     exit_status fail(const error &failure) const;
     /// Writes a result to the file named by --to, or to standard output.
     exit_status write(const std::string &text) const;
+    /// Writes a result as text or JSON, as the command line says.
+    exit_status writeResult(const std::string &text, const nlohmann::json &value) const;
 };
 
 } // namespace burdockshelf
--- a/src/burdockshelfctl/command_table.cpp
+++ b/src/burdockshelfctl/command_table.cpp
@@ -13,6 +13,9 @@
 
 constexpr example questionnaireExamples[] = {"burdockshelfctl questionnaire --to answers.json",
                                              "burdockshelfctl questionnaire --answers answers.json"};
+constexpr example generateExamples[] = {"burdockshelfctl generate --answers answers.json --to configuration.json"};
+constexpr example checkExamples[] = {"burdockshelfctl check configuration.json"};
+constexpr example diffExamples[] = {"burdockshelfctl diff old.json new.json"};
 constexpr example statusExamples[] = {"burdockshelfctl status --instance 10.0.0.11:9100 --instance 10.0.0.12:9100"};
 constexpr example reportBurnExamples[] = {
     "burdockshelfctl report burn --instance 10.0.0.11:9100 --instance 10.0.0.12:9100 --html burn.html"};
@@ -25,6 +28,9 @@
      "from where an existing file ends. With --answers it asks nothing and only checks that file.",
      questionnaireExamples,
      &runQuestionnaire},
+    {"generate", "", 0, "Writes the configuration document that follows from an answers file.", generateExamples, &runGenerate},
+    {"check", "FILE", 1, "Checks a configuration document as a whole.", checkExamples, &runCheck},
+    {"diff", "OLD NEW", 2, "Shows the entries that differ between two configuration documents.", diffExamples, &runDiff},
     {"status", "", 0, "Shows what the given instances say of themselves, and which cannot be reached.", statusExamples, &runStatus},
     {"report burn",
      "",
--- a/src/burdockshelfctl/commands.h
+++ b/src/burdockshelfctl/commands.h
@@ -8,6 +8,9 @@
 // The functions behind the command table, each in a file of its own name.
 
 exit_status runQuestionnaire(command_context &context);
+exit_status runGenerate(command_context &context);
+exit_status runCheck(command_context &context);
+exit_status runDiff(command_context &context);
 exit_status runStatus(command_context &context);
 exit_status runReportBurn(command_context &context);
 
