Add slot_task

Cause: requests need a slot of an endpoint from its owner, wherever that is, and the slots of instances that are gone must come back. Change: slot_task drives slot_ledger, locally or over the mesh, repeats returns, tells owners what it holds, queries the load of owned endpoints and aborts requests of dead members. peer_post is new in mesh_messages.h.

--- a/src/mesh/mesh_messages.h
+++ b/src/mesh/mesh_messages.h
@@ -43,6 +43,13 @@
 
 using peer_task_message = std::variant<peer_send>;
 
+/// A message for the peer_task of one instance, for senders that do not know the addresses of the peers' tasks.
+struct peer_post
+{
+    instance_id to;
+    peer_send send;
+};
+
 /// A message of a peer, for the task that it concerns; answered through the reply sink.
 struct peer_received
 {
--- /dev/null
+++ b/tests/routing/slot_task_test.cpp
@@ -0,0 +1,261 @@
+#include "policy/rendezvous.h"
+#include "routing/slot_task.h"
+
+#include <string>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace burdockshelf;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+const data_centre_id here("dc");
+const endpoint_id endpoint("e");
+constexpr auto longTime = 1h;
+
+/// One instance's slot_task with its mailbox.
+struct member_task
+{
+    roster_member name;
+    std::shared_ptr<mailbox<slot_task_message>> box;
+    std::unique_ptr<slot_task> runs;
+    std::vector<slot_decision> decisions;
+};
+
+/// Three members that are joined by an in-process mesh, which can lose answers, and what is sent to the endpoint.
+struct fixture
+{
+    event_loop loop;
+    std::vector<member_task> members;
+    std::vector<std::pair<roster_member, endpoint_task_message>> sentToEndpoint;
+    bool isStoppedByEndpoint = false;
+    bool areAnswersLost = false;
+
+    explicit fixture(slot_task_settings settings = {})
+        : members(3)
+    {
+        for (std::size_t i = 0; i < members.size(); ++i) {
+            member_task &member = members[i];
+            member.name = {instance_id("i" + std::to_string(i)), incarnation_id("n" + std::to_string(i))};
+            member.box = std::make_shared<mailbox<slot_task_message>>(loop, 100);
+            const auto peers = sink<peer_post>([this, i](const peer_post &post) { return deliver(members[i], post); });
+            const auto endpoints = sink<endpoint_post>([this, i](const endpoint_post &post) {
+                sentToEndpoint.emplace_back(members[i].name, post.message);
+                if (isStoppedByEndpoint) {
+                    loop.stop();
+                }
+                return post_result::delivered;
+            });
+            member.runs = std::make_unique<slot_task>(loop, member.box, member.name, peers, endpoints, settings);
+            CHECK_TRUE(member.runs->start().has_value());
+        }
+        setRoster(1, {0, 1, 2});
+    }
+
+    std::vector<roster_member> names(const std::vector<std::size_t> &numbers) const
+    {
+        std::vector<roster_member> list;
+        list.reserve(numbers.size());
+        for (const std::size_t number : numbers) {
+            list.push_back(members[number].name);
+        }
+        return list;
+    }
+
+    // Members that are not in the roster do not learn of it.
+    void setRoster(std::int64_t epoch, const std::vector<std::size_t> &numbers, deadline until = deadline::never())
+    {
+        auto view = std::make_shared<state_view>();
+        view->config.endpoints[endpoint].dataCentre = here;
+        view->rosters[here] = {roster_epoch(epoch), names(numbers), log_offset(epoch), std::nullopt, {}, false};
+        for (const std::size_t number : numbers) {
+            auto authority = std::make_shared<decision_authority>(
+                decision_authority {here, members[number].name, roster_epoch(epoch), names(numbers), log_offset(epoch), until, deadline()});
+            send(members[number], view_changed {view});
+            send(members[number], authority_changed {authority});
+        }
+        settle();
+    }
+
+    post_result deliver(const member_task &from, const peer_post &post)
+    {
+        for (member_task &to : members) {
+            if (to.name.instance == post.to) {
+                const peer sender {from.name.instance, from.name.incarnation, here, {}};
+                const auto answer = [this, to = post.to, send = post.send](const peer_message &message) {
+                    outcome<peer_message> result = message;
+                    if (areAnswersLost) {
+                        result = error {error_code::deadline_exceeded, "no answer"};
+                    }
+                    return send.reply.post({send.exchange, to, result});
+                };
+                return to.box->post(peer_received {sender, post.send.message, sink<peer_message>(answer)});
+            }
+        }
+        return post_result::closed;
+    }
+
+    static void send(member_task &to, slot_task_message message)
+    {
+        CHECK_TRUE(to.box->post(std::move(message)) == post_result::delivered);
+    }
+
+    // A message can lead to others; five rounds are more than any exchange here takes.
+    void settle()
+    {
+        for (int i = 0; i < 5; ++i) {
+            loop.runReady();
+        }
+    }
+
+    member_task &owner()
+    {
+        const auto all = names({0, 1, 2});
+        return *std::find_if(members.begin(), members.end(), [&](const member_task &m) { return m.name == *ownerOf("e", all); });
+    }
+
+    member_task &other(std::size_t number = 0)
+    {
+        std::vector<member_task *> others;
+        for (member_task &member : members) {
+            if (&member != &owner()) {
+                others.push_back(&member);
+            }
+        }
+        return *others.at(number);
+    }
+
+    std::vector<std::size_t> allBut(const member_task &one) const
+    {
+        std::vector<std::size_t> numbers;
+        for (std::size_t i = 0; i < members.size(); ++i) {
+            if (&members[i] != &one) {
+                numbers.push_back(i);
+            }
+        }
+        return numbers;
+    }
+
+    slot_decision ask(member_task &from, const std::string &request)
+    {
+        const auto reply = sink<slot_decision>([&from](const slot_decision &decision) {
+            from.decisions.push_back(decision);
+            return post_result::delivered;
+        });
+        send(from, slot_request {request_id(request), endpoint, deadline::after(boot_clock::now(), longTime), reply});
+        settle();
+        return from.decisions.back();
+    }
+
+    void release(member_task &from, const std::string &request, attempt_verdict verdict = attempt_verdict::succeeded)
+    {
+        send(from, slot_release {request_id(request), endpoint, verdict});
+        settle();
+    }
+};
+
+} // namespace
+
+TEST_GROUP(slot_tasks) {};
+
+// Guards against members that count the same endpoint apart, so that together they exceed what it bears.
+TEST(slot_tasks, shareOneLimitThroughTheOwner)
+{
+    fixture f;
+    CHECK_TRUE(f.ask(f.other(), "a").isGranted);
+    CHECK_FALSE(f.ask(f.owner(), "b").isGranted);
+    CHECK_FALSE(f.ask(f.other(1), "c").isGranted);
+    f.release(f.other(), "a");
+    f.release(f.other(), "a");
+    CHECK_TRUE(f.ask(f.owner(), "b").isGranted);
+    const slot_decision last = f.ask(f.other(1), "c");
+    CHECK_TRUE(last.isGranted);
+    CHECK_EQUAL(2, last.used.value());
+    CHECK_EQUAL(2, last.limit.value());
+}
+
+// Guards against an owner that decides after its lease, and against answers to members of another epoch.
+TEST(slot_tasks, grantNothingWithoutAuthorityOrAcrossEpochs)
+{
+    fixture f;
+    f.setRoster(1, {0, 1, 2}, deadline());
+    CHECK_FALSE(f.ask(f.owner(), "a").isGranted);
+    CHECK_FALSE(f.ask(f.other(), "b").isGranted);
+    f.setRoster(2, {0, 1, 2});
+    const peer_message ask = slot_ask {roster_epoch(1), endpoint, request_id("c")};
+    const peer from {f.other().name.instance, f.other().name.incarnation, here, {}};
+    std::optional<peer_message> answer;
+    f.send(f.owner(), peer_received {from, ask, sink<peer_message>([&](const peer_message &message) {
+                                         answer = message;
+                                         return post_result::delivered;
+                                     })});
+    f.settle();
+    CHECK_FALSE(std::get<acknowledgement>(*answer).isAccepted);
+    CHECK_TRUE(f.ask(f.other(), "c").isGranted);
+}
+
+// Guards against a slot that stays held because the answer to its ask was lost or its request has ended meanwhile.
+TEST(slot_tasks, giveBackWhatNobodyWaitsFor)
+{
+    fixture f;
+    f.areAnswersLost = true;
+    CHECK_FALSE(f.ask(f.other(), "a").isGranted);
+    f.areAnswersLost = false;
+    CHECK_TRUE(f.ask(f.owner(), "b").isGranted);
+    f.release(f.owner(), "b", attempt_verdict::cancelled);
+    const std::size_t before = f.other().decisions.size();
+    const auto reply = sink<slot_decision>([](const slot_decision &) { return post_result::closed; });
+    f.send(f.other(), slot_request {request_id("c"), endpoint, deadline::never(), reply});
+    f.settle();
+    CHECK_EQUAL(before, f.other().decisions.size());
+    CHECK_TRUE(f.ask(f.owner(), "d").isGranted);
+}
+
+// Guards against a new owner that grants slots which requests of the earlier owner's time still hold.
+TEST(slot_tasks, rebuildFromHoldingsAfterAnEpochChange)
+{
+    fixture f;
+    CHECK_TRUE(f.ask(f.other(), "a").isGranted);
+    f.setRoster(2, f.allBut(f.owner()));
+    f.setRoster(5, {0, 1, 2});
+    CHECK_FALSE(f.ask(f.owner(), "b").isGranted);
+    f.release(f.other(), "a");
+    CHECK_TRUE(f.ask(f.owner(), "b").isGranted);
+}
+
+// Guards against an engine that goes on for requests of an instance that has left the roster.
+TEST(slot_tasks, abortRequestsOfDeadMembers)
+{
+    fixture f;
+    CHECK_TRUE(f.ask(f.other(), "a").isGranted);
+    f.setRoster(2, f.allBut(f.other()));
+    CHECK_EQUAL(1U, f.sentToEndpoint.size());
+    STRCMP_EQUAL("a", std::get<abort_request>(f.sentToEndpoint[0].second).request.value().c_str());
+    CHECK_TRUE(f.ask(f.owner(), "b").isGranted);
+}
+
+// Guards against every member asking the endpoint for its load, and against a restart that the window does not see.
+TEST(slot_tasks, askForLoadOnlyAsTheOwner)
+{
+    slot_task_settings settings;
+    settings.loadInterval = 1ms;
+    fixture f(settings);
+    f.isStoppedByEndpoint = true;
+    f.loop.run();
+    f.loop.run();
+    CHECK_EQUAL(2U, f.sentToEndpoint.size());
+    CHECK_TRUE(std::all_of(f.sentToEndpoint.begin(), f.sentToEndpoint.end(), [&](const auto &sent) {
+        return sent.first == f.owner().name && std::holds_alternative<load_query>(sent.second);
+    }));
+    CHECK_TRUE(f.ask(f.owner(), "a").isGranted);
+    f.release(f.owner(), "a");
+    const auto report = [&](const char *incarnation) {
+        f.send(f.owner(), load_report {endpoint, incarnation_id(incarnation), slot_count(0), slot_count(20)});
+    };
+    report("x");
+    CHECK_EQUAL(2, f.ask(f.owner(), "b").limit.value());
+    report("y");
+    CHECK_EQUAL(1, f.ask(f.owner(), "c").limit.value());
+}
