--- a/src/burdockshelfctl/command_context.h
+++ b/src/burdockshelfctl/command_context.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "burdockshelfctl/exit_status.h"
+#include "burdockshelfctl/log_session.h"
 #include "burdockshelfctl/tool_options.h"
 #include "core/outcome.h"
 #include "core/random_source.h"
@@ -24,6 +25,7 @@
     std::ostream &err;
     event_loop &loop;
     random_source &random;
+    log_session_limits sessionLimits = {};
 
     /// Prints the error and gives the exit status that belongs to it.
     exit_status fail(const error &failure) const;
--- a/src/burdockshelfctl/command_line.cpp
+++ b/src/burdockshelfctl/command_line.cpp
@@ -24,8 +24,10 @@
     add("output", po::value<std::string>()->default_value("text"), "text or json");
     add("platform", po::value<std::string>(), "ip:port of the platform's log; default: the environment variable BURDOCKSHELF_PLATFORM");
     add("instance", po::value<std::vector<std::string>>()->composing(), "ip:port of an instance's operators' port; may be repeated");
+    add("based-on", po::value<std::int64_t>(), "version that the document was made from; publish refuses when another one is in force");
     add("wait", po::bool_switch(), "wait until all given instances have read the change");
     add("wait-limit", po::value<std::int64_t>()->default_value(30), "seconds to wait at most");
+    add("in-advance", po::bool_switch(), "withdraw also a key that is not in the log, because its grant may still arrive");
     add("old-instances-are-off", po::bool_switch(), "confirms that the old instances of the data centre are switched off");
     add("help,h", po::bool_switch(), "show this help, or with a command the help of that command");
     add("version", po::bool_switch(), "show the version");
@@ -110,6 +112,19 @@
     return success();
 }
 
+outcome<void> readBase(const po::variables_map &values, tool_options &options)
+{
+    if (values.count("based-on") == 0) {
+        return success();
+    }
+    const std::int64_t version = values["based-on"].as<std::int64_t>();
+    if (version < 0) {
+        return failure(error_code::invalid_argument, "--based-on: " + std::to_string(version) + " is not a whole number from 0");
+    }
+    options.basedOn = configuration_version(version);
+    return success();
+}
+
 outcome<void> readCommand(const std::vector<std::string> &words, command_line &line)
 {
     if (words.empty()) {
@@ -140,9 +155,11 @@
     line.options.toFile = textOf(values, "to");
     line.options.htmlFile = textOf(values, "html");
     line.options.isOldInstancesOff = values["old-instances-are-off"].as<bool>();
+    line.options.isInAdvance = values["in-advance"].as<bool>();
     BOOST_OUTCOME_TRY(readFormat(values, line.options));
     BOOST_OUTCOME_TRY(readAddresses(values, platformVariable, line.options));
     BOOST_OUTCOME_TRY(readWait(values, line.options));
+    BOOST_OUTCOME_TRY(readBase(values, line.options));
     BOOST_OUTCOME_TRY(readCommand(listOf(values, "words"), line));
     return line;
 }
--- a/src/burdockshelfctl/command_table.cpp
+++ b/src/burdockshelfctl/command_table.cpp
@@ -16,7 +16,21 @@
 constexpr example generateExamples[] = {"burdockshelfctl generate --answers answers.json --to configuration.json"};
 constexpr example checkExamples[] = {"burdockshelfctl check configuration.json"};
 constexpr example diffExamples[] = {"burdockshelfctl diff old.json new.json"};
+constexpr example publishExamples[] = {
+    "burdockshelfctl publish configuration.json --platform 10.0.0.5:7000",
+    "burdockshelfctl publish configuration.json --based-on 17",
+    "burdockshelfctl publish configuration.json --wait --instance 10.0.0.11:9100 --instance 10.0.0.12:9100"};
+constexpr example showExamples[] = {"burdockshelfctl show --to configuration.json"};
 constexpr example statusExamples[] = {"burdockshelfctl status --instance 10.0.0.11:9100 --instance 10.0.0.12:9100"};
+constexpr example keyGrantExamples[] = {"burdockshelfctl key grant freight-one"};
+constexpr example keyWithdrawExamples[] = {"burdockshelfctl key withdraw 5f0c2a9be1d34477 --wait --instance 10.0.0.11:9100",
+                                           "burdockshelfctl key withdraw 5f0c2a9be1d34477 --in-advance"};
+constexpr example keyListExamples[] = {"burdockshelfctl key list --output json"};
+constexpr example drainExamples[] = {"burdockshelfctl drain data-centre ankara-a --wait --instance 10.0.0.11:9100",
+                                     "burdockshelfctl drain endpoint dil-hat-decode-3",
+                                     "burdockshelfctl drain instance entry-4"};
+constexpr example returnExamples[] = {"burdockshelfctl return data-centre ankara-a"};
+constexpr example rosterResetExamples[] = {"burdockshelfctl roster reset konya --old-instances-are-off"};
 constexpr example reportBurnExamples[] = {
     "burdockshelfctl report burn --instance 10.0.0.11:9100 --instance 10.0.0.12:9100 --html burn.html"};
 
@@ -31,7 +45,37 @@
     {"generate", "", 0, "Writes the configuration document that follows from an answers file.", generateExamples, &runGenerate},
     {"check", "FILE", 1, "Checks a configuration document as a whole.", checkExamples, &runCheck},
     {"diff", "OLD NEW", 2, "Shows the entries that differ between two configuration documents.", diffExamples, &runDiff},
+    {"publish",
+     "FILE",
+     1,
+     "Replaces the configuration in force by a document. Says whether it is in force, another operator came first, or it is not "
+     "known. With --based-on it publishes nothing when another version is in force than the one the document was made from.",
+     publishExamples,
+     &runPublish},
+    {"show", "", 0, "Writes the configuration in force as a document, and its version to the error stream.", showExamples, &runShow},
     {"status", "", 0, "Shows what the given instances say of themselves, and which cannot be reached.", statusExamples, &runStatus},
+    {"key grant", "WORKSPACE", 1, "Grants a key to a workspace and prints it once.", keyGrantExamples, &runKeyGrant},
+    {"key withdraw", "KEY_ID", 1, "Withdraws a key for good.", keyWithdrawExamples, &runKeyWithdraw},
+    {"key list", "", 0, "Lists the ids of all keys with their workspaces.", keyListExamples, &runKeyList},
+    {"drain",
+     "data-centre|instance|endpoint NAME",
+     2,
+     "Takes a data centre, an instance or an endpoint out of service.",
+     drainExamples,
+     &runDrain},
+    {"return",
+     "data-centre|instance|endpoint NAME",
+     2,
+     "Returns a data centre, an instance or an endpoint to service.",
+     returnExamples,
+     &runReturn},
+    {"roster reset",
+     "DATA_CENTRE",
+     1,
+     "States that the old instances of a data centre are switched off, so that new ones may replace them at once. Needs "
+     "--old-instances-are-off. With an old instance still running, two instances may decide for the same workspace.",
+     rosterResetExamples,
+     &runRosterReset},
     {"report burn",
      "",
      0,
--- a/src/burdockshelfctl/tool_options.h
+++ b/src/burdockshelfctl/tool_options.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/socket_address.h"
+#include "core/units.h"
 
 #include <chrono>
 #include <optional>
@@ -28,10 +29,14 @@
     std::optional<socket_address> platform;
     /// Operators' addresses of the instances to ask.
     std::vector<socket_address> instances;
+    /// Version that a document was made from; nothing is published when another one is in force.
+    std::optional<configuration_version> basedOn;
     bool isWaiting = false;
     std::chrono::seconds waitLimit {30};
     /// The operator's statement that the old instances of a data centre are switched off.
     bool isOldInstancesOff = false;
+    /// Withdraw also a key whose grant is not in the log yet.
+    bool isInAdvance = false;
     bool isHelpWanted = false;
 };
 
--- a/tests/burdockshelfctl/report_test.cpp
+++ b/tests/burdockshelfctl/report_test.cpp
@@ -1,13 +1,10 @@
 #include "burdockshelfctl/burn_page.h"
-#include "burdockshelfctl/command_context.h"
 #include "burdockshelfctl/commands.h"
 #include "burdockshelfctl/instance_status.h"
-#include "http/http_server.h"
 
+#include "command_run.h"
 #include "support/property.h"
 
-#include <sstream>
-
 using namespace burdockshelf;
 
 namespace
@@ -23,38 +20,6 @@
                                R"("short":{"good":90,"latency":5,"refusal":3,"failure":2},)"
                                R"("long":{"good":990,"latency":5,"refusal":3,"failure":2}}]})";
 
-/// An instance's operators' port that gives one answer, on the loop of the command under test.
-struct fake_instance
-{
-    http_server server;
-    socket_address at;
-
-    fake_instance(event_loop &loop, const std::string &body)
-        : server(loop,
-                 {},
-                 [body](const std::shared_ptr<http_exchange> &exchange) {
-                     exchange->respond({200, {}, body});
-                 })
-        , at(server.listen({"127.0.0.1", 0}).value())
-    {
-    }
-};
-
-struct command_run
-{
-    event_loop loop;
-    random_source random {7};
-    std::istringstream in;
-    std::ostringstream out;
-    std::ostringstream err;
-
-    exit_status start(exit_status (*run)(command_context &), const tool_options &options)
-    {
-        command_context context {options, in, out, err, loop, random};
-        return run(context);
-    }
-};
-
 } // namespace
 
 TEST_GROUP(burn) {};
@@ -116,8 +81,8 @@
 TEST(burn, reportNamesInstancesThatAreMissing)
 {
     command_run run;
-    const fake_instance first(run.loop, oneRow);
-    const fake_instance second(run.loop, oneRow);
+    const fake_instance first(run.loop, [] { return oneRow; });
+    const fake_instance second(run.loop, [] { return oneRow; });
     tool_options options;
     options.output = output_format::json;
     options.instances = {first.at, second.at, {"127.0.0.1", 1}};
@@ -133,10 +98,11 @@
 TEST(instance_statuses, areShownWithWhatCannotBeReached)
 {
     command_run run;
-    const fake_instance reachable(run.loop,
-                                  R"({"instance":"entry-1","data_centre":"konya","covered_offset":17,"configuration_version":4,)"
-                                  R"("members":[{"instance":"entry-1"}],"endpoints":[],"quota":[]})");
-    const fake_instance broken(run.loop, "[]");
+    const fake_instance reachable(run.loop, [] {
+        return R"({"instance":"entry-1","data_centre":"konya","covered_offset":17,"configuration_version":4,)"
+               R"("members":[{"instance":"entry-1"}],"endpoints":[],"quota":[]})";
+    });
+    const fake_instance broken(run.loop, [] { return "[]"; });
     tool_options options;
     options.instances = {reachable.at, broken.at, {"127.0.0.1", 1}};
     CHECK_TRUE(run.start(&runStatus, options) == exit_status::try_again);
