--- /dev/null
+++ b/src/burdockshelfd/instance_tree.cpp
@@ -0,0 +1,270 @@
+#include "burdockshelfd/instance_tree.h"
+
+#include "callers/callers_supervisor.h"
+#include "endpoints/endpoints_supervisor.h"
+#include "mesh/mesh_supervisor.h"
+#include "operators/operators_supervisor.h"
+#include "platform/platform_supervisor.h"
+#include "routing/routing_supervisor.h"
+#include "wire/record_codec.h"
+#include "wire/snapshot_codec.h"
+
+#include <cstdlib>
+#include <iostream>
+#include <utility>
+
+#include <glog/logging.h>
+
+namespace burdockshelf
+{
+
+namespace
+{
+
+constexpr std::size_t mailboxCapacity = 65536;
+
+template<typename Message>
+sink<Message> sinkFrom(std::function<post_result(Message &&)> post)
+{
+    return sink<Message>(std::move(post));
+}
+
+// Addresses go to standard output, one a line, so that a script that asked for free ports can read them.
+void announce(std::string_view part, const socket_address &bound)
+{
+    std::cout << part << ' ' << bound << std::endl;
+}
+
+record_translator recordTranslator()
+{
+    record_translator translator;
+    translator.encodeRecord = [](const log_record &record) {
+        encoded_record encoded = encodeRecord(record);
+        return translated_record {std::move(encoded.kind), std::move(encoded.body)};
+    };
+    translator.decodeRecord = &decodeRecord;
+    translator.encodeSnapshot = &encodeSnapshot;
+    translator.decodeSnapshot = &decodeSnapshot;
+    return translator;
+}
+
+sink<attempt_event> attemptSink(address<router_task_message> router)
+{
+    return sink<attempt_event>([router = std::move(router)](attempt_event &&event) {
+        return std::visit([&router](auto &&typed) { return router.post(std::forward<decltype(typed)>(typed)); }, std::move(event));
+    });
+}
+
+template<typename Part>
+sink<Part> statusSink(address<operations_message> operations)
+{
+    return sink<Part>([operations = std::move(operations)](Part &&part) { return operations.post(status_part(std::move(part))); });
+}
+
+sink<view_changed> configurationStatus(address<operations_message> operations)
+{
+    return sink<view_changed>([operations = std::move(operations)](view_changed &&changed) {
+        return operations.post(status_part(configuration_status {changed.view->config.version, changed.view->covered}));
+    });
+}
+
+sink<authority_changed> rosterStatus(address<operations_message> operations)
+{
+    return sink<authority_changed>([operations = std::move(operations)](authority_changed &&changed) {
+        const decision_authority &authority = *changed.authority;
+        return operations.post(status_part(roster_status {authority.epoch, authority.members, authority.until}));
+    });
+}
+
+sink<log_batch> logReachable(address<operations_message> operations)
+{
+    return sink<log_batch>([operations = std::move(operations)](log_batch &&) {
+        return operations.post(status_part(reachability_status {"log", true, {}}));
+    });
+}
+
+sink<log_unreachable> logUnreachable(address<operations_message> operations)
+{
+    return sink<log_unreachable>([operations = std::move(operations)](log_unreachable &&lost) {
+        return operations.post(status_part(reachability_status {"log", false, std::move(lost.cause)}));
+    });
+}
+
+} // namespace
+
+/// The branches between their making and the start of the root, which takes them over in start order.
+struct instance_tree::branches
+{
+    std::unique_ptr<supervised> operators;
+    std::unique_ptr<supervised> platform;
+    std::unique_ptr<supervised> mesh;
+    std::unique_ptr<supervised> endpoints;
+    std::unique_ptr<supervised> routing;
+    std::unique_ptr<supervised> callers;
+};
+
+instance_tree::instance_tree(event_loop &loop, const daemon_settings &settings, end_handler onEnd)
+    : m_loop(loop)
+    , m_onEnd(std::move(onEnd))
+    , m_shutdownTimeout(settings.shutdownTimeout)
+    , m_branches(std::make_unique<branches>())
+    , m_operations(std::make_shared<mailbox<operations_message>>(loop, mailboxCapacity))
+    , m_root(std::make_unique<supervisor>(loop, "root", std::make_unique<one_for_one>(), restart_limit {0, std::chrono::seconds(1)}))
+    , m_shutdownTimer(loop, [this] {
+        LOG(ERROR) << "supervisor: the graceful shutdown took too long; what is left is cut.";
+        m_onEnd(EXIT_FAILURE);
+    })
+{
+    addBranches(settings);
+    m_root->setHandlers(
+        [this](const error &cause) {
+            LOG(ERROR) << "supervisor: a branch failed for good: " << cause << ".";
+            m_onEnd(EXIT_FAILURE);
+        },
+        [this] { m_onEnd(EXIT_SUCCESS); });
+}
+
+instance_tree::~instance_tree() = default;
+
+outcome<void> instance_tree::start()
+{
+    return m_root->start();
+}
+
+void instance_tree::beginShutdown()
+{
+    if (m_isShuttingDown) {
+        return;
+    }
+    m_isShuttingDown = true;
+    LOG(INFO) << "supervisor: graceful shutdown begins.";
+    if (m_operations->post(readiness_changed {false, "shutting down"}) != post_result::delivered) {
+        LOG(WARNING) << "operators: the change of readiness could not be delivered.";
+    }
+    m_shutdownTimer.start(deadline::after(boot_clock::now(), m_shutdownTimeout));
+    m_root->beginShutdown();
+}
+
+void instance_tree::addBranches(const daemon_settings &settings)
+{
+    const roster_member self = {settings.instance, incarnation_id(random_source().hexId())};
+    const address<operations_message> operations(m_operations);
+    const routing_mailboxes routing(m_loop);
+    const auto meshBox = std::make_shared<mailbox<mesh_supervisor_message>>(m_loop, mailboxCapacity);
+    const auto endpointsBox = std::make_shared<mailbox<endpoints_message>>(m_loop, mailboxCapacity);
+    const address<mesh_supervisor_message> mesh(meshBox);
+    const address<router_task_message> router(routing.router);
+
+    operations_settings operationsSettings;
+    operationsSettings.listenAddress = settings.operatorsListen;
+    m_branches->operators = std::make_unique<operators_supervisor>(
+        m_loop, m_operations, operationsSettings, sinkFrom<operations_listening>([](operations_listening &&listening) {
+            announce("operators", listening.address);
+            return post_result::delivered;
+        }));
+    if (m_operations->post(status_part(identity_status {self.instance, self.incarnation, settings.dataCentre})) != post_result::delivered) {
+        LOG(WARNING) << "operators: the identity could not be delivered.";
+    }
+
+    platform_settings platformSettings;
+    platformSettings.log.platform = settings.platform;
+    platformSettings.instances.platform = settings.platform;
+    platformSettings.instances.interval = settings.instanceListInterval;
+    platformSettings.instances.self = {self.instance, self.incarnation, settings.dataCentre, settings.meshListen, instance_state::live};
+    platform_sinks platformSinks;
+    platformSinks.log.batches = {
+        makeSink<log_batch>(address(routing.configuration)),
+        makeSink<log_batch>(address(routing.roster)),
+        logReachable(operations),
+    };
+    platformSinks.log.outages = {
+        makeSink<log_unreachable>(address(routing.configuration)),
+        makeSink<log_unreachable>(address(routing.roster)),
+        logUnreachable(operations),
+    };
+    platformSinks.instances = {
+        makeSink<instance_list>(address(routing.roster)),
+        makeSink<instance_list>(mesh),
+        statusSink<instance_list>(operations),
+    };
+    auto platform = std::make_unique<platform_supervisor>(m_loop, platformSettings, platformSinks, random_source());
+    const address<log_task_message> log = platform->log();
+    const address<instance_list_task_message> instances = platform->instances();
+    m_branches->platform = std::move(platform);
+
+    mesh_settings meshSettings;
+    meshSettings.self = {self.instance, self.incarnation, settings.dataCentre};
+    meshSettings.listenAddress = settings.meshListen;
+    meshSettings.heartbeatInterval = settings.heartbeatInterval;
+    meshSettings.heartbeatTimeout = settings.heartbeatTimeout;
+    mesh_outlets outlets;
+    outlets.received.configuration = makeSink<peer_received>(address(routing.configuration));
+    outlets.received.roster = makeSink<peer_received>(address(routing.roster));
+    outlets.received.quota = makeSink<peer_received>(address(routing.quota));
+    outlets.received.slots = makeSink<peer_received>(address(routing.slots));
+    outlets.status = {
+        makeSink<peer_status>(address(routing.configuration)),
+        makeSink<peer_status>(address(routing.roster)),
+        makeSink<peer_status>(address(routing.quota)),
+        makeSink<peer_status>(address(routing.slots)),
+        statusSink<peer_status>(operations),
+    };
+    outlets.listening = sinkFrom<mesh_listening>([instances](mesh_listening &&listening) {
+        announce("mesh", listening.address);
+        return instances.post(announce_address {listening.address});
+    });
+    m_branches->mesh =
+        std::make_unique<mesh_supervisor>(m_loop, meshBox, meshSettings, peer_codec(recordTranslator()), outlets, random_source());
+
+    endpoint_reports reports;
+    reports.attempts = attemptSink(router);
+    reports.load = makeSink<load_report>(address(routing.slots));
+    reports.unreachable = makeSink<endpoint_unreachable>(address(routing.slots));
+    m_branches->endpoints = std::make_unique<endpoints_supervisor>(m_loop, endpointsBox, reports);
+
+    routing_settings routingSettings;
+    routingSettings.dataCentre = settings.dataCentre;
+    routingSettings.self = self;
+    routingSettings.configuration.self = self;
+    routingSettings.configuration.idempotencyWindow = settings.idempotencyWindow;
+    routingSettings.configuration.retention = settings.logRetention;
+    routingSettings.roster = settings.roster;
+    routingSettings.quota.dataCentre = settings.dataCentre;
+    routingSettings.quota.self = self;
+    routingSettings.quotaStrategy = settings.quotaStrategy;
+    routingSettings.router = settings.router;
+    routing_links links;
+    links.log = log;
+    links.peers = makeSink<peer_post>(mesh);
+    links.endpoints = address(endpointsBox);
+    links.views = {
+        configurationStatus(operations),
+        sinkFrom<view_changed>([to = address(endpointsBox)](view_changed &&changed) { return to.post(endpoints_changed {changed.view}); }),
+    };
+    links.authority = {rosterStatus(operations)};
+    m_branches->routing = std::make_unique<routing_supervisor>(m_loop, routing, routingSettings, links);
+
+    caller_listener_links callerLinks;
+    callerLinks.requests = makeSink<caller_request>(router);
+    callerLinks.gone = makeSink<caller_gone>(router);
+    callerLinks.onListening = [operations](const socket_address &bound) {
+        announce("callers", bound);
+        const post_result posted = operations.post(readiness_changed {true, {}});
+        LOG_IF(WARNING, posted != post_result::delivered) << "operators: the change of readiness could not be delivered.";
+    };
+    m_branches->callers = makeCallersSupervisor(m_loop, settings.callers, callerLinks);
+
+    const auto add = [this](const std::string &name, std::unique_ptr<supervised> branches::*member) {
+        m_root->addChild({name, [this, member] {
+                              return std::move((*m_branches).*member);
+                          }});
+    };
+    add("operators", &branches::operators);
+    add("platform", &branches::platform);
+    add("mesh", &branches::mesh);
+    add("endpoints", &branches::endpoints);
+    add("routing", &branches::routing);
+    add("callers", &branches::callers);
+}
+
+} // namespace burdockshelf
