Own the replay in configuration_task

Cause: the tasks of routing need the state in force, peers without the log need what others have read, and the log is truncated. Relays go only to peers that asked, because relaying every record to every peer would exceed 2 KB/s per node. state_ask carries the asker's offset; peer_dispatch and republish_request are new messages.

--- a/src/mesh/mesh_messages.h
+++ b/src/mesh/mesh_messages.h
@@ -41,6 +41,13 @@
     sink<peer_answer> reply;
 };
 
+/// A message for one peer, from a task that does not know the peers' tasks.
+struct peer_dispatch
+{
+    instance_id to;
+    peer_send send;
+};
+
 using peer_task_message = std::variant<peer_send>;
 
 /// A message of a peer, for the task that it concerns; answered through the reply sink.
--- a/src/policy/peer_message.h
+++ b/src/policy/peer_message.h
@@ -98,9 +98,13 @@
     std::vector<stored_record> records;
 };
 
-/// Asks for the whole state, at a start without the platform.
+/// Asks for what the sender lacks while it cannot read the log. Answered with the records behind the covered offset (record_relay), with
+/// the whole state when the peer no longer has them (state_answer), or refused when the peer has nothing newer. For some seconds the peer
+/// then relays new records to the sender.
 struct state_ask
 {
+    /// Offset that the sender has reached, -1 for nothing.
+    log_offset covered {-1};
 };
 
 struct state_answer
--- a/src/state/log_replay.cpp
+++ b/src/state/log_replay.cpp
@@ -96,9 +96,9 @@
         if (next->first <= m_view.covered) {
             m_waiting.erase(next);
         } else if (next->first == m_view.covered + log_offset(1)) {
-            const stored_record record = std::move(next->second);
+            stored_record record = std::move(next->second);
             m_waiting.erase(next);
-            applyNext(record, result);
+            applyNext(std::move(record), result);
         } else if (const snapshot *usable = findUsableSnapshot()) {
             replaceState(snapshot(*usable), result);
         } else {
@@ -107,11 +107,12 @@
     }
 }
 
-void log_replay::applyNext(const stored_record &record, replay_result &result)
+void log_replay::applyNext(stored_record record, replay_result &result)
 {
     m_view.covered = record.offset;
     const rejection reason = std::visit([&](const auto &content) { return decide(content, result); }, record.record);
     result.verdicts.push_back({record.offset, record.id, reason});
+    result.applied.push_back(std::move(record));
 }
 
 // A snapshot closes a gap only when every record between the offset it covers and its own is here.
--- a/src/state/log_replay.h
+++ b/src/state/log_replay.h
@@ -42,7 +42,7 @@
     using rejection = std::optional<record_rejection>;
 
     void advance(replay_result &result);
-    void applyNext(const stored_record &record, replay_result &result);
+    void applyNext(stored_record record, replay_result &result);
     const snapshot *findUsableSnapshot() const;
     void replaceState(const snapshot &state, replay_result &result);
 
--- /dev/null
+++ b/src/state/snapshot_schedule.cpp
@@ -0,0 +1,67 @@
+#include "state/snapshot_schedule.h"
+
+#include "core/digest.h"
+
+namespace burdockshelf
+{
+
+namespace
+{
+
+constexpr std::int64_t retentionShare = 3;
+// A short log is read as fast as a snapshot.
+constexpr std::int64_t leastRecords = 32;
+
+std::uint64_t weight(const roster_member &member, log_offset lastSnapshot)
+{
+    return stableHash(member.incarnation.value(), static_cast<std::uint64_t>(lastSnapshot.value()));
+}
+
+} // namespace
+
+snapshot_schedule::snapshot_schedule(std::chrono::milliseconds retention)
+    : m_retention(retention)
+{
+}
+
+void snapshot_schedule::noteSnapshot(log_offset offset, instant now)
+{
+    if (offset > m_last) {
+        m_last = offset;
+        m_tooOld = deadline::after(now, m_retention / retentionShare);
+    }
+}
+
+bool snapshot_schedule::isDue(log_offset first, log_offset head, instant now) const
+{
+    const bool isLastToGo = first > log_offset(0) && m_last <= first;
+    if (isLastToGo || m_tooOld.hasPassed(now)) {
+        return true;
+    }
+    const std::int64_t kept = (head - first).value();
+    const std::int64_t since = (head - m_last).value() - 1;
+    return since >= leastRecords && since * retentionShare >= kept;
+}
+
+log_offset snapshot_schedule::lastSnapshot() const
+{
+    return m_last;
+}
+
+std::size_t snapshotRank(const state_view &view, const roster_member &self, log_offset lastSnapshot)
+{
+    const std::uint64_t own = weight(self, lastSnapshot);
+    std::size_t members = 0;
+    std::size_t rank = 0;
+    bool isMember = false;
+    for (const auto &[dataCentre, roster] : view.rosters) {
+        for (const roster_member &member : roster.members) {
+            ++members;
+            isMember = isMember || member == self;
+            rank += weight(member, lastSnapshot) > own ? 1 : 0;
+        }
+    }
+    return isMember ? rank : members;
+}
+
+} // namespace burdockshelf
--- /dev/null
+++ b/tests/routing/configuration_task_test.cpp
@@ -0,0 +1,198 @@
+#include "routing/configuration_task.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace burdockshelf;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+const peer neighbour = {instance_id("j"), incarnation_id("2"), data_centre_id("d"), {"127.0.0.1", 9}};
+
+/// A configuration_task whose surroundings are noted.
+struct fixture
+{
+    event_loop loop;
+    std::shared_ptr<mailbox<configuration_task_message>> box = std::make_shared<mailbox<configuration_task_message>>(loop, 100);
+    std::vector<state_view_ptr> views;
+    std::vector<claims_changed> claims;
+    std::vector<append_request> appends;
+    std::vector<log_offset> seeks;
+    std::vector<peer_dispatch> dispatched;
+    std::vector<peer_message> answers;
+    bool isBehind = false;
+    std::unique_ptr<configuration_task> subject;
+
+    fixture()
+    {
+        configuration_task_sinks sinks;
+        sinks.views.push_back(sink<view_changed>([this](view_changed &&message) {
+            if (isBehind) {
+                return post_result::full;
+            }
+            views.push_back(message.view);
+            return post_result::delivered;
+        }));
+        sinks.claims.push_back(sink<claims_changed>([this](claims_changed &&message) {
+            if (isBehind) {
+                return post_result::full;
+            }
+            claims.push_back(std::move(message));
+            return post_result::delivered;
+        }));
+        sinks.append = noting(appends);
+        sinks.peers = noting(dispatched);
+        sinks.seek = sink<seek_request>([this](seek_request &&message) {
+            seeks.push_back(message.next);
+            return post_result::delivered;
+        });
+        configuration_task_settings settings;
+        settings.self = {instance_id("i"), incarnation_id("1")};
+        subject = std::make_unique<configuration_task>(loop, box, settings, std::move(sinks), random_source(7));
+        CHECK_TRUE(subject->start().has_value());
+    }
+
+    template<typename Message>
+    static sink<Message> noting(std::vector<Message> &journal)
+    {
+        return sink<Message>([&journal](Message &&message) {
+            journal.push_back(std::move(message));
+            return post_result::delivered;
+        });
+    }
+
+    void tell(configuration_task_message message)
+    {
+        CHECK_TRUE(box->post(std::move(message)) == post_result::delivered);
+        loop.runReady();
+    }
+
+    void ask(peer_message message)
+    {
+        tell(peer_received {neighbour, std::move(message), noting(answers)});
+    }
+};
+
+std::vector<stored_record> withdrawals(std::int64_t first, std::int64_t count)
+{
+    std::vector<stored_record> records;
+    for (std::int64_t i = first; i < first + count; ++i) {
+        records.push_back({log_offset(i), record_id("r"), key_withdrawal {key_id(std::to_string(i))}});
+    }
+    return records;
+}
+
+log_batch batch(std::vector<stored_record> records, std::int64_t head, std::int64_t first = 0)
+{
+    return {log_offset(first), log_offset(head), std::move(records), boot_clock::now()};
+}
+
+stored_record claimAt(std::int64_t offset)
+{
+    const claim wanted = {{workspace_id("w"), idempotency_key("k")}, request_id("q"), incarnation_id("1"), "f"};
+    return {log_offset(offset), record_id("r"), claim_batch {record_time(1), {wanted}}};
+}
+
+} // namespace
+
+TEST_GROUP(configuration_tasks) {};
+
+// Guards against receivers that hear too little, or are woken for every record or by claims that do not concern them.
+TEST(configuration_tasks, publishOncePerBatch)
+{
+    fixture f;
+    f.tell(batch(withdrawals(0, 3), 4));
+    CHECK_EQUAL(1U, f.views.size());
+    CHECK_EQUAL(3U, f.views.at(0)->keys.size());
+    CHECK_EQUAL(0U, f.claims.size());
+    f.tell(batch({claimAt(3)}, 4));
+    CHECK_EQUAL(1U, f.views.size());
+    CHECK_TRUE(f.claims.at(0).states.at(0).winner.request == request_id("q"));
+    f.tell(republish_request {});
+    CHECK_EQUAL(2U, f.views.size());
+    CHECK_EQUAL(2U, f.claims.size());
+}
+
+// Guards against a change that is lost because a receiver was behind.
+TEST(configuration_tasks, oweWhatAReceiverCouldNotTake)
+{
+    fixture f;
+    f.isBehind = true;
+    f.tell(batch(withdrawals(0, 1), 2));
+    f.tell(batch({claimAt(1)}, 2));
+    f.isBehind = false;
+    f.tell(batch({}, 2));
+    CHECK_EQUAL(1U, f.views.size());
+    CHECK_EQUAL(1U, f.claims.size());
+}
+
+// Guards against a data centre that is cut off from the log and gets stale records, none, or a whole state for every record.
+TEST(configuration_tasks, givePeersWhatTheyLack)
+{
+    fixture f;
+    f.tell(batch(withdrawals(0, 3), 3));
+    CHECK_EQUAL(0U, f.dispatched.size());
+    f.ask(state_ask {log_offset(0)});
+    CHECK_EQUAL(2U, std::get<record_relay>(f.answers.at(0)).records.size());
+    f.ask(state_ask {log_offset(2)});
+    CHECK_FALSE(std::get<acknowledgement>(f.answers.at(1)).isAccepted);
+    f.tell(batch(withdrawals(3, 1), 4));
+    CHECK_TRUE(f.dispatched.at(0).to == neighbour.instance);
+    CHECK_EQUAL(1U, std::get<record_relay>(f.dispatched.at(0).send.message).records.size());
+    f.ask(record_relay {withdrawals(3, 2)});
+    CHECK_EQUAL(5U, f.views.back()->keys.size());
+}
+
+// Guards against an instance that starts during an outage of the log and stays without keys, or reads everything again afterwards.
+TEST(configuration_tasks, startFromAPeerWhileTheLogIsDown)
+{
+    fixture f;
+    f.tell(log_unreachable {{error_code::unavailable, "down"}});
+    CHECK_EQUAL(0U, f.dispatched.size());
+    f.tell(peer_status {neighbour, true});
+    CHECK_TRUE(std::get<state_ask>(f.dispatched.at(0).send.message).covered == log_offset(-1));
+    snapshot state;
+    state.covered = log_offset(40);
+    state.keys[key_id("a")].isWithdrawn = true;
+    f.tell(peer_answer {1, neighbour.instance, peer_message(state_answer {state})});
+    CHECK_TRUE(f.views.at(0)->covered == log_offset(40));
+    CHECK_TRUE(f.seeks.back() == log_offset(41));
+    f.ask(state_ask {log_offset(-1)});
+    CHECK_TRUE(std::get<state_answer>(f.answers.at(0)).state == state);
+    f.tell(peer_answer {2, neighbour.instance, peer_message(state_answer {})});
+    CHECK_EQUAL(1U, f.views.size());
+}
+
+// Guards against a reader that waits for ever behind a truncated log without a usable snapshot, although peers know the state.
+TEST(configuration_tasks, askPeersBehindATruncatedLog)
+{
+    fixture f;
+    f.tell(peer_status {neighbour, true});
+    f.tell(batch(withdrawals(7, 2), 9, 7));
+    CHECK_EQUAL(1U, f.dispatched.size());
+    CHECK_EQUAL(0U, f.views.size());
+    snapshot state;
+    state.covered = log_offset(6);
+    f.tell(peer_answer {1, neighbour.instance, peer_message(state_answer {state})});
+    CHECK_TRUE(f.views.at(0)->covered == log_offset(8));
+    CHECK_TRUE(f.seeks == std::vector<log_offset> {log_offset(0)});
+}
+
+// Guards against a log that is truncated before anyone has written its state, and against snapshots that are written without end.
+TEST(configuration_tasks, writeTheStateWhenAThirdOfTheLogIsBehindTheLastSnapshot)
+{
+    fixture f;
+    f.tell(batch(withdrawals(0, 31), 31));
+    f.loop.runReady();
+    CHECK_EQUAL(0U, f.appends.size());
+    f.tell(batch(withdrawals(31, 9), 40));
+    f.loop.runReady();
+    CHECK_EQUAL(1U, f.appends.size());
+    const auto &written = std::get<snapshot>(f.appends.at(0).record);
+    CHECK_TRUE(written.covered == log_offset(39) && written.keys.size() == 40U);
+    f.tell(batch({{log_offset(40), record_id("r"), written}}, 41));
+    f.tell(batch(withdrawals(41, 31), 72));
+    f.loop.runReady();
+    CHECK_EQUAL(1U, f.appends.size());
+}
