Announce the mesh address and free detached requests

Cause: an instance whose mesh port is chosen by the kernel has nothing to announce before its listener is open; and each client that left while its request was held leaked an evhttp request, found by LeakSanitizer in http_test and platform_test. Change: announce_address; http_exchange frees a request that evhttp has detached.

--- a/src/http/http_exchange.cpp
+++ b/src/http/http_exchange.cpp
@@ -157,6 +157,10 @@
     auto *exchange = static_cast<http_exchange *>(self);
     const auto notify = std::exchange(exchange->m_onClosed, nullptr);
     const std::shared_ptr<http_exchange> alive = exchange->m_self;
+    // evhttp detaches a request whose client leaves while it is handled, and does not free it.
+    if (exchange->m_handle != nullptr && evhttp_request_get_connection(exchange->m_handle) == nullptr) {
+        evhttp_request_free(exchange->m_handle);
+    }
     exchange->release();
     if (notify) {
         notify();
--- a/src/mesh/mesh_messages.h
+++ b/src/mesh/mesh_messages.h
@@ -43,7 +43,7 @@
 };
 
 /// A message for one peer, from a task that does not know the peers' tasks.
-struct peer_dispatch
+struct peer_post
 {
     instance_id to;
     peer_send send;
@@ -51,13 +51,6 @@
 
 using peer_task_message = std::variant<peer_send>;
 
-/// Asks mesh_supervisor to pass a message to the task of a peer.
-struct peer_post
-{
-    instance_id to;
-    peer_send send;
-};
-
 using mesh_supervisor_message = std::variant<instance_list, peer_post>;
 
 /// The answer of the task that a received message concerns, on its way back to the connection it came by.
--- a/src/platform/instance_list_task.cpp
+++ b/src/platform/instance_list_task.cpp
@@ -52,10 +52,21 @@
     std::visit([this](const auto &content) { receive(content); }, message);
 }
 
-// The announcement on its way may still carry the old state, so it is dropped.
 void instance_list_task::receive(const announce_state &announcement)
 {
     m_settings.self.state = announcement.state;
+    announceAnew();
+}
+
+void instance_list_task::receive(const announce_address &announcement)
+{
+    m_settings.self.mesh = announcement.mesh;
+    announceAnew();
+}
+
+// The announcement on its way may still carry what was true before, so it is dropped.
+void instance_list_task::announceAnew()
+{
     if (m_announcement) {
         m_client.cancel(*std::exchange(m_announcement, std::nullopt));
     }
@@ -77,6 +88,9 @@
 
 void instance_list_task::announce()
 {
+    if (m_settings.self.mesh.port == 0) {
+        return;
+    }
     const http_request call = {"POST", "/instances/register", {{"Content-Type", "application/json"}}, encodeInstance(m_settings.self)};
     m_announcement = m_client.send(call,
                                    {nullptr,
--- a/src/platform/instance_list_task.h
+++ b/src/platform/instance_list_task.h
@@ -41,6 +41,8 @@
 
 private:
     void receive(const announce_state &announcement);
+    void receive(const announce_address &announcement);
+    void announceAnew();
 
     void runCycle();
     void announce();
--- a/src/platform/platform_messages.h
+++ b/src/platform/platform_messages.h
@@ -67,6 +67,12 @@
     instance_state state = instance_state::live;
 };
 
-using instance_list_task_message = std::variant<announce_state>;
+/// The address at which peers reach this instance. Nothing is announced before it is known.
+struct announce_address
+{
+    socket_address mesh;
+};
+
+using instance_list_task_message = std::variant<announce_state, announce_address>;
 
 } // namespace burdockshelf
--- a/src/routing/configuration_task.h
+++ b/src/routing/configuration_task.h
@@ -35,7 +35,7 @@
     std::vector<sink<claims_changed>> claims;
     sink<append_request> append;
     sink<seek_request> seek;
-    sink<peer_dispatch> peers;
+    sink<peer_post> peers;
 };
 
 /// Owns the replay of the log. Takes records from the log and, while that cannot be read, from peers; tells the other tasks what has
--- a/src/wire/peer_codec.cpp
+++ b/src/wire/peer_codec.cpp
@@ -299,13 +299,14 @@
     }
 }
 
-json write(const state_ask & /*ask*/, const record_translator & /*records*/)
+json write(const state_ask &ask, const record_translator & /*records*/)
 {
-    return json::object();
+    return {{"c", ask.covered.value()}};
 }
 
-void read(member_reader & /*body*/, state_ask & /*ask*/, const record_translator & /*records*/)
+void read(member_reader &body, state_ask &ask, const record_translator & /*records*/)
 {
+    body.read("c", ask.covered);
 }
 
 json write(const acknowledgement &answer, const record_translator & /*records*/)
--- a/tests/routing/configuration_task_test.cpp
+++ b/tests/routing/configuration_task_test.cpp
@@ -19,7 +19,7 @@
     std::vector<claims_changed> claims;
     std::vector<append_request> appends;
     std::vector<log_offset> seeks;
-    std::vector<peer_dispatch> dispatched;
+    std::vector<peer_post> dispatched;
     std::vector<peer_message> answers;
     bool isBehind = false;
     std::unique_ptr<configuration_task> subject;
