Prove at-most-once claims and abort failed attempts at the engine

Cause: an attempt that ended without an answer could leave its request running at the engine; the claim ledger had no proof. Change: the request machine asks for an abort at the engine of a failed model attempt; claim_ledger_test drives several instances and a log that loses, delays and doubles appends, with kills and outages, and checks that a model that dispatches before the read-back is found to run a key twice.

--- a/src/policy/request_action.h
+++ b/src/policy/request_action.h
@@ -111,6 +111,12 @@
     attempt_id attempt;
 };
 
+/// Abort the request at an engine whose attempt has ended without an answer.
+struct abort_action
+{
+    endpoint_id endpoint;
+};
+
 /// Free the KV cache of the last prefill, which no decode will import.
 struct release_kv_action
 {
@@ -178,6 +184,7 @@
                                     resume_action,
                                     plain_call_action,
                                     cancel_attempt_action,
+                                    abort_action,
                                     release_kv_action,
                                     note_failure_action,
                                     answer_started_action,
--- a/src/policy/request_machine.cpp
+++ b/src/policy/request_machine.cpp
@@ -487,6 +487,10 @@
     releaseKv(actions);
     reservation *failed = findReservation(runningRole());
     if (failed != nullptr && failed->held) {
+        if (m_facts.kind == service_kind::model) {
+            // The engine may still work on the request although its answer is lost.
+            actions.push_back(abort_action {*failed->held});
+        }
         actions.push_back(note_failure_action {*failed->held});
         releaseSlot(*failed, attempt_verdict::failed, actions);
     }
--- a/src/routing/router_task.cpp
+++ b/src/routing/router_task.cpp
@@ -507,6 +507,12 @@
     return {};
 }
 
+request_actions router_task::carryOut(active_request &active, const abort_action &action)
+{
+    m_cancellations.post({action.endpoint, abort_request {active.call.id}});
+    return {};
+}
+
 request_actions router_task::carryOut(active_request &active, const release_kv_action &action)
 {
     m_cancellations.post({action.prefill, release_kv {active.call.id, active.kv}});
--- a/src/routing/router_task.h
+++ b/src/routing/router_task.h
@@ -94,6 +94,7 @@
     request_actions carryOut(active_request &active, const resume_action &action);
     request_actions carryOut(active_request &active, const plain_call_action &action);
     request_actions carryOut(active_request &active, const cancel_attempt_action &action);
+    request_actions carryOut(active_request &active, const abort_action &action);
     request_actions carryOut(active_request &active, const release_kv_action &action);
     request_actions carryOut(active_request &active, const note_failure_action &action);
     request_actions carryOut(active_request &active, const answer_started_action &action);
--- /dev/null
+++ b/tests/policy/claim_ledger_test.cpp
@@ -0,0 +1,279 @@
+#include "policy/claim_ledger.h"
+
+#include "state/log_replay.h"
+
+#include <algorithm>
+#include <map>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "support/property.h"
+
+using namespace burdockshelf;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+constexpr std::size_t instanceCount = 3;
+constexpr auto claimTime = 2s;
+
+claim claimFor(int key, int request)
+{
+    claim wanted;
+    wanted.id = {workspace_id("w"), idempotency_key("k" + std::to_string(key))};
+    wanted.request = request_id("r" + std::to_string(request));
+    wanted.fingerprint = "f" + std::to_string(key);
+    return wanted;
+}
+
+/// Several instances and a log that loses, delays and doubles appends. Counts how often each idempotency key's call runs.
+class claim_world
+{
+public:
+    explicit claim_world(bool dispatchesBeforeReadBack = false)
+        : m_isUnsafe(dispatchesBeforeReadBack)
+    {
+        for (std::size_t i = 0; i < instanceCount; ++i) {
+            m_instances.push_back(std::make_unique<instance_state>(i, m_incarnations++));
+        }
+    }
+
+    void step(std::uint8_t choice, std::uint8_t detail)
+    {
+        m_now += std::chrono::milliseconds(detail % 8 * 50);
+        instance_state &chosen = *m_instances[detail % instanceCount];
+        switch (choice % 9) {
+        case 0:
+        case 1:
+            want(chosen, detail % 4);
+            break;
+        case 2:
+            m_isLogDown = detail % 3 == 0;
+            break;
+        case 3:
+            arrive(detail);
+            break;
+        case 4:
+        case 5:
+            read(chosen);
+            break;
+        case 6:
+            endOne(chosen, detail);
+            break;
+        case 7:
+            // A process is killed and comes back as a new incarnation that knows nothing.
+            m_instances[detail % instanceCount] = std::make_unique<instance_state>(detail % instanceCount, m_incarnations++);
+            break;
+        default:
+            tick(chosen);
+        }
+    }
+
+    void check() const
+    {
+        for (const auto &[key, runs] : m_runs) {
+            RC_ASSERT(runs <= 1);
+        }
+    }
+
+    bool hasDoubleRun() const
+    {
+        return std::any_of(m_runs.begin(), m_runs.end(), [](const auto &entry) { return entry.second > 1; });
+    }
+
+private:
+    struct instance_state
+    {
+        instance_state(std::size_t index, int incarnation)
+            : self("i" + std::to_string(incarnation))
+            , ledger(self, random_source(index + 1))
+            , replay(24h)
+        {
+        }
+
+        incarnation_id self;
+        claim_ledger ledger;
+        log_replay replay;
+        std::size_t next = 0;
+        std::vector<claim> wanted;
+        std::vector<claim> won;
+    };
+
+    void want(instance_state &at, int key)
+    {
+        const claim wanted = claimFor(key, m_requests++);
+        at.wanted.push_back(wanted);
+        if (m_isUnsafe) {
+            dispatch(wanted);
+        }
+        perform(at, at.ledger.want(wanted, deadline::after(m_now, claimTime), m_now));
+    }
+
+    void tick(instance_state &at)
+    {
+        perform(at, at.ledger.tick(m_now, std::chrono::duration_cast<record_time>(m_now.time_since_epoch())));
+    }
+
+    void read(instance_state &at)
+    {
+        if (m_isLogDown || at.next >= m_log.size()) {
+            return;
+        }
+        const stored_record record = m_log[at.next++];
+        const replay_result result = at.replay.apply({record});
+        std::vector<claim_state> states;
+        for (const claim_id &id : result.changedClaims) {
+            states.push_back(at.replay.claims().at(id));
+        }
+        perform(at, at.ledger.claimsRead(states, {result.expiredClaims.begin(), result.expiredClaims.end()}, m_now));
+    }
+
+    // An append that is on its way reaches the log now, later, twice or never.
+    void arrive(std::uint8_t detail)
+    {
+        if (m_onTheWay.empty()) {
+            return;
+        }
+        const std::size_t index = detail % m_onTheWay.size();
+        const auto [id, record] = m_onTheWay[index];
+        if (detail % 5 != 0) {
+            m_onTheWay.erase(m_onTheWay.begin() + static_cast<std::ptrdiff_t>(index));
+        }
+        if (detail % 7 != 0) {
+            m_log.push_back({log_offset(static_cast<std::int64_t>(m_log.size())), id, record});
+        }
+    }
+
+    void endOne(instance_state &at, std::uint8_t detail)
+    {
+        if (at.won.empty()) {
+            return;
+        }
+        const claim ended = at.won.back();
+        at.won.pop_back();
+        claim_outcome result = {ended.id, ended.request, false, 200, {}, {}};
+        perform(at, at.ledger.end(result, m_now));
+        tick(at);
+        (void)detail;
+    }
+
+    void perform(instance_state &at, const claim_ledger_actions &actions)
+    {
+        for (const claim_ledger_action &action : actions) {
+            if (const auto *append = std::get_if<append_claims>(&action)) {
+                m_onTheWay.emplace_back(append->id, append->record);
+            } else {
+                decide(at, std::get<decide_claim>(action));
+            }
+        }
+    }
+
+    void decide(instance_state &at, const decide_claim &decision)
+    {
+        const auto wanted =
+            std::find_if(at.wanted.begin(), at.wanted.end(), [&](const claim &entry) { return entry.request == decision.request; });
+        RC_ASSERT(wanted != at.wanted.end());
+        const claim decided = *wanted;
+        at.wanted.erase(wanted);
+        if (decision.result != claim_result::won) {
+            return;
+        }
+        if (m_requests % 5 == 0) {
+            // The request is shed before it is dispatched.
+            claim_outcome released = {decided.id, decided.request, true, 0, {}, {}};
+            perform(at, at.ledger.end(released, m_now));
+            return;
+        }
+        at.won.push_back(decided);
+        if (!m_isUnsafe) {
+            dispatch(decided);
+        }
+    }
+
+    void dispatch(const claim &run)
+    {
+        ++m_runs[run.id.key.value()];
+    }
+
+    bool m_isUnsafe;
+    instant m_now {100s};
+    std::vector<std::unique_ptr<instance_state>> m_instances;
+    std::vector<std::pair<record_id, log_record>> m_onTheWay;
+    std::vector<stored_record> m_log;
+    std::map<std::string, int> m_runs;
+    bool m_isLogDown = false;
+    int m_requests = 0;
+    int m_incarnations = 0;
+};
+
+using world_steps = std::vector<std::pair<std::uint8_t, std::uint8_t>>;
+
+} // namespace
+
+TEST_GROUP(claim_ledgers) {};
+
+// Guards against a call that runs twice when it is sent again through other instances, under kills, log outages, and appends that are lost,
+// late or doubled.
+TEST(claim_ledgers, runEachKeyAtMostOnce)
+{
+    CHECK_PROPERTY("at most one run for each key", [] {
+        const auto steps = *rc::gen::resize(400, rc::gen::arbitrary<world_steps>());
+        claim_world world;
+        for (const auto &[choice, detail] : steps) {
+            world.step(choice, detail);
+        }
+        world.check();
+    });
+}
+
+// Guards against a check that finds nothing: dispatching before the claim is read back must be seen to run a key twice.
+TEST(claim_ledgers, modelFindsADispatchBeforeReadBack)
+{
+    claim_world world(true);
+    for (int i = 0; i < 4; ++i) {
+        world.step(0, static_cast<std::uint8_t>(i * 4));
+    }
+    CHECK_TRUE(world.hasDoubleRun());
+}
+
+// Guards against one append for each call when many calls come together.
+TEST(claim_ledgers, shareAppends)
+{
+    claim_ledger ledger(incarnation_id("i"), random_source(1));
+    const instant now(100s);
+    ledger.want(claimFor(0, 0), deadline::after(now, claimTime), now);
+    CHECK_EQUAL(1U, ledger.tick(now, 1000ms).size());
+    for (int i = 1; i <= 200; ++i) {
+        ledger.want(claimFor(i, i), deadline::after(now, claimTime), now);
+        CHECK_EQUAL(0U, ledger.tick(now + 10ms, 1000ms).size());
+    }
+    claim_state first;
+    first.winner = claimFor(0, 0);
+    first.winner.claimant = incarnation_id("i");
+    ledger.claimsRead({first}, {}, now + 20ms);
+    const auto actions = ledger.tick(now + 100ms, 1100ms);
+    CHECK_EQUAL(1U, actions.size());
+    CHECK_EQUAL(200U, std::get<claim_batch>(std::get<append_claims>(actions.front()).record).claims.size());
+    CHECK_EQUAL(2U, ledger.appendCount());
+}
+
+// Guards against a claim that stays held for a request that has given up, so that a later try with the same key is refused for ever.
+TEST(claim_ledgers, releaseAClaimThatNobodyWaitsFor)
+{
+    claim_ledger ledger(incarnation_id("i"), random_source(1));
+    const instant now(100s);
+    ledger.want(claimFor(0, 0), deadline::after(now, claimTime), now);
+    ledger.tick(now, 1000ms);
+    const auto late = ledger.tick(now + claimTime, 3000ms);
+    CHECK_TRUE(std::get<decide_claim>(late.front()).result == claim_result::unavailable);
+    claim_state state;
+    state.winner = claimFor(0, 0);
+    state.winner.claimant = incarnation_id("i");
+    ledger.claimsRead({state}, {}, now + 3s);
+    const auto actions = ledger.tick(now + 3s, 4000ms);
+    const auto &batch = std::get<outcome_batch>(std::get<append_claims>(actions.front()).record);
+    CHECK_TRUE(batch.outcomes.front().isReleased);
+}
