--- a/src/routing/slot_task.cpp
+++ b/src/routing/slot_task.cpp
@@ -241,7 +241,7 @@
     }
     for (const auto &[endpoint, settings] : m_view->config.endpoints) {
         const bool isNear = settings.dataCentre == m_authority->dataCentre;
-        const roster_member *member = isNear ? ownerOf(endpoint.value(), m_authority->members) : nullptr;
+        const roster_member *member = isNear ? rendezvousOwner(endpoint.value(), m_authority->members) : nullptr;
         if (member != nullptr && *member == m_self) {
             m_ledger.own(endpoint, settings.slots, m_authority->settledAt);
         }
@@ -340,7 +340,7 @@
         return std::nullopt;
     }
     const data_centre_id &dataCentre = found->second.dataCentre;
-    const roster_member *member = ownerOf(endpoint.value(), membersOf(dataCentre));
+    const roster_member *member = rendezvousOwner(endpoint.value(), membersOf(dataCentre));
     return member == nullptr ? std::nullopt : std::optional(owner {*member, epochOf(dataCentre)});
 }
 
--- a/src/state/log_replay.cpp
+++ b/src/state/log_replay.cpp
@@ -205,6 +205,7 @@
     roster_state next;
     next.epoch = change.epoch;
     next.members = change.members;
+    next.leaver = change.leaver;
     next.since = m_view.covered;
     m_view.rosters.insert_or_assign(change.dataCentre, std::move(next));
     result.hasViewChanged = true;
--- a/src/wire/peer_codec.cpp
+++ b/src/wire/peer_codec.cpp
@@ -63,6 +63,13 @@
         }
     }
 
+    void read(const char *name, std::uint64_t &number)
+    {
+        if (const json *member = find(name, &json::is_number_unsigned)) {
+            number = member->get<std::uint64_t>();
+        }
+    }
+
     void read(const char *name, bool &flag)
     {
         if (const json *member = find(name, &json::is_boolean)) {
@@ -181,24 +188,28 @@
 
 json write(const loan_answer &answer, const record_translator & /*records*/)
 {
-    return {{"e", answer.epoch.value()}, {"t", answer.amount.value()}};
+    return {{"e", answer.epoch.value()}, {"t", answer.amount.value()}, {"l", answer.loan}, {"d", answer.lasts.count()}};
 }
 
 void read(member_reader &body, loan_answer &answer, const record_translator & /*records*/)
 {
     body.read("e", answer.epoch);
     body.read("t", answer.amount);
+    body.read("l", answer.loan);
+    body.read("d", answer.lasts);
 }
 
 json write(const loan_refund &refund, const record_translator & /*records*/)
 {
-    return {{"w", refund.workspace.value()}, {"t", refund.amount.value()}};
+    return {{"w", refund.workspace.value()}, {"t", refund.amount.value()}, {"l", refund.loan}, {"s", refund.sequence}};
 }
 
 void read(member_reader &body, loan_refund &refund, const record_translator & /*records*/)
 {
     body.read("w", refund.workspace);
     body.read("t", refund.amount);
+    body.read("l", refund.loan);
+    body.read("s", refund.sequence);
 }
 
 json write(const slot_ask &ask, const record_translator & /*records*/)
@@ -306,7 +317,7 @@
 
 void read(member_reader &body, state_ask &ask, const record_translator & /*records*/)
 {
-    body.read("c", ask.covered);
+    body.read("c", ask.covered, -1);
 }
 
 json write(const acknowledgement &answer, const record_translator & /*records*/)
--- a/src/wire/record_codec.cpp
+++ b/src/wire/record_codec.cpp
@@ -58,6 +58,7 @@
     change.dataCentre = reader.id<data_centre_id>("data_centre");
     change.epoch = reader.amount<roster_epoch>("epoch");
     change.members = readMembers(reader, "members");
+    change.leaver = readOptionalMember(reader, "leaver");
     return change;
 }
 
@@ -161,6 +162,7 @@
         writer.set("data_centre", change.dataCentre);
         writer.set("epoch", change.epoch);
         writeMembers(writer, "members", change.members);
+        writeOptionalMember(writer, "leaver", change.leaver);
         return "roster";
     }
 
--- a/src/wire/roster_codec.cpp
+++ b/src/wire/roster_codec.cpp
@@ -40,6 +40,23 @@
     return members;
 }
 
+void writeOptionalMember(json_writer &writer, std::string_view key, const std::optional<roster_member> &member)
+{
+    if (member) {
+        json_writer element = writer.object(key);
+        writeMember(element, *member);
+    }
+}
+
+std::optional<roster_member> readOptionalMember(json_reader &reader, std::string_view key)
+{
+    if (!reader.has(key)) {
+        return std::nullopt;
+    }
+    json_reader element = reader.object(key);
+    return readMember(element);
+}
+
 void writeRosterTakeover(json_writer &writer, const roster_takeover &takeover)
 {
     writer.set("data_centre", takeover.dataCentre);
--- a/src/wire/roster_codec.h
+++ b/src/wire/roster_codec.h
@@ -4,6 +4,7 @@
 #include "wire/json_reader.h"
 #include "wire/json_writer.h"
 
+#include <optional>
 #include <string_view>
 #include <vector>
 
@@ -13,6 +14,9 @@
 /// Members of rosters and takeovers inside other documents. Errors stay in the reader.
 void writeMembers(json_writer &writer, std::string_view key, const std::vector<roster_member> &members);
 std::vector<roster_member> readMembers(json_reader &reader, std::string_view key);
+/// A member that may be missing.
+void writeOptionalMember(json_writer &writer, std::string_view key, const std::optional<roster_member> &member);
+std::optional<roster_member> readOptionalMember(json_reader &reader, std::string_view key);
 void writeRosterTakeover(json_writer &writer, const roster_takeover &takeover);
 roster_takeover readRosterTakeover(json_reader &reader);
 
--- a/src/wire/snapshot_codec.cpp
+++ b/src/wire/snapshot_codec.cpp
@@ -36,6 +36,7 @@
     writer.set("epoch", roster.epoch);
     writer.set("since", roster.since);
     writeMembers(writer, "members", roster.members);
+    writeOptionalMember(writer, "leaver", roster.leaver);
     writer.set("reset", roster.isReset);
     if (roster.takeover) {
         json_writer takeover = writer.object("takeover");
@@ -50,6 +51,7 @@
     roster.epoch = reader.amount<roster_epoch>("epoch");
     roster.since = reader.amount<log_offset>("since");
     roster.members = readMembers(reader, "members");
+    roster.leaver = readOptionalMember(reader, "leaver");
     roster.isReset = reader.boolean("reset");
     if (reader.has("takeover")) {
         json_reader takeover = reader.object("takeover");
