--- a/src/policy/peer_message.h
+++ b/src/policy/peer_message.h
@@ -5,6 +5,7 @@
 #include "state/stored_record.h"
 
 #include <chrono>
+#include <cstdint>
 #include <string>
 #include <variant>
 #include <vector>
@@ -42,13 +43,20 @@
 {
     roster_epoch epoch;
     token_count amount;
+    /// The lender's number of the loan.
+    std::uint64_t loan = 0;
+    /// How long the tokens can be used, counted by the borrower from its ask. A loan never outlasts the lender's authority.
+    std::chrono::milliseconds lasts {};
 };
 
-/// Gives back tokens of a loan whose request cost less, while the loan lasts.
+/// Gives back tokens of a loan that were not used or whose request cost less. The sequence counts the refunds of a loan from 0, so that a
+/// second copy gives nothing back.
 struct loan_refund
 {
     workspace_id workspace;
     token_count amount;
+    std::uint64_t loan = 0;
+    std::uint64_t sequence = 0;
 };
 
 /// Asks the owner of an endpoint for a slot.
--- /dev/null
+++ b/src/policy/quota_ledger.h
@@ -0,0 +1,114 @@
+#pragma once
+
+#include "core/deadline.h"
+#include "policy/decision_authority.h"
+#include "policy/peer_message.h"
+#include "policy/quota_account.h"
+#include "policy/quota_strategy.h"
+#include "state/state_view.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+namespace burdockshelf
+{
+
+struct quota_settings
+{
+    data_centre_id dataCentre;
+    roster_member self;
+    boot_clock::duration loan = std::chrono::seconds(1);
+    /// How long another data centre may go on with an older configuration: takeover_wait, since its members may hold authority by pledges.
+    boot_clock::duration reallocationSettle = std::chrono::hours(2);
+    /// Charges that are remembered until they are settled; beyond it the oldest lose their refund.
+    std::size_t chargesKept = 20'000;
+};
+
+/// An ask for a loan and whom to send it to.
+struct loan_request
+{
+    instance_id to;
+    loan_ask ask;
+};
+
+/// A refund of a loan and whom to send it to.
+struct loan_return
+{
+    instance_id to;
+    loan_refund refund;
+};
+
+/// The quota of all workspaces as one member holds it. Grants only what it has taken out of its own bucket or out of a loan before, so that
+/// lost messages destroy tokens and never create them.
+class quota_ledger
+{
+public:
+    /// The number of the first loan is random, so that a refund meant for an earlier incarnation finds no loan.
+    quota_ledger(quota_settings settings, const quota_strategy &strategy, std::uint64_t firstLoan);
+
+    void setAuthority(const decision_authority &authority, instant now);
+    void setView(state_view_ptr view, instant now);
+
+    /// Takes the amount out of loans and the bucket; false when they do not hold it.
+    bool charge(const request_id &request, const workspace_id &workspace, token_count amount, instant now);
+    /// Ends a charge with its true cost.
+    std::vector<loan_return> settle(const request_id &request, token_count actual, instant now);
+    /// Whom to ask for what an amount lacks, in order: the home here, then the homes of the other data centres.
+    std::vector<loan_request> loanRequests(const workspace_id &workspace, token_count amount, instant now);
+    loan_answer lend(const loan_ask &ask, instant now);
+    void borrow(const workspace_id &workspace, const instance_id &lender, const loan_answer &answer, instant askedAt, instant now);
+    void takeBack(const loan_refund &refund, instant now);
+    /// Gives back what is left of the loans of a workspace.
+    std::vector<loan_return> returnLoans(const workspace_id &workspace, instant now);
+    /// Gives back all loans, at shutdown.
+    std::vector<loan_return> returnAllLoans(instant now);
+
+    /// Time until the workspace's whole rate yields the amount; none when its burst never holds it.
+    std::optional<std::chrono::milliseconds> retryAfter(const workspace_id &workspace, token_count amount) const;
+    /// Tokens used beyond their charges.
+    token_count debt() const;
+    std::size_t openCharges() const;
+
+private:
+    struct loan_part
+    {
+        instance_id lender;
+        std::uint64_t loan = 0;
+        std::uint64_t sequence = 0;
+        token_count amount;
+    };
+
+    struct open_charge
+    {
+        request_id request;
+        workspace_id workspace;
+        token_count amount;
+        token_count fromBucket;
+        token_bucket::position position = 0;
+        std::vector<loan_part> parts;
+    };
+
+    quota_account *find(const workspace_id &workspace, instant now);
+    void refresh(const workspace_id &workspace, quota_account &account, instant now);
+    void refreshAll(instant now);
+    bool isHome(const workspace_id &workspace) const;
+    void takeFromLoans(quota_account &account, token_count amount, open_charge &taken) const;
+    void remember(open_charge taken);
+    std::vector<loan_return> refundParts(const open_charge &taken, token_count amount) const;
+
+    quota_settings m_settings;
+    const quota_strategy &m_strategy;
+    std::uint64_t m_nextLoan;
+    decision_authority m_authority;
+    state_view_ptr m_view;
+    std::unordered_map<workspace_id, quota_account> m_accounts;
+    std::map<std::uint64_t, open_charge> m_charges;
+    std::unordered_map<request_id, std::uint64_t> m_chargeNumbers;
+    std::uint64_t m_nextCharge = 0;
+    token_count m_debt;
+};
+
+} // namespace burdockshelf
--- a/src/state/log_record.h
+++ b/src/state/log_record.h
@@ -78,6 +78,9 @@
     data_centre_id dataCentre;
     roster_epoch epoch;
     std::vector<roster_member> members;
+    /// Set when the only change is that the proposer leaves, after it has stopped deciding and its loans have ended. Its successors then
+    /// need not wait for the end of its lease.
+    std::optional<roster_member> leaver;
 
     friend bool operator==(const roster_change &, const roster_change &) = default;
 };
--- a/src/state/snapshot.h
+++ b/src/state/snapshot.h
@@ -32,6 +32,8 @@
 {
     roster_epoch epoch;
     std::vector<roster_member> members;
+    /// Copied from the record that made this epoch.
+    std::optional<roster_member> leaver;
     /// Offset of the record that made this epoch; the fencing token of its owners.
     log_offset since;
     /// The takeover that no roster record has ended yet.
--- /dev/null
+++ b/tests/policy/quota_ledger_test.cpp
@@ -0,0 +1,129 @@
+#include "policy/quota_ledger.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace burdockshelf;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+const data_centre_id here("a");
+const workspace_id workspace("w");
+
+/// The only member of a data centre, which has all of a workspace with 100 tokens/s and a burst of 1000.
+struct fixture
+{
+    moving_shares strategy;
+    roster_member self {instance_id("i1"), incarnation_id("x1")};
+    instant now {1000s};
+    quota_ledger ledger {{here, self}, strategy, 500};
+
+    fixture()
+    {
+        auto view = std::make_shared<state_view>();
+        view->config.version = configuration_version(1);
+        view->config.dataCentres[here] = {};
+        view->config.workspaces[workspace] = {token_rate(100), token_count(1000), {}};
+        ledger.setView(view, now);
+        extend(1h);
+        now += 100s;
+    }
+
+    void extend(boot_clock::duration span)
+    {
+        ledger.setAuthority({here, self, roster_epoch(1), {self}, {}, deadline::after(now, span), deadline(instant(0s))}, now);
+    }
+
+    loan_answer lend(std::int64_t amount)
+    {
+        return ledger.lend({here, roster_epoch(1), workspace, token_count(amount)}, now);
+    }
+
+    bool charge(const char *request, std::int64_t amount)
+    {
+        return ledger.charge(request_id(request), workspace, token_count(amount), now);
+    }
+};
+
+} // namespace
+
+TEST_GROUP(quota_ledgers) {};
+
+// Guards against a repeated message that gives the same tokens back twice, and against a refund for another incarnation's loan.
+TEST(quota_ledgers, countARefundOfALoanOnce)
+{
+    fixture f;
+    const loan_answer loan = f.lend(600);
+    CHECK_EQUAL(600, loan.amount.value());
+    const loan_refund refund = {workspace, token_count(300), loan.loan, 0};
+    f.ledger.takeBack(refund, f.now);
+    f.ledger.takeBack(refund, f.now);
+    f.ledger.takeBack({workspace, token_count(300), loan.loan + 1, 0}, f.now);
+    CHECK_FALSE(f.charge("r", 701));
+    CHECK_TRUE(f.charge("r", 700));
+}
+
+// Guards against a bucket that refills while its tokens may still be spent by a borrower.
+TEST(quota_ledgers, keepLentTokensOutOfTheCap)
+{
+    fixture f;
+    CHECK_EQUAL(1000, f.lend(2000).amount.value());
+    f.now += 1s;
+    CHECK_FALSE(f.charge("r", 1));
+    f.now += 210ms;
+    CHECK_FALSE(f.charge("r", 1));
+    f.now += 10s;
+    CHECK_TRUE(f.charge("r", 1000));
+}
+
+// Guards against a loan that a borrower may use when a successor of the lender already grants.
+TEST(quota_ledgers, lendNoLongerThanTheirAuthority)
+{
+    fixture f;
+    f.extend(700ms);
+    CHECK_TRUE(f.lend(100).lasts == 490ms);
+    f.extend(200ms);
+    CHECK_EQUAL(0, f.lend(100).amount.value());
+}
+
+// Guards against tokens for the time without authority, in which another member may have granted them.
+TEST(quota_ledgers, accrueOnlyUnderAuthority)
+{
+    fixture f;
+    CHECK_TRUE(f.charge("r1", 1000));
+    f.extend(1s);
+    f.now += 10s;
+    CHECK_FALSE(f.charge("r2", 1));
+    f.extend(1h);
+    CHECK_FALSE(f.charge("r2", 101));
+    CHECK_TRUE(f.charge("r2", 100));
+}
+
+// Guards against memory that grows with charges whose request has vanished.
+TEST(quota_ledgers, boundTheOpenCharges)
+{
+    fixture f;
+    for (int i = 0; i < 30000; ++i) {
+        CHECK_TRUE(f.charge(std::to_string(i).c_str(), 0));
+    }
+    CHECK_EQUAL(20000U, f.ledger.openCharges());
+    f.ledger.settle(request_id("0"), token_count(), f.now);
+    f.ledger.settle(request_id("29999"), token_count(), f.now);
+    CHECK_EQUAL(19999U, f.ledger.openCharges());
+}
+
+// Guards against a borrower that spends a loan after a pause, when the lender has counted it as dropped.
+TEST(quota_ledgers, dropLoansCountedFromTheAsk)
+{
+    fixture f;
+    CHECK_TRUE(f.charge("all", 1000));
+    const loan_answer loan = {roster_epoch(1), token_count(500), 7, 1000ms};
+    f.ledger.borrow(workspace, instance_id("i2"), loan, f.now - 1s, f.now);
+    CHECK_FALSE(f.charge("late answer", 400));
+    f.ledger.borrow(workspace, instance_id("i2"), loan, f.now, f.now);
+    CHECK_TRUE(f.charge("in time", 100));
+    f.now += 1s;
+    CHECK_FALSE(f.charge("after a pause", 400));
+    CHECK_EQUAL(0U, f.ledger.returnLoans(workspace, f.now).size());
+}
