--- a/src/mesh/mesh_messages.h
+++ b/src/mesh/mesh_messages.h
@@ -41,6 +41,13 @@
     sink<peer_answer> reply;
 };
 
+/// A message for a peer, for whoever knows the peer's task. A peer that is not known is answered with not_found.
+struct peer_post
+{
+    instance_id to;
+    peer_send send;
+};
+
 using peer_task_message = std::variant<peer_send>;
 
 /// A message of a peer, for the task that it concerns; answered through the reply sink.
--- /dev/null
+++ b/src/routing/quota_task.h
@@ -0,0 +1,75 @@
+#pragma once
+
+#include "core/random_source.h"
+#include "policy/quota_ledger.h"
+#include "routing/routing_messages.h"
+#include "runtime/task.h"
+#include "runtime/timer.h"
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <vector>
+
+namespace burdockshelf
+{
+
+/// Answers charges from its ledger, asks other instances for loans when the ledger is short, and lends to them. A charge waits for loans
+/// until its deadline at most.
+class quota_task : public task<quota_task_message>
+{
+public:
+    using clock = std::function<instant()>;
+
+    quota_task(event_loop &loop,
+               std::shared_ptr<mailbox<quota_task_message>> box,
+               quota_settings settings,
+               std::unique_ptr<const quota_strategy> strategy,
+               sink<peer_post> peers,
+               random_source random,
+               clock now = &boot_clock::now);
+
+    outcome<void> start() override;
+    void beginShutdown() override;
+
+private:
+    /// A charge that waits for loans, asked for one lender after the other.
+    struct waiting_charge
+    {
+        charge_request wanted;
+        std::vector<loan_request> lenders;
+        std::size_t asked = 0;
+        std::uint64_t exchange = 0;
+        instant askedAt;
+    };
+
+    using waiting_list = std::deque<waiting_charge>;
+
+    void handle(quota_task_message &&message) override;
+    void on(const view_changed &changed);
+    void on(const authority_changed &changed);
+    void on(const charge_request &wanted);
+    void on(const charge_settlement &settlement);
+    void on(const peer_received &received);
+    void on(const peer_answer &answer);
+    void on(const peer_status &status);
+
+    bool tryCharge(const charge_request &wanted);
+    void askNext(waiting_charge &charge);
+    void retryWaiting(const workspace_id &workspace);
+    void refuse(const charge_request &wanted);
+    void refuseOverdue();
+    void giveBack(const std::vector<loan_return> &returns);
+    void armTimer();
+
+    std::unique_ptr<const quota_strategy> m_strategy;
+    quota_ledger m_ledger;
+    sink<peer_post> m_peers;
+    clock m_now;
+    timer m_overdue;
+    waiting_list m_waiting;
+    std::uint64_t m_nextExchange = 1;
+};
+
+} // namespace burdockshelf
--- a/src/routing/routing_messages.h
+++ b/src/routing/routing_messages.h
@@ -37,6 +37,11 @@
     std::vector<claim_id> expired;
 };
 
+/// Asks roster_task to leave the roster, at shutdown.
+struct leave_roster
+{
+};
+
 /// Asks quota_task to charge a request to its workspace.
 struct charge_request
 {
@@ -139,8 +144,8 @@
                                        peer_status>;
 using claim_task_message = std::variant<view_changed, authority_changed, claims_changed, claim_request, claim_end, append_result>;
 using configuration_task_message = std::variant<log_batch, log_unreachable, peer_received, peer_answer, peer_status, append_result>;
-using roster_task_message =
-    std::variant<view_changed, log_batch, log_unreachable, instance_list, append_result, peer_received, peer_answer, peer_status>;
+using roster_task_message = std::
+    variant<view_changed, log_batch, log_unreachable, instance_list, append_result, peer_received, peer_answer, peer_status, leave_roster>;
 using router_task_message = std::variant<view_changed,
                                          caller_request,
                                          caller_gone,
