--- a/src/routing/quota_task.cpp
+++ b/src/routing/quota_task.cpp
@@ -208,7 +208,7 @@
     if (first.isNever()) {
         m_overdue.stop();
     } else {
-        m_overdue.start(first);
+        m_overdue.start(deadline::after(boot_clock::now(), first.remaining(m_now())));
     }
 }
 
