Join the whole path

Cause: roster_authority counts a read only once replay covers it, and replay told others only of changes of the state in force. Change: replay_advanced, told after the view of the same offset; the remaining wiring.

--- a/src/routing/configuration_task.cpp
+++ b/src/routing/configuration_task.cpp
@@ -32,7 +32,7 @@
     , m_random(random)
     , m_replay(m_settings.idempotencyWindow)
     , m_recent(recentLimit)
-    , m_publisher(loop, m_replay, m_sinks.views, m_sinks.claims)
+    , m_publisher(loop, m_replay, m_sinks.views, m_sinks.claims, m_sinks.advance)
     , m_snapshots(m_settings.retention)
     , m_askTimer(loop, [this] { askPeers(); })
     , m_snapshotTimer(loop, [this] { writeSnapshot(); })
--- a/src/routing/configuration_task.h
+++ b/src/routing/configuration_task.h
@@ -33,6 +33,7 @@
 {
     std::vector<sink<view_changed>> views;
     std::vector<sink<claims_changed>> claims;
+    sink<replay_advanced> advance;
     sink<append_request> append;
     sink<seek_request> seek;
     sink<peer_post> peers;
--- a/src/routing/roster_task.cpp
+++ b/src/routing/roster_task.cpp
@@ -69,7 +69,13 @@
 void roster_task::on(const view_changed &changed)
 {
     const auto found = changed.view->rosters.find(m_dataCentre);
-    feed(roster_replayed {changed.view->covered, found == changed.view->rosters.end() ? roster_state() : found->second});
+    m_roster = found == changed.view->rosters.end() ? roster_state() : found->second;
+    feed(roster_replayed {changed.view->covered, m_roster});
+}
+
+void roster_task::on(const replay_advanced &advanced)
+{
+    feed(roster_replayed {advanced.covered, m_roster});
 }
 
 void roster_task::on(const log_batch &batch)
--- a/src/routing/roster_task.h
+++ b/src/routing/roster_task.h
@@ -56,6 +56,7 @@
     void on(const peer_answer &answer);
     void on(const peer_status &status);
     void on(const leave_roster &leave);
+    void on(const replay_advanced &advanced);
 
     void feed(const roster_event &event, const peer_received *asker = nullptr);
     void act(const roster_append &append, const peer_received *asker);
@@ -73,6 +74,8 @@
     random_source m_random;
     clock m_now;
     timer m_tick;
+    // The own data centre's roster as of the last view.
+    roster_state m_roster;
     decision_authority m_published;
     bool m_isPublished = false;
     std::map<std::uint64_t, pending_ask> m_asks;
--- a/src/routing/routing_messages.h
+++ b/src/routing/routing_messages.h
@@ -24,6 +24,12 @@
     state_view_ptr view;
 };
 
+/// Replay has got further without a change of the state in force; claims may have changed.
+struct replay_advanced
+{
+    log_offset covered;
+};
+
 /// The authority of this member has changed or was extended.
 struct authority_changed
 {
@@ -137,8 +143,16 @@
 using claim_task_message = std::variant<view_changed, authority_changed, claims_changed, claim_request, claim_end, append_result>;
 using configuration_task_message =
     std::variant<log_batch, log_unreachable, peer_received, peer_answer, peer_status, append_result, republish_request>;
-using roster_task_message = std::
-    variant<view_changed, log_batch, log_unreachable, instance_list, append_result, peer_received, peer_answer, peer_status, leave_roster>;
+using roster_task_message = std::variant<view_changed,
+                                         log_batch,
+                                         log_unreachable,
+                                         instance_list,
+                                         append_result,
+                                         peer_received,
+                                         peer_answer,
+                                         peer_status,
+                                         leave_roster,
+                                         replay_advanced>;
 using router_task_message = std::variant<view_changed,
                                          caller_request,
                                          caller_gone,
--- a/src/routing/routing_supervisor.cpp
+++ b/src/routing/routing_supervisor.cpp
@@ -37,6 +37,7 @@
     sinks.views.push_back(sinkOf<view_changed>(boxes.claims));
     sinks.views.push_back(sinkOf<view_changed>(boxes.router));
     sinks.claims.push_back(sinkOf<claims_changed>(boxes.claims));
+    sinks.advance = sinkOf<replay_advanced>(boxes.roster);
     sinks.append = makeSink<append_request>(links.log);
     sinks.seek = makeSink<seek_request>(links.log);
     sinks.peers = links.peers;
--- a/src/routing/state_publisher.cpp
+++ b/src/routing/state_publisher.cpp
@@ -16,8 +16,10 @@
 state_publisher::state_publisher(event_loop &loop,
                                  const log_replay &replay,
                                  std::vector<sink<view_changed>> viewReceivers,
-                                 std::vector<sink<claims_changed>> claimReceivers)
+                                 std::vector<sink<claims_changed>> claimReceivers,
+                                 sink<replay_advanced> advanceReceiver)
     : m_replay(replay)
+    , m_advanceReceiver(std::move(advanceReceiver))
     , m_retry(loop, [this] { deliver(); })
 {
     for (sink<view_changed> &receiver : viewReceivers) {
@@ -53,12 +55,26 @@
     publish(everything);
 }
 
+// A read of the log counts for authority only once replay covers it, so the offset is told even when nothing else has changed.
+bool state_publisher::deliverAdvance()
+{
+    const log_offset covered = m_replay.covered();
+    if (!m_advanceReceiver.isValid() || covered == m_toldOffset) {
+        return true;
+    }
+    const bool isTold = m_advanceReceiver.post({covered}) != post_result::full;
+    m_toldOffset = isTold ? covered : m_toldOffset;
+    return isTold;
+}
+
 void state_publisher::deliver()
 {
     bool isDone = true;
     for (view_debt &debt : m_views) {
         isDone = deliverView(debt) && isDone;
     }
+    // Only after the view: whoever is told the offset takes the view it has for the state at that offset.
+    isDone = isDone && deliverAdvance();
     for (claims_debt &debt : m_claims) {
         isDone = deliverClaims(debt) && isDone;
     }
--- a/src/routing/state_publisher.h
+++ b/src/routing/state_publisher.h
@@ -18,7 +18,8 @@
     state_publisher(event_loop &loop,
                     const log_replay &replay,
                     std::vector<sink<view_changed>> viewReceivers,
-                    std::vector<sink<claims_changed>> claimReceivers);
+                    std::vector<sink<claims_changed>> claimReceivers,
+                    sink<replay_advanced> advanceReceiver);
 
     void publish(const replay_result &result);
     void publishAll();
@@ -40,10 +41,13 @@
     void deliver();
     bool deliverView(view_debt &debt);
     bool deliverClaims(claims_debt &debt) const;
+    bool deliverAdvance();
 
     const log_replay &m_replay;
     std::vector<view_debt> m_views;
     std::vector<claims_debt> m_claims;
+    sink<replay_advanced> m_advanceReceiver;
+    log_offset m_toldOffset {-1};
     state_view_ptr m_view;
     timer m_retry;
 };
--- a/tests/routing/slot_task_test.cpp
+++ b/tests/routing/slot_task_test.cpp
@@ -69,7 +69,7 @@
     {
         auto view = std::make_shared<state_view>();
         view->config.endpoints[endpoint].dataCentre = here;
-        view->rosters[here] = {roster_epoch(epoch), names(numbers), log_offset(epoch), std::nullopt, {}, false};
+        view->rosters[here] = {roster_epoch(epoch), names(numbers), std::nullopt, log_offset(epoch), std::nullopt, {}, false};
         for (const std::size_t number : numbers) {
             auto authority = std::make_shared<decision_authority>(
                 decision_authority {here, members[number].name, roster_epoch(epoch), names(numbers), log_offset(epoch), until, deadline()});
@@ -113,7 +113,7 @@
     member_task &owner()
     {
         const auto all = names({0, 1, 2});
-        return *std::find_if(members.begin(), members.end(), [&](const member_task &m) { return m.name == *ownerOf("e", all); });
+        return *std::find_if(members.begin(), members.end(), [&](const member_task &m) { return m.name == *rendezvousOwner("e", all); });
     }
 
     member_task &other(std::size_t number = 0)
--- a/tests/wire/peer_codec_test.cpp
+++ b/tests/wire/peer_codec_test.cpp
@@ -43,8 +43,8 @@
     return {freshness_ask {epoch},
             freshness_answer {epoch, log_offset(anyCount() - 1), 1ms * anyCount(), anyFlag(), 1ms * anyCount()},
             loan_ask {data_centre_id(anyText()), epoch, workspace, tokens},
-            loan_answer {epoch, tokens},
-            loan_refund {workspace, tokens},
+            loan_answer {epoch, tokens, 17, std::chrono::milliseconds(900)},
+            loan_refund {workspace, tokens, 17, 3},
             slot_ask {epoch, endpoint, request},
             slot_answer {epoch, anyFlag(), slot_count(anyCount()), slot_count(anyCount())},
             slot_return {endpoint, request, static_cast<attempt_verdict>(*rc::gen::inRange(0, 4))},
@@ -94,7 +94,7 @@
          {"", "[]", "{", "{\"e\":1}", "{\"e\":1,\"t\":-5}", "{\"e\":1,\"t\":18446744073709551615}", "{\"e\":\"1\",\"t\":5}"}) {
         CHECK_TRUE(codec.decode("loan_answer", body).error().code == error_code::invalid_message);
     }
-    CHECK_TRUE(codec.decode("loan_answer", "{\"e\":1,\"t\":5,\"new\":1}").has_value());
+    CHECK_TRUE(codec.decode("loan_answer", "{\"e\":1,\"t\":5,\"l\":1,\"d\":1,\"new\":1}").has_value());
 }
 
 // Guards against a newer peer's message being taken for something else.
