--- a/bench/site/child_process.cpp
+++ b/bench/site/child_process.cpp
@@ -14,8 +14,6 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
-extern char **environ; // NOLINT(readability-identifier-naming)
-
 namespace burdockshelf
 {
 
--- a/src/callers/caller_listener_task.cpp
+++ b/src/callers/caller_listener_task.cpp
@@ -60,7 +60,6 @@
                                            caller_listener_settings settings,
                                            caller_listener_links links)
     : task(std::move(box))
-    , m_loop(loop)
     , m_settings(std::move(settings))
     , m_links(std::move(links))
     , m_server(loop, m_settings.limits, [this](const std::shared_ptr<http_exchange> &exchange) { onRequest(exchange); })
--- a/src/callers/caller_listener_task.h
+++ b/src/callers/caller_listener_task.h
@@ -54,7 +54,6 @@
     void reportGone();
     void finishWhenIdle();
 
-    event_loop &m_loop;
     caller_listener_settings m_settings;
     caller_listener_links m_links;
     random_source m_random;
--- a/src/policy/claim_ledger.cpp
+++ b/src/policy/claim_ledger.cpp
@@ -21,7 +21,7 @@
 
 claim_ledger::claim_ledger(incarnation_id self, random_source random)
     : m_self(std::move(self))
-    , m_random(std::move(random))
+    , m_random(random)
 {
 }
 
--- a/src/routing/router_task.cpp
+++ b/src/routing/router_task.cpp
@@ -71,7 +71,7 @@
     : task(std::move(box))
     , m_settings(std::move(settings))
     , m_links(std::move(links))
-    , m_random(std::move(random))
+    , m_random(random)
     , m_placement(makePlacement(m_settings.placement))
     , m_queueOrder(makeQueueOrder(m_settings.queueOrder))
     , m_directory(m_settings.dataCentre)
--- a/tests/policy/request_machine_test.cpp
+++ b/tests/policy/request_machine_test.cpp
@@ -210,6 +210,7 @@
     {
         const std::string prefix = action.role == endpoint_role::prefill ? "p" : action.role == endpoint_role::decode ? "d" : "s";
         std::vector<endpoint_id> candidates;
+        candidates.reserve(static_cast<std::size_t>(choice % 4));
         for (int i = 0; i < choice % 4; ++i) {
             candidates.emplace_back(prefix + std::to_string(i));
         }
