--- /dev/null
+++ b/tests/wire/completion_codec_test.cpp
@@ -0,0 +1,59 @@
+#include "wire/completion_codec.h"
+
+#include <string>
+
+#include "support/property.h"
+
+using namespace burdockshelf;
+
+TEST_GROUP(completion_codecs) {};
+
+// Guards against a body that is refused without a reason, or accepted without what the router needs.
+TEST(completion_codecs, sayWhatIsWrongWithABody)
+{
+    const char *bodies[] = {
+        "",
+        "[]",
+        "{}",
+        "{\"model\":1,\"prompt\":\"p\"}",
+        "{\"model\":\"m\"}",
+        "{\"model\":\"m\",\"prompt\":[1]}",
+        "{\"model\":\"m\",\"prompt\":\"p\",\"max_tokens\":0}",
+        "{\"model\":\"m\",\"prompt\":\"p\",\"max_tokens\":1.5}",
+        "{\"model\":\"m\",\"prompt\":\"p\",\"max_tokens\":99999999}",
+        "{\"model\":\"m\",\"prompt\":\"p\",\"stream\":\"yes\"}",
+        "{\"model\":\"m\",\"prompt\":\"\xff\xfe\"}",
+    };
+    for (const char *body : bodies) {
+        const auto decoded = decodeModelRequest(false, body);
+        CHECK_TRUE(decoded.has_error());
+        CHECK_TRUE(decoded.error().code == error_code::invalid_argument);
+    }
+    CHECK_TRUE(decodeModelRequest(true, "{\"model\":\"m\",\"messages\":[{\"role\":\"user\"}]}").has_error());
+}
+
+// Guards against a charge that leaves out a part of the prompt.
+TEST(completion_codecs, measureTheWholePrompt)
+{
+    const auto chat = decodeModelRequest(true,
+                                         R"({"model":"m","stream":true,"stream_options":{"include_usage":true},"max_tokens":7,)"
+                                         R"("messages":[{"role":"system","content":"abc"},{"role":"user","content":"defg"}]})");
+    CHECK_EQUAL(7, chat.value().promptBytes.value());
+    CHECK_EQUAL(7, chat.value().maxTokens.value());
+    CHECK_TRUE(chat.value().isStream && chat.value().wantsUsage);
+    const auto text = decodeModelRequest(false, R"({"model":"m","prompt":"abcdefg"})");
+    CHECK_TRUE(text.value().prefixHash == chat.value().prefixHash);
+    CHECK_EQUAL(0, text.value().maxTokens.value());
+}
+
+// Guards against a crash on a body that is damaged on the way.
+TEST(completion_codecs, surviveDamagedBodies)
+{
+    CHECK_PROPERTY("a damaged body is a value", [](std::uint8_t at, char damage, bool isChat) {
+        std::string body =
+            R"({"model":"m","messages":[{"role":"user","content":"x"}],"prompt":"p","stream_options":{"include_usage":true}})";
+        body[at % body.size()] = damage;
+        const auto decoded = decodeModelRequest(isChat, body);
+        RC_ASSERT(decoded.has_value() || !decoded.error().message.empty());
+    });
+}
