Begin slow start at one with the first load report

The success had grown the window to 2 before any report; the first report had no earlier incarnation to differ from, so the restarted endpoint began with a limit of 2 instead of 1. The check that failed is that of the limit against the successes since the start. Change: the first load report sets the window back to 1. Its generation stays, so inherited requests that end after the report still grow it. The shrunk case is the test beginAtOneWithTheFirstReport. askForLoadOnlyAsTheOwner expected a limit of 2 from a success before the first report, which is this fault; it now sends the report before the request too and checks the same limits.

--- a/src/policy/slow_start.cpp
+++ b/src/policy/slow_start.cpp
@@ -22,7 +22,9 @@
 
 void slow_start::observe(const incarnation_id &incarnation, slot_count total)
 {
-    if (!m_incarnation.isEmpty() && m_incarnation != incarnation) {
+    if (!m_incarnation) {
+        m_window = slot_count(1);
+    } else if (*m_incarnation != incarnation) {
         collapse();
     }
     m_incarnation = incarnation;
--- a/src/policy/slow_start.h
+++ b/src/policy/slow_start.h
@@ -5,6 +5,7 @@
 #include "policy/peer_message.h"
 
 #include <cstdint>
+#include <optional>
 
 namespace burdockshelf
 {
@@ -27,7 +28,8 @@
     /// started before a fall say nothing of the endpoint after it.
     std::uint64_t generation() const;
 
-    /// Takes what the endpoint reports of itself. A new incarnation is cold.
+    /// Takes what the endpoint reports of itself. A new incarnation is cold. The first report sets the window back to 1: the successes
+    /// before it may be those of an incarnation that is gone.
     void observe(const incarnation_id &incarnation, slot_count total);
     /// Takes the end of an attempt. The window never grows over the endpoint's slots.
     void record(attempt_verdict verdict, std::uint64_t generation, slot_count total);
@@ -39,7 +41,7 @@
     slot_count m_window {1};
     int m_badInARow = 0;
     std::uint64_t m_generation = 0;
-    incarnation_id m_incarnation;
+    std::optional<incarnation_id> m_incarnation;
 };
 
 } // namespace burdockshelf
--- a/tests/policy/slot_ledger_test.cpp
+++ b/tests/policy/slot_ledger_test.cpp
@@ -202,3 +202,20 @@
     ledger.observeLoad(endpoint, incarnation_id("i"), slot_count(0), total);
     CHECK_TRUE(ledger.ask(endpoint, memberName(1), requestName(1), now).isGranted);
 }
+
+// Guards against a window that a new owner has grown with the successes of an incarnation that is gone. Shrunk from the property above: a
+// change of owner, the success of an inherited request, a restart of the endpoint, an ask.
+TEST(slot_ledgers, beginAtOneWithTheFirstReport)
+{
+    slot_ledger ledger;
+    const instant now(100s);
+    ledger.own(endpoint, total, deadline());
+    ledger.takeHoldings(memberName(0), {{endpoint, requestName(0)}}, now);
+    ledger.giveBack(endpoint, requestName(0), attempt_verdict::succeeded);
+    ledger.observeLoad(endpoint, incarnation_id("restarted"), slot_count(0), total);
+    const slot_load answer = ledger.ask(endpoint, memberName(0), requestName(1), now);
+    CHECK_TRUE(answer.isGranted);
+    CHECK_TRUE(answer.limit == slot_count(1));
+    ledger.giveBack(endpoint, requestName(1), attempt_verdict::succeeded);
+    CHECK_TRUE(ledger.load(endpoint).limit == slot_count(2));
+}
--- a/tests/routing/slot_task_test.cpp
+++ b/tests/routing/slot_task_test.cpp
@@ -249,12 +249,13 @@
     CHECK_TRUE(std::all_of(f.sentToEndpoint.begin(), f.sentToEndpoint.end(), [&](const auto &sent) {
         return sent.first == f.owner().name && std::holds_alternative<load_query>(sent.second);
     }));
-    CHECK_TRUE(f.ask(f.owner(), "a").isGranted);
-    f.release(f.owner(), "a");
     const auto report = [&](const char *incarnation) {
         f.send(f.owner(), load_report {endpoint, incarnation_id(incarnation), slot_count(0), slot_count(20)});
     };
     report("x");
+    CHECK_TRUE(f.ask(f.owner(), "a").isGranted);
+    f.release(f.owner(), "a");
+    report("x");
     CHECK_EQUAL(2, f.ask(f.owner(), "b").limit.value());
     report("y");
     CHECK_EQUAL(1, f.ask(f.owner(), "c").limit.value());
