Report queues, owned endpoints, offsets and metrics from routing

Cause: operators saw no queues, no endpoints and no metrics, and a covered offset only when the state in force changed. Change: status_reporter calls a task's report function after changes, at most once a second. router_task reports queues_report and metric_batch (service_level, router_metrics), slot_task reports owned_endpoints_report, configuration_task reports configuration_report. Quota refusals have a counter of their own and no burn.

--- a/src/policy/slot_ledger.cpp
+++ b/src/policy/slot_ledger.cpp
@@ -147,6 +147,12 @@
     return found == m_endpoints.end() ? slot_load() : loadOf(found->second);
 }
 
+bool slot_ledger::isWarming(const endpoint_id &endpoint) const
+{
+    const auto found = m_endpoints.find(endpoint);
+    return found != m_endpoints.end() && found->second.window.window() < found->second.total;
+}
+
 slot_load slot_ledger::loadOf(const endpoint_slots &slots)
 {
     const slot_count held(static_cast<std::int64_t>(slots.grants.size()));
--- a/src/policy/slot_ledger.h
+++ b/src/policy/slot_ledger.h
@@ -68,6 +68,8 @@
     void observeFailure(const endpoint_id &endpoint);
 
     slot_load load(const endpoint_id &endpoint) const;
+    /// True while slow start allows fewer requests than the endpoint has slots.
+    bool isWarming(const endpoint_id &endpoint) const;
 
 private:
     struct grant
--- a/src/routing/active_request.h
+++ b/src/routing/active_request.h
@@ -3,6 +3,7 @@
 #include "callers/caller_messages.h"
 #include "policy/admission_queue.h"
 #include "policy/request_machine.h"
+#include "routing/service_level.h"
 
 #include <cstdint>
 #include <optional>
@@ -27,7 +28,10 @@
     service_id service;
     int priority = 0;
     std::uint64_t prefixHash = 0;
-    instant acceptedAt;
+    service_level level;
+    /// True once the answer or refusal is counted.
+    bool isMeasured = false;
+    int dispatches = 0;
     /// Set while the request waits for or looks for its endpoints.
     std::optional<queued_request> queueEntry;
     /// True from the moment the queue has chosen the request until it has its endpoints or is put back.
@@ -39,7 +43,6 @@
     http_response plainResponse;
     /// Outcome of an earlier request with the same idempotency key.
     std::optional<claim_outcome> recorded;
-    std::optional<instant> firstTokenAt;
 };
 
 } // namespace burdockshelf
--- a/src/routing/configuration_task.cpp
+++ b/src/routing/configuration_task.cpp
@@ -34,6 +34,7 @@
     , m_recent(recentLimit)
     , m_publisher(loop, m_replay, m_sinks.views, m_sinks.claims)
     , m_snapshots(m_settings.retention)
+    , m_reporter(loop, m_settings.reportInterval, [this] { return report(); })
     , m_askTimer(loop, [this] { askPeers(); })
     , m_snapshotTimer(loop, [this] { writeSnapshot(); })
 {
@@ -51,6 +52,15 @@
 void configuration_task::handle(configuration_task_message &&message)
 {
     std::visit([this](const auto &content) { receive(content); }, message);
+    if (m_replay.covered() != m_reported.covered) {
+        m_reporter.noteChange();
+    }
+}
+
+bool configuration_task::report()
+{
+    m_reported = {m_replay.version(), m_replay.covered()};
+    return m_sinks.reports.post(m_reported) != post_result::full;
 }
 
 void configuration_task::receive(const log_batch &batch)
--- a/src/routing/configuration_task.h
+++ b/src/routing/configuration_task.h
@@ -4,6 +4,8 @@
 #include "routing/recent_records.h"
 #include "routing/routing_messages.h"
 #include "routing/state_publisher.h"
+#include "routing/status_messages.h"
+#include "routing/status_reporter.h"
 #include "runtime/task.h"
 #include "runtime/timer.h"
 #include "state/log_replay.h"
@@ -26,6 +28,8 @@
     std::chrono::milliseconds askInterval {2000};
     /// Peers asked at a time; more would only send the same.
     std::size_t askedPeers = 3;
+    /// Shortest time between two reports of the covered offset.
+    std::chrono::milliseconds reportInterval {1000};
 };
 
 /// Who hears of the state, and what configuration_task itself needs.
@@ -36,6 +40,7 @@
     sink<append_request> append;
     sink<seek_request> seek;
     sink<peer_post> peers;
+    sink<configuration_report> reports;
 };
 
 /// Owns the replay of the log. Takes records from the log and, while that cannot be read, from peers; tells the other tasks what has
@@ -72,6 +77,7 @@
     bool lacksState() const;
     void askPeers();
     void ask(const instance_id &asked);
+    bool report();
     void scheduleSnapshot();
     void writeSnapshot();
 
@@ -82,6 +88,8 @@
     recent_records m_recent;
     state_publisher m_publisher;
     snapshot_schedule m_snapshots;
+    configuration_report m_reported;
+    status_reporter m_reporter;
     timer m_askTimer;
     timer m_snapshotTimer;
     std::vector<instance_id> m_peers;
--- /dev/null
+++ b/src/routing/router_metrics.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "metrics/metric_batch.h"
+#include "routing/service_level.h"
+#include "runtime/sink.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+
+namespace burdockshelf
+{
+
+/// Counts what router_task does until the next batch.
+class router_metrics
+{
+public:
+    void noteModelAnswer(const service_id &service, const service_level &level, instant now);
+    /// A status of 500 or more is a failure of the service.
+    void notePlainAnswer(const service_id &service, const service_level &level, int status, instant now);
+    void noteRefusal(const service_id &service, const service_level &level, error_code code, bool isNotRun);
+    /// A request that belongs to no known service, workspace or urgency class.
+    void noteUnaccepted(error_code code);
+    void noteCallerGone(const service_id &service);
+    void noteRetry(const service_id &service);
+    void noteResume(const service_id &service);
+    void notePrefill(const service_id &service);
+    void noteWastedPrefill(const service_id &service);
+
+    /// Posts what was counted since the last batch. Returns false when the receiver is full; the counts are then kept.
+    bool post(const sink<metric_batch> &receiver);
+
+private:
+    void count(std::string name, std::vector<metric_label> labels);
+    void countRequest(const service_id &service, const char *result);
+    void addBurn(const service_level &level, burn_cause cause);
+
+    std::map<metric_name, std::uint64_t> m_counters;
+    std::vector<latency_sample> m_latencies;
+    std::vector<burn_event> m_burn;
+};
+
+} // namespace burdockshelf
--- a/src/routing/router_settings.h
+++ b/src/routing/router_settings.h
@@ -26,6 +26,8 @@
     /// Requests of one service that look for a slot at the same time.
     std::size_t concurrentReservations = 8;
     std::size_t maxRequests = 20000;
+    /// Shortest time between two reports of queues and metrics.
+    std::chrono::milliseconds reportInterval {1000};
 };
 
 } // namespace burdockshelf
--- a/src/routing/router_task.cpp
+++ b/src/routing/router_task.cpp
@@ -52,11 +52,17 @@
     return request_id(attempt.value().substr(0, attempt.value().find('.')));
 }
 
+// Stands for all callers of a service that is open to all.
+workspace_id openWorkspace(const service_id &service)
+{
+    return workspace_id("open:" + service.value());
+}
+
 // Callers of a route that is open to all share the keys of its service.
 claim_id claimIdOf(const active_request &active)
 {
     const workspace_id &workspace = active.machine.facts().workspace;
-    return {workspace.isEmpty() ? workspace_id("open:" + active.service.value()) : workspace, active.call.idempotency};
+    return {workspace.isEmpty() ? openWorkspace(active.service) : workspace, active.call.idempotency};
 }
 
 token_count promptCharge(byte_count bytes, std::int64_t bytesPerToken)
@@ -79,6 +85,7 @@
     , m_slotReleases(loop, m_links.slotReleases)
     , m_claimEnds(loop, m_links.claimEnds)
     , m_cancellations(loop, m_links.endpoints)
+    , m_reporter(loop, m_settings.reportInterval, [this] { return report(); })
     , m_timer(loop, [this] {
         expireQueues();
         pumpAll();
@@ -111,6 +118,7 @@
 {
     m_view = std::move(changed.view);
     m_directory.setView(m_view);
+    m_reporter.noteChange();
     for (auto &[service, waiting] : m_pools) {
         waiting.pausedUntil = deadline();
         m_ready.insert(service);
@@ -124,15 +132,17 @@
     caller_request outline;
     outline.id = id;
     outline.reply = reply;
-    if (m_isShuttingDown || m_requests.size() >= m_settings.maxRequests) {
-        refuseUnaccepted(outline, {error_code::overloaded, "the instance takes no further request"});
-        return;
-    }
     auto made = makeRequest(std::move(call));
     if (!made) {
+        m_metrics.noteUnaccepted(made.error().code);
         refuseUnaccepted(outline, made.error());
         return;
     }
+    if (m_isShuttingDown || m_requests.size() >= m_settings.maxRequests) {
+        m_metrics.noteRefusal(made.value().service, made.value().level, error_code::overloaded, true);
+        refuseUnaccepted(outline, {error_code::overloaded, "the instance takes no further request"});
+        return;
+    }
     active_request &active = m_requests.emplace(id, std::move(made).value()).first->second;
     perform(id, active.machine.start(contextOf(active)));
 }
@@ -259,10 +269,11 @@
     }
     const instant now = boot_clock::now();
     facts.dispatchUntil = deadline::after(now, urgency->second.maxQueueTime);
+    service_level level(facts.workspace.isEmpty() ? openWorkspace(service) : facts.workspace, wanted, urgency->second, now);
     active_request active(request_machine(std::move(facts)), std::move(call), service);
     active.priority = urgency->second.priority;
     active.prefixHash = active.call.model ? active.call.model->prefixHash : 0;
-    active.acceptedAt = now;
+    active.level = std::move(level);
     return active;
 }
 
@@ -397,6 +408,7 @@
 
 request_actions router_task::carryOut(active_request &active, const enqueue_action & /*action*/)
 {
+    m_reporter.noteChange();
     pool &waiting = poolOf(active.service);
     const instant now = boot_clock::now();
     m_ready.insert(active.service);
@@ -463,6 +475,8 @@
 
 request_actions router_task::carryOut(active_request &active, const prefill_action &action)
 {
+    noteDispatch(active);
+    m_metrics.notePrefill(active.service);
     const deadline until = deadline::after(boot_clock::now(), m_settings.prefillTimeout);
     prefill_call call = {action.attempt, active.call.id, modelFor(active), active.priority, until, active.machine.generated()};
     return startAttempt(active, action.endpoint, action.attempt, std::move(call));
@@ -485,6 +499,7 @@
 request_actions router_task::carryOut(active_request &active, const resume_action &action)
 {
     LOG(INFO) << "routing: request " << active.call.id << ": resuming at " << action.endpoint << " from event " << action.from << ".";
+    m_metrics.noteResume(active.service);
     resume_call call;
     call.attempt = action.attempt;
     call.request = active.call.id;
@@ -497,6 +512,7 @@
 
 request_actions router_task::carryOut(active_request &active, const plain_call_action &action)
 {
+    noteDispatch(active);
     const deadline until = deadline::after(boot_clock::now(), m_settings.plainTimeout);
     return startAttempt(active, action.endpoint, action.attempt, plain_call {action.attempt, active.call.request, until});
 }
@@ -515,6 +531,7 @@
 
 request_actions router_task::carryOut(active_request &active, const release_kv_action &action)
 {
+    m_metrics.noteWastedPrefill(active.service);
     m_cancellations.post({action.prefill, release_kv {active.call.id, active.kv}});
     return {};
 }
@@ -527,7 +544,6 @@
 
 request_actions router_task::carryOut(active_request &active, const answer_started_action &action)
 {
-    active.firstTokenAt = boot_clock::now();
     answer(active, model_started {active.call.id, action.prefill, action.decode});
     return {};
 }
@@ -535,6 +551,9 @@
 request_actions router_task::carryOut(active_request &active, const answer_event_action & /*action*/)
 {
     const decode_event &event = active.lastEvent;
+    if (!event.text.empty()) {
+        active.level.noteToken(boot_clock::now());
+    }
     if (!event.isUsageOnly || active.call.model->wantsUsage) {
         answer(active, model_event {active.call.id, event.text, event.data});
     }
@@ -543,12 +562,16 @@
 
 request_actions router_task::carryOut(active_request &active, const answer_finished_action & /*action*/)
 {
+    m_metrics.noteModelAnswer(active.service, active.level, boot_clock::now());
+    active.isMeasured = true;
     answer(active, model_finished {active.call.id, active.usage, active.finishReason});
     return {};
 }
 
 request_actions router_task::carryOut(active_request &active, const answer_plain_action &action)
 {
+    m_metrics.notePlainAnswer(active.service, active.level, active.plainResponse.status, boot_clock::now());
+    active.isMeasured = true;
     answer(active, plain_answer {active.call.id, std::move(active.plainResponse), action.endpoint});
     return {};
 }
@@ -563,6 +586,8 @@
     }
     recorded.response.headers.add("Idempotency-Replayed", "true");
     recorded.response.body = active.recorded->body;
+    m_metrics.notePlainAnswer(active.service, active.level, recorded.response.status, boot_clock::now());
+    active.isMeasured = true;
     answer(active, std::move(recorded));
     return {};
 }
@@ -571,6 +596,8 @@
 {
     LOG(INFO) << "routing: request " << active.call.id << " of workspace " << active.machine.facts().workspace
               << " refused: " << action.cause << ".";
+    m_metrics.noteRefusal(active.service, active.level, action.cause.code, action.isNotRun);
+    active.isMeasured = true;
     answer(active, refusal {active.call.id, action.status, action.cause, action.isNotRun, action.isEarlierUnknown, action.retryAfter});
     return {};
 }
@@ -580,6 +607,10 @@
     if (active.isReserving) {
         leaveReservation(active);
     }
+    if (!active.isMeasured) {
+        m_metrics.noteCallerGone(active.service);
+    }
+    m_reporter.noteChange();
     m_ready.insert(active.service);
     m_requests.erase(active.call.id);
     return {};
@@ -684,6 +715,47 @@
     }
 }
 
+void router_task::noteDispatch(active_request &active)
+{
+    if (active.dispatches > 0) {
+        m_metrics.noteRetry(active.service);
+    }
+    ++active.dispatches;
+    m_reporter.noteChange();
+}
+
+queues_report router_task::makeQueuesReport() const
+{
+    std::map<urgency_class_id, std::int64_t> lengths;
+    if (m_view) {
+        for (const auto &[urgency, settings] : m_view->config.urgencyClasses) {
+            lengths[urgency] = 0;
+        }
+    }
+    for (const auto &[id, active] : m_requests) {
+        lengths[active.level.urgency()] += active.machine.isQueued() ? 1 : 0;
+    }
+    queues_report made;
+    for (const auto &[urgency, length] : lengths) {
+        made.queues.push_back({urgency, length});
+    }
+    return made;
+}
+
+bool router_task::report()
+{
+    queues_report queues = makeQueuesReport();
+    const bool isTaken = m_metrics.post(m_links.metrics);
+    if (queues == m_reportedQueues) {
+        return isTaken;
+    }
+    if (m_links.queueReports.post(queues) == post_result::full) {
+        return false;
+    }
+    m_reportedQueues = std::move(queues);
+    return isTaken;
+}
+
 void router_task::finishWhenIdle()
 {
     if (m_isShuttingDown && m_requests.empty() && !m_isFinished) {
--- a/src/routing/router_task.h
+++ b/src/routing/router_task.h
@@ -5,14 +5,18 @@
 #include "policy/endpoint_directory.h"
 #include "policy/placement.h"
 #include "routing/active_request.h"
+#include "routing/router_metrics.h"
 #include "routing/router_settings.h"
 #include "routing/routing_messages.h"
+#include "routing/status_messages.h"
+#include "routing/status_reporter.h"
 #include "runtime/outbox.h"
 #include "runtime/task.h"
 #include "runtime/timer.h"
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 
 namespace burdockshelf
@@ -28,6 +32,8 @@
     sink<claim_request> claims;
     sink<claim_end> claimEnds;
     sink<endpoint_post> endpoints;
+    sink<queues_report> queueReports;
+    sink<metric_batch> metrics;
 };
 
 /// Takes every accepted request from its arrival to its end. Feeds the request machines with events and carries out their actions; decides
@@ -115,6 +121,9 @@
     void expireQueues();
     void scheduleTimer();
     void finishWhenIdle();
+    void noteDispatch(active_request &active);
+    queues_report makeQueuesReport() const;
+    bool report();
 
     router_settings m_settings;
     router_links m_links;
@@ -131,6 +140,9 @@
     outbox<slot_release> m_slotReleases;
     outbox<claim_end> m_claimEnds;
     outbox<endpoint_post> m_cancellations;
+    router_metrics m_metrics;
+    std::optional<queues_report> m_reportedQueues;
+    status_reporter m_reporter;
     timer m_timer;
     bool m_isShuttingDown = false;
     bool m_isFinished = false;
--- /dev/null
+++ b/src/routing/service_level.cpp
@@ -0,0 +1,68 @@
+#include "routing/service_level.h"
+
+#include <utility>
+
+namespace burdockshelf
+{
+
+service_level::service_level(workspace_id workspace, urgency_class_id urgency, const urgency_class_settings &targets, instant acceptedAt)
+    : m_workspace(std::move(workspace))
+    , m_urgency(std::move(urgency))
+    , m_targets(targets)
+    , m_acceptedAt(acceptedAt)
+{
+}
+
+void service_level::noteToken(instant now)
+{
+    if (!m_firstToken) {
+        m_firstToken = now;
+    }
+    m_lastToken = now;
+    ++m_tokens;
+}
+
+const workspace_id &service_level::workspace() const
+{
+    return m_workspace;
+}
+
+const urgency_class_id &service_level::urgency() const
+{
+    return m_urgency;
+}
+
+service_level::duration service_level::timeToFirstToken(instant now) const
+{
+    return std::chrono::duration_cast<duration>(m_firstToken.value_or(now) - m_acceptedAt);
+}
+
+std::optional<service_level::duration> service_level::timeBetweenTokens() const
+{
+    if (m_tokens < 2) {
+        return std::nullopt;
+    }
+    return std::chrono::duration_cast<duration>(m_lastToken - *m_firstToken) / (m_tokens - 1);
+}
+
+burn_cause service_level::causeOfAnswer(instant now) const
+{
+    const bool isFirstInTime = timeToFirstToken(now) <= m_targets.firstTokenTarget;
+    const bool areOthersInTime = timeBetweenTokens().value_or(duration::zero()) <= m_targets.betweenTokensTarget;
+    return isFirstInTime && areOthersInTime ? burn_cause::good : burn_cause::latency;
+}
+
+std::optional<burn_cause> causeOfRefusal(error_code code, bool isNotRun)
+{
+    switch (code) {
+    case error_code::quota_exceeded:
+    case error_code::key_withdrawn:
+    case error_code::in_progress:
+    case error_code::conflict:
+        return std::nullopt;
+    default:
+        return isNotRun ? burn_cause::refusal : burn_cause::failure;
+    }
+}
+
+} // namespace burdockshelf
--- /dev/null
+++ b/src/routing/service_level.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include "core/boot_clock.h"
+#include "core/error.h"
+#include "core/ids.h"
+#include "metrics/burn_ledger.h"
+#include "metrics/latency_sketch.h"
+#include "state/configuration.h"
+
+#include <cstdint>
+#include <optional>
+
+namespace burdockshelf
+{
+
+/// How one request is served in relation to the targets of its urgency class. A plain value; the time is passed in.
+class service_level
+{
+public:
+    using duration = latency_sketch::duration;
+
+    service_level() = default;
+    service_level(workspace_id workspace, urgency_class_id urgency, const urgency_class_settings &targets, instant acceptedAt);
+
+    void noteToken(instant now);
+
+    const workspace_id &workspace() const;
+    const urgency_class_id &urgency() const;
+    /// Time to the first token, or up to now when there was none.
+    duration timeToFirstToken(instant now) const;
+    /// Mean over the request; none with fewer than two tokens.
+    std::optional<duration> timeBetweenTokens() const;
+    /// How a request that was answered in full counts.
+    burn_cause causeOfAnswer(instant now) const;
+
+private:
+    workspace_id m_workspace;
+    urgency_class_id m_urgency;
+    urgency_class_settings m_targets;
+    instant m_acceptedAt;
+    std::optional<instant> m_firstToken;
+    instant m_lastToken;
+    std::int64_t m_tokens = 0;
+};
+
+/// How a refusal counts against the service level; none when it is the caller's doing, or when the workspace may have been over its rate.
+std::optional<burn_cause> causeOfRefusal(error_code code, bool isNotRun);
+
+} // namespace burdockshelf
--- a/src/routing/slot_task.cpp
+++ b/src/routing/slot_task.cpp
@@ -1,6 +1,7 @@
 #include "routing/slot_task.h"
 
 #include "policy/rendezvous.h"
+#include "state/is_drained.h"
 
 #include <algorithm>
 #include <utility>
@@ -15,13 +16,16 @@
                      roster_member self,
                      sink<peer_post> peers,
                      sink<endpoint_post> endpoints,
-                     slot_task_settings settings)
+                     slot_task_settings settings,
+                     sink<owned_endpoints_report> reports)
     : task(std::move(box))
     , m_self(std::move(self))
     , m_peers(std::move(peers))
     , m_endpoints(std::move(endpoints))
+    , m_reports(std::move(reports))
     , m_settings(settings)
     , m_ledger(settings.ledger)
+    , m_reporter(loop, settings.reportInterval, [this] { return report(); })
     , m_tick(loop, [this] { tick(); })
 {
 }
@@ -37,6 +41,10 @@
 void slot_task::handle(slot_task_message &&message)
 {
     std::visit([this](const auto &content) { take(content); }, message);
+    const bool isLoadNews = std::holds_alternative<load_report>(message) || std::holds_alternative<endpoint_unreachable>(message);
+    if (!isLoadNews) {
+        m_reporter.noteChange();
+    }
 }
 
 void slot_task::take(const view_changed &change)
@@ -92,12 +100,20 @@
 
 void slot_task::take(const load_report &report)
 {
+    const owned_endpoint before = describe(report.endpoint);
     m_ledger.observeLoad(report.endpoint, report.incarnation, report.used, report.total);
+    m_unreachable.erase(report.endpoint);
+    noteDifference(before);
 }
 
 void slot_task::take(const endpoint_unreachable &report)
 {
+    const owned_endpoint before = describe(report.endpoint);
     m_ledger.observeFailure(report.endpoint);
+    if (m_ledger.owns(report.endpoint)) {
+        m_unreachable.insert(report.endpoint);
+    }
+    noteDifference(before);
 }
 
 void slot_task::take(const peer_received &received)
@@ -237,6 +253,7 @@
         const auto at = ownerOfEndpoint(endpoint);
         if (!at || at->member != m_self) {
             m_ledger.disown(endpoint);
+            m_unreachable.erase(endpoint);
         }
     }
     for (const auto &[endpoint, settings] : m_view->config.endpoints) {
@@ -255,6 +272,7 @@
         return;
     }
     for (const auto &[endpoint, request] : m_ledger.freeDead(livingMembers(), now)) {
+        m_reporter.noteChange();
         LOG(INFO) << "routing: endpoint " << endpoint << ": aborting request " << request << " of an instance that is gone.";
         LOG_IF(ERROR, m_endpoints.post({endpoint, abort_request {request}}) != post_result::delivered)
             << "routing: endpoint " << endpoint << ": the abort of request " << request << " was not taken.";
@@ -308,6 +326,43 @@
     }
 }
 
+owned_endpoint slot_task::describe(const endpoint_id &endpoint) const
+{
+    const slot_load load = m_ledger.load(endpoint);
+    owned_endpoint_state state = m_ledger.isWarming(endpoint) ? owned_endpoint_state::warming : owned_endpoint_state::healthy;
+    if (m_unreachable.contains(endpoint)) {
+        state = owned_endpoint_state::unreachable;
+    }
+    if (isDrained(*m_view, endpoint)) {
+        state = owned_endpoint_state::drained;
+    }
+    return {endpoint, state, load.used, load.limit};
+}
+
+// Load reports come all the time; most of them change nothing that is shown.
+void slot_task::noteDifference(const owned_endpoint &before)
+{
+    if (describe(before.endpoint) != before) {
+        m_reporter.noteChange();
+    }
+}
+
+bool slot_task::report()
+{
+    owned_endpoints_report made;
+    for (const endpoint_id &endpoint : m_ledger.owned()) {
+        made.endpoints.push_back(describe(endpoint));
+    }
+    if (made == m_reported) {
+        return true;
+    }
+    if (m_reports.post(made) == post_result::full) {
+        return false;
+    }
+    m_reported = std::move(made);
+    return true;
+}
+
 bool slot_task::postToPeer(const owner &to, std::uint64_t exchange, peer_message message, deadline until)
 {
     const peer_send send {exchange, std::move(message), until, makeSink<peer_answer>(self())};
--- a/src/routing/slot_task.h
+++ b/src/routing/slot_task.h
@@ -2,6 +2,8 @@
 
 #include "policy/slot_ledger.h"
 #include "routing/routing_messages.h"
+#include "routing/status_messages.h"
+#include "routing/status_reporter.h"
 #include "runtime/task.h"
 #include "runtime/timer.h"
 
@@ -27,6 +29,8 @@
     std::chrono::milliseconds messageTimeout {2000};
     /// Tries of a return. Later the next list of held slots tells the owner.
     int returnTries = 5;
+    /// Shortest time between two reports of the owned endpoints.
+    std::chrono::milliseconds reportInterval {1000};
 };
 
 /// Gets slots of endpoints for this instance's requests, from this member itself or from the member that owns the endpoint, and keeps the
@@ -39,7 +43,8 @@
               roster_member self,
               sink<peer_post> peers,
               sink<endpoint_post> endpoints,
-              slot_task_settings settings = {});
+              slot_task_settings settings = {},
+              sink<owned_endpoints_report> reports = {});
 
     outcome<void> start() override;
 
@@ -92,6 +97,9 @@
     void freeDead();
     void tick();
     void sendHoldings();
+    owned_endpoint describe(const endpoint_id &endpoint) const;
+    void noteDifference(const owned_endpoint &before);
+    bool report();
     bool postToPeer(const owner &to, std::uint64_t exchange, peer_message message, deadline until);
 
     const std::vector<roster_member> &membersOf(const data_centre_id &dataCentre) const;
@@ -104,6 +112,7 @@
     roster_member m_self;
     sink<peer_post> m_peers;
     sink<endpoint_post> m_endpoints;
+    sink<owned_endpoints_report> m_reports;
     slot_task_settings m_settings;
     state_view_ptr m_view = std::make_shared<state_view>();
     std::shared_ptr<const decision_authority> m_authority = std::make_shared<decision_authority>();
@@ -118,6 +127,10 @@
     std::map<roster_member, roster_epoch> m_askedOwners;
     std::uint64_t m_lastExchange = 0;
     deadline m_nextHoldings;
+    // Owned endpoints that did not answer the last load query.
+    std::set<endpoint_id> m_unreachable;
+    std::optional<owned_endpoints_report> m_reported;
+    status_reporter m_reporter;
     timer m_tick;
 };
 
--- a/src/state/log_replay.cpp
+++ b/src/state/log_replay.cpp
@@ -83,6 +83,11 @@
     return std::make_shared<const state_view>(m_view);
 }
 
+configuration_version log_replay::version() const
+{
+    return m_view.config.version;
+}
+
 const std::map<claim_id, claim_state> &log_replay::claims() const
 {
     return m_claims.claims();
--- a/src/state/log_replay.h
+++ b/src/state/log_replay.h
@@ -36,6 +36,8 @@
     /// The whole state, as it goes into a snapshot record or to a peer.
     snapshot state() const;
     state_view_ptr view() const;
+    /// Version of the configuration in force.
+    configuration_version version() const;
     const std::map<claim_id, claim_state> &claims() const;
 
 private:
--- a/tests/routing/configuration_task_test.cpp
+++ b/tests/routing/configuration_task_test.cpp
@@ -21,6 +21,7 @@
     std::vector<log_offset> seeks;
     std::vector<peer_post> dispatched;
     std::vector<peer_message> answers;
+    std::vector<configuration_report> reports;
     bool isBehind = false;
     std::unique_ptr<configuration_task> subject;
 
@@ -47,7 +48,12 @@
             seeks.push_back(message.next);
             return post_result::delivered;
         });
+        sinks.reports = sink<configuration_report>([this](configuration_report &&message) {
+            reports.push_back(message);
+            return post_result::delivered;
+        });
         configuration_task_settings settings;
+        settings.reportInterval = 1ms;
         settings.self = {instance_id("i"), incarnation_id("1")};
         subject = std::make_unique<configuration_task>(loop, box, settings, std::move(sinks), random_source(7));
         CHECK_TRUE(subject->start().has_value());
@@ -196,3 +202,15 @@
     f.loop.runReady();
     CHECK_EQUAL(1U, f.appends.size());
 }
+
+// Guards against operators who wait for ever for a record that changes nothing but the offset.
+TEST(configuration_tasks, reportEveryCoveredOffset)
+{
+    fixture f;
+    timer wait(f.loop, [&] { f.loop.stop(); });
+    f.tell(batch({claimAt(0)}, 1));
+    f.tell(batch(withdrawals(1, 3), 4));
+    wait.start(deadline::after(boot_clock::now(), 20ms));
+    f.loop.run();
+    CHECK_TRUE(f.reports.back() == configuration_report({{}, log_offset(3)}));
+}
--- a/tests/routing/slot_task_test.cpp
+++ b/tests/routing/slot_task_test.cpp
@@ -31,7 +31,9 @@
     std::vector<member_task> members;
     std::vector<std::pair<roster_member, endpoint_task_message>> sentToEndpoint;
     bool isStoppedByEndpoint = false;
+    bool isStoppedByReport = false;
     bool areAnswersLost = false;
+    std::vector<owned_endpoints_report> reports;
 
     explicit fixture(slot_task_settings settings = {})
         : members(3)
@@ -48,7 +50,15 @@
                 }
                 return post_result::delivered;
             });
-            member.runs = std::make_unique<slot_task>(loop, member.box, member.name, peers, endpoints, settings);
+            const auto status = sink<owned_endpoints_report>([this](owned_endpoints_report &&report) {
+                const bool isEmpty = report.endpoints.empty();
+                reports.push_back(std::move(report));
+                if (!isEmpty && isStoppedByReport) {
+                    loop.stop();
+                }
+                return post_result::delivered;
+            });
+            member.runs = std::make_unique<slot_task>(loop, member.box, member.name, peers, endpoints, settings, status);
             CHECK_TRUE(member.runs->start().has_value());
         }
         setRoster(1, {0, 1, 2});
@@ -260,3 +270,23 @@
     report("y");
     CHECK_EQUAL(1, f.ask(f.owner(), "c").limit.value());
 }
+
+// Guards against operators who see an endpoint as it was, or at a member that does not own it.
+TEST(slot_tasks, reportTheirOwnEndpoints)
+{
+    slot_task_settings settings;
+    settings.reportInterval = 1ms;
+    fixture f(settings);
+    f.isStoppedByReport = true;
+    const auto next = [&] {
+        f.loop.run();
+        return f.reports.back().endpoints.at(0);
+    };
+    f.send(f.owner(), load_report {endpoint, incarnation_id("x"), slot_count(0), slot_count(2)});
+    CHECK_TRUE(f.ask(f.other(), "a").isGranted);
+    CHECK_TRUE(next() == owned_endpoint({endpoint, owned_endpoint_state::warming, slot_count(1), slot_count(1)}));
+    f.release(f.other(), "a");
+    CHECK_TRUE(next() == owned_endpoint({endpoint, owned_endpoint_state::healthy, slot_count(0), slot_count(2)}));
+    f.send(f.owner(), endpoint_unreachable {endpoint, {}});
+    CHECK_TRUE(next().state == owned_endpoint_state::unreachable);
+}
