--- a/bench/site/site.cpp
+++ b/bench/site/site.cpp
@@ -214,6 +214,16 @@
     return none;
 }
 
+workspace_plan site::planOf(const std::string &workspace) const
+{
+    for (const workspace_plan &plan : m_plan.workspaces) {
+        if (plan.name == workspace) {
+            return plan;
+        }
+    }
+    return {workspace, 0, 0};
+}
+
 std::deque<site_instance> &site::instances()
 {
     return m_instances;
@@ -340,15 +350,19 @@
         answers["workspaces"].push_back(
             {{"name", workspace.name}, {"tokens_per_second", workspace.tokensPerSecond}, {"burst_tokens", workspace.burstTokens}});
     }
-    answers["services"] = json::array(
-        {{{"name", "model"}, {"kind", "model"}, {"calls_may_be_repeated", true}, {"open_to_all", false}, {"urgency_class", "urgent"}},
-         {{"name", "booking"},
-          {"kind", "plain"},
-          {"path_prefix", "/booking"},
-          {"calls_may_be_repeated", false},
-          {"open_to_all", false},
-          {"urgency_class", "urgent"},
-          {"call_cost_tokens", 50}}});
+    answers["services"] = json::array({{{"name", "model"},
+                                        {"kind", "model"},
+                                        {"calls_may_be_repeated", true},
+                                        {"open_to_all", false},
+                                        {"urgency_class", "urgent"},
+                                        {"prompt_bytes_per_token", m_plan.promptBytesPerToken}},
+                                       {{"name", "booking"},
+                                        {"kind", "plain"},
+                                        {"path_prefix", "/booking"},
+                                        {"calls_may_be_repeated", false},
+                                        {"open_to_all", false},
+                                        {"urgency_class", "urgent"},
+                                        {"call_cost_tokens", 50}}});
     for (const site_endpoint &endpoint : m_endpoints) {
         answers["endpoints"].push_back({{"name", endpoint.name},
                                         {"service", endpoint.role == "plain" ? "booking" : "model"},
--- a/bench/site/site.h
+++ b/bench/site/site.h
@@ -84,6 +84,8 @@
     void pause(std::chrono::milliseconds span);
 
     const std::string &keyOf(const std::string &workspace) const;
+    /// The plan of a workspace; one without rate when it is not in the plan.
+    workspace_plan planOf(const std::string &workspace) const;
     std::deque<site_instance> &instances();
     std::deque<site_endpoint> &endpoints();
     child_process &platform();
--- a/bench/site/site_plan.h
+++ b/bench/site/site_plan.h
@@ -30,6 +30,8 @@
     std::vector<workspace_plan> workspaces;
     /// Further arguments of every engine stand-in.
     std::vector<std::string> engineArguments;
+    /// How many bytes of a prompt the quota counts as a token; the stand-in engines count four.
+    int promptBytesPerToken = 2;
     /// JSON members that are added to every daemon's settings, for example "lease_ms": 1000.
     std::vector<std::string> settingsMembers;
 
