Wire the reports of routing to the operators' port

Cause: routing reported queues, endpoints and metrics to nobody, and /status and /burn lacked what the tool reads. Change: routing_supervisor and instance_tree pass the reports on; /status has the fields of the tool at top level, /burn rows have their objective; the row types of the daemon and the tool have names of their own, since both stood in one namespace.

--- a/src/burdockshelfd/instance_tree.cpp
+++ b/src/burdockshelfd/instance_tree.cpp
@@ -61,10 +61,47 @@
     return sink<Part>([operations = std::move(operations)](Part &&part) { return operations.post(status_part(std::move(part))); });
 }
 
-sink<view_changed> configurationStatus(address<operations_message> operations)
+sink<configuration_report> configurationStatus(address<operations_message> operations)
 {
-    return sink<view_changed>([operations = std::move(operations)](view_changed &&changed) {
-        return operations.post(status_part(configuration_status {changed.view->config.version, changed.view->covered}));
+    return sink<configuration_report>([operations = std::move(operations)](const configuration_report &report) {
+        return operations.post(status_part(configuration_status {report.version, report.covered}));
+    });
+}
+
+sink<queues_report> queuesStatus(address<operations_message> operations)
+{
+    return sink<queues_report>([operations = std::move(operations)](const queues_report &report) {
+        queues_status status;
+        for (const queue_length &queue : report.queues) {
+            status.queues.push_back({queue.urgency, queue.length});
+        }
+        return operations.post(status_part(std::move(status)));
+    });
+}
+
+endpoint_condition conditionOf(owned_endpoint_state state)
+{
+    switch (state) {
+    case owned_endpoint_state::healthy:
+        return endpoint_condition::healthy;
+    case owned_endpoint_state::warming:
+        return endpoint_condition::warming;
+    case owned_endpoint_state::unreachable:
+        return endpoint_condition::unhealthy;
+    case owned_endpoint_state::drained:
+        return endpoint_condition::drained;
+    }
+    return endpoint_condition::unhealthy;
+}
+
+sink<owned_endpoints_report> endpointsStatus(address<operations_message> operations)
+{
+    return sink<owned_endpoints_report>([operations = std::move(operations)](const owned_endpoints_report &report) {
+        endpoints_status status;
+        for (const owned_endpoint &owned : report.endpoints) {
+            status.endpoints.push_back({owned.endpoint, conditionOf(owned.state), owned.used, owned.limit});
+        }
+        return operations.post(status_part(std::move(status)));
     });
 }
 
@@ -238,10 +275,13 @@
     links.peers = makeSink<peer_post>(mesh);
     links.endpoints = address(endpointsBox);
     links.views = {
-        configurationStatus(operations),
         sinkFrom<view_changed>([to = address(endpointsBox)](view_changed &&changed) { return to.post(endpoints_changed {changed.view}); }),
     };
     links.authority = {rosterStatus(operations)};
+    links.configurationReports = configurationStatus(operations);
+    links.queueReports = queuesStatus(operations);
+    links.endpointReports = endpointsStatus(operations);
+    links.metrics = makeSink<metric_batch>(operations);
     m_branches->routing = std::make_unique<routing_supervisor>(m_loop, routing, routingSettings, links);
 
     caller_listener_links callerLinks;
--- a/src/metrics/burn_ledger.cpp
+++ b/src/metrics/burn_ledger.cpp
@@ -41,9 +41,9 @@
     row.longSteps.add(stepNumber(now, m_settings.longWindow), cause, events);
 }
 
-std::vector<burn_row> burn_ledger::rows(instant now) const
+std::vector<burn_ledger_row> burn_ledger::rows(instant now) const
 {
-    std::vector<burn_row> result;
+    std::vector<burn_ledger_row> result;
     result.reserve(m_entries.size());
     for (const auto &[id, row] : m_entries) {
         result.push_back({id.workspace,
--- a/src/metrics/burn_ledger.h
+++ b/src/metrics/burn_ledger.h
@@ -40,7 +40,7 @@
 
 /// The counts of one workspace and urgency class. Rows of several instances are merged by adding up equal counts; the burn rates of the sum
 /// follow from burnRate().
-struct burn_row
+struct burn_ledger_row
 {
     workspace_id workspace;
     urgency_class_id urgency;
@@ -61,7 +61,7 @@
     explicit burn_ledger(burn_settings settings);
 
     void add(const workspace_id &workspace, const urgency_class_id &urgency, burn_cause cause, std::uint64_t events, instant now);
-    std::vector<burn_row> rows(instant now) const;
+    std::vector<burn_ledger_row> rows(instant now) const;
     const burn_settings &settings() const;
 
 private:
--- a/src/metrics/prometheus_text.cpp
+++ b/src/metrics/prometheus_text.cpp
@@ -91,7 +91,7 @@
 
 void writeBurn(line_writer &out, const burn_ledger &ledger, instant now)
 {
-    for (const burn_row &row : ledger.rows(now)) {
+    for (const burn_ledger_row &row : ledger.rows(now)) {
         const std::vector<metric_label> labels = {{"workspace", row.workspace.value()}, {"urgency", row.urgency.value()}};
         out.type("requests_by_service_level_total", "counter");
         for (std::size_t i = 0; i < burnCauses; ++i) {
--- a/src/operators/status_json.cpp
+++ b/src/operators/status_json.cpp
@@ -106,9 +106,16 @@
                            {"incarnation", board.identity.incarnation.value()},
                            {"data_centre", board.identity.dataCentre.value()}};
     const json configuration = {{"version", board.configuration.version.value()}, {"covered", board.configuration.covered.value()}};
-    return toText({{"identity", identity},
+    const json roster = rosterJson(board.roster, now);
+    return toText({{"instance", board.identity.instance.value()},
+                   {"data_centre", board.identity.dataCentre.value()},
+                   {"covered_offset", board.configuration.covered.value()},
+                   {"configuration_version", board.configuration.version.value()},
+                   {"members", roster["members"]},
+                   {"quota", quotasJson(board.quotas)},
+                   {"identity", identity},
                    {"configuration", configuration},
-                   {"roster", rosterJson(board.roster, now)},
+                   {"roster", roster},
                    {"endpoints", endpointsJson(board.endpoints)},
                    {"queues", queuesJson(board.queues)},
                    {"quotas", quotasJson(board.quotas)},
@@ -120,9 +127,10 @@
 {
     const burn_settings &settings = ledger.settings();
     json rows = json::array();
-    for (const burn_row &row : ledger.rows(now)) {
+    for (const burn_ledger_row &row : ledger.rows(now)) {
         rows.push_back({{"workspace", row.workspace.value()},
                         {"urgency", row.urgency.value()},
+                        {"objective", 1.0 - settings.errorBudget},
                         {"total", countsJson(row.total)},
                         {"short", countsJson(row.shortWindow)},
                         {"long", countsJson(row.longWindow)},
--- a/src/routing/routing_supervisor.cpp
+++ b/src/routing/routing_supervisor.cpp
@@ -41,6 +41,7 @@
     sinks.append = makeSink<append_request>(links.log);
     sinks.seek = makeSink<seek_request>(links.log);
     sinks.peers = links.peers;
+    sinks.reports = links.configurationReports;
     return sinks;
 }
 
@@ -66,6 +67,8 @@
     sinks.claims = sinkOf<claim_request>(boxes.claims);
     sinks.claimEnds = sinkOf<claim_end>(boxes.claims);
     sinks.endpoints = makeSink<endpoint_post>(links.endpoints);
+    sinks.queueReports = links.queueReports;
+    sinks.metrics = links.metrics;
     return sinks;
 }
 
@@ -102,8 +105,13 @@
                       loop, boxes.quota, settings.quota, makeQuotaStrategy(settings.quotaStrategy), links.peers, random_source());
               }});
     addChild({"slots", [&loop, boxes, settings, links] {
-                  return std::make_unique<slot_task>(
-                      loop, boxes.slots, settings.self, links.peers, makeSink<endpoint_post>(links.endpoints), settings.slots);
+                  return std::make_unique<slot_task>(loop,
+                                                     boxes.slots,
+                                                     settings.self,
+                                                     links.peers,
+                                                     makeSink<endpoint_post>(links.endpoints),
+                                                     settings.slots,
+                                                     links.endpointReports);
               }});
     addChild({"claims", [&loop, boxes, settings, links] {
                   return std::make_unique<claim_task>(
--- a/src/routing/routing_supervisor.h
+++ b/src/routing/routing_supervisor.h
@@ -1,12 +1,14 @@
 #pragma once
 
 #include "core/random_source.h"
+#include "metrics/metric_batch.h"
 #include "policy/quota_ledger.h"
 #include "policy/roster_authority.h"
 #include "routing/configuration_task.h"
 #include "routing/router_settings.h"
 #include "routing/routing_messages.h"
 #include "routing/slot_task.h"
+#include "routing/status_messages.h"
 #include "runtime/supervisor.h"
 
 #include <memory>
@@ -50,6 +52,11 @@
     /// Others that hear of the state in force and of authority.
     std::vector<sink<view_changed>> views;
     std::vector<sink<authority_changed>> authority;
+    /// Who shows operators what routing does.
+    sink<configuration_report> configurationReports;
+    sink<queues_report> queueReports;
+    sink<owned_endpoints_report> endpointReports;
+    sink<metric_batch> metrics;
 };
 
 /// The branch that drives the decisions. A task that is restarted has lost its state and needs to be told the state in force again, which
--- a/tests/operators/operations_test.cpp
+++ b/tests/operators/operations_test.cpp
@@ -1,3 +1,5 @@
+#include "burdockshelfctl/burn_row.h"
+#include "burdockshelfctl/instance_status.h"
 #include "http/http_client.h"
 #include "operators/operators_supervisor.h"
 #include "operators/status_json.h"
@@ -129,3 +131,24 @@
     CHECK_TRUE(json::parse(statusJson(board, now + 4s))["roster"]["authority_left_ms"] == 0);
     CHECK_TRUE(json::parse(statusJson(board, now))["roster"]["members"][0]["instance"] == "a");
 }
+
+// Guards against a daemon whose answers the operators' tool cannot read.
+TEST(operations, areReadByTheTool)
+{
+    tell(status_part(identity_status {instance_id("a"), incarnation_id("a-1"), data_centre_id("konya")}));
+    tell(status_part(configuration_status {configuration_version(4), log_offset(41)}));
+    tell(metric_batch {{}, {}, {}, {{workspace_id("w"), urgency_class_id("u"), burn_cause::latency, 3}}});
+    const auto status = decodeInstanceStatus(get("/status").body);
+    CHECK_TRUE(status.has_value());
+    CHECK_TRUE(status.value().instance == instance_id("a") && status.value().dataCentre == data_centre_id("konya"));
+    CHECK_TRUE(status.value().covered == log_offset(41) && status.value().version == configuration_version(4));
+    for (const char *list : {"members", "endpoints", "quota"}) {
+        CHECK_TRUE(status.value().whole[list].is_array());
+    }
+    const auto rows = decodeBurnRows(get("/burn").body);
+    CHECK_TRUE(rows.has_value());
+    CHECK_EQUAL(1U, rows.value().size());
+    CHECK_TRUE(rows.value()[0].subject == burn_subject({workspace_id("w"), urgency_class_id("u")}));
+    CHECK_EQUAL(3, rows.value()[0].shortWindow.latency.value());
+    DOUBLES_EQUAL(0.95, rows.value()[0].objective, 1e-9);
+}
