Bound the log's long poll by the lease

Cause: with lease_ms 1500 a read could last 1000 ms and its successor as long again, so an instance's last counted read was often older than the lease. Its authority had gaps, and its peers answered relay asks with pledges, which hold back roster proposals; a restarted instance was not taken into the roster. Change: the wait of a log read is at most a third of the lease.

--- a/src/burdockshelfd/instance_tree.cpp
+++ b/src/burdockshelfd/instance_tree.cpp
@@ -9,6 +9,7 @@
 #include "wire/record_codec.h"
 #include "wire/snapshot_codec.h"
 
+#include <algorithm>
 #include <cstdlib>
 #include <iostream>
 #include <utility>
@@ -168,6 +169,10 @@
 
     platform_settings platformSettings;
     platformSettings.log.platform = settings.platform;
+    // Authority counts from the sending time of a read, and the next read takes up to the wait again. A read that lasts longer than a third
+    // of the lease leaves gaps in the authority.
+    platformSettings.log.maxWait =
+        std::min(platformSettings.log.maxWait, std::chrono::duration_cast<std::chrono::milliseconds>(settings.roster.lease / 3));
     platformSettings.instances.platform = settings.platform;
     platformSettings.instances.interval = settings.instanceListInterval;
     platformSettings.instances.self = {self.instance, self.incarnation, settings.dataCentre, settings.meshListen, instance_state::live};
