Read the status of an instance as the daemon writes it

Change: decodeInstanceStatus reads identity and configuration. The tool's own tests served the wrong format and now serve the daemon's.

--- a/src/burdockshelfctl/instance_status.cpp
+++ b/src/burdockshelfctl/instance_status.cpp
@@ -23,16 +23,18 @@
 outcome<instance_status> decodeInstanceStatus(std::string_view text)
 {
     json parsed = json::parse(text, nullptr, false);
-    const bool isComplete = parsed.is_object() && hasString(parsed, "instance") && hasString(parsed, "data_centre")
-        && hasInteger(parsed, "covered_offset") && hasInteger(parsed, "configuration_version");
+    const json identity = parsed.is_object() ? parsed.value("identity", json()) : json();
+    const json configuration = parsed.is_object() ? parsed.value("configuration", json()) : json();
+    const bool isComplete = hasString(identity, "instance") && hasString(identity, "data_centre") && hasInteger(configuration, "covered")
+        && hasInteger(configuration, "version");
     if (!isComplete) {
         return failure(error_code::unavailable, "/status: the answer is not that of an instance");
     }
     instance_status status;
-    status.instance = instance_id(parsed["instance"].get<std::string>());
-    status.dataCentre = data_centre_id(parsed["data_centre"].get<std::string>());
-    status.covered = log_offset(parsed["covered_offset"].get<std::int64_t>());
-    status.version = configuration_version(parsed["configuration_version"].get<std::int64_t>());
+    status.instance = instance_id(identity["instance"].get<std::string>());
+    status.dataCentre = data_centre_id(identity["data_centre"].get<std::string>());
+    status.covered = log_offset(configuration["covered"].get<std::int64_t>());
+    status.version = configuration_version(configuration["version"].get<std::int64_t>());
     status.whole = std::move(parsed);
     return status;
 }
--- a/tests/burdockshelfctl/platform_test.cpp
+++ b/tests/burdockshelfctl/platform_test.cpp
@@ -214,7 +214,8 @@
     platform_run run;
     run.storeExample();
     const auto status = [](std::int64_t covered) {
-        return R"({"instance":"i","data_centre":"konya","configuration_version":1,"covered_offset":)" + std::to_string(covered) + "}";
+        return R"({"identity":{"instance":"i","data_centre":"konya"},"configuration":{"version":1,"covered":)" + std::to_string(covered)
+            + "}}";
     };
     std::int64_t covered = 0;
     const fake_instance slow(run.loop, [&] { return status(covered++); });
--- a/tests/burdockshelfctl/report_test.cpp
+++ b/tests/burdockshelfctl/report_test.cpp
@@ -99,7 +99,7 @@
 {
     command_run run;
     const fake_instance reachable(run.loop, [] {
-        return R"({"instance":"entry-1","data_centre":"konya","covered_offset":17,"configuration_version":4,)"
+        return R"({"identity":{"instance":"entry-1","data_centre":"konya"},"configuration":{"version":4,"covered":17},)"
                R"("members":[{"instance":"entry-1"}],"endpoints":[],"quota":[]})";
     });
     const fake_instance broken(run.loop, [] { return "[]"; });
