Name the shared deployment as the linter wants

Cause: clang-tidy refuses the member prefix on a static member. Change: m_shared is sharedDeployment. Result: system_test builds; the linter has not been run again since the change.

--- a/tests/system/deployment_test.cpp
+++ b/tests/system/deployment_test.cpp
@@ -3,28 +3,28 @@
 namespace burdockshelf
 {
 
-std::unique_ptr<deployment> deployment_test::m_shared;
+std::unique_ptr<deployment> deployment_test::sharedDeployment;
 
 void deployment_test::setup()
 {
-    if (m_shared) {
+    if (sharedDeployment) {
         return;
     }
-    m_shared = std::make_unique<deployment>();
-    const auto started = m_shared->start();
+    sharedDeployment = std::make_unique<deployment>();
+    const auto started = sharedDeployment->start();
     CHECK_SEEN(started.has_value(), started.error().message);
 }
 
 void deployment_test::teardown()
 {
     if (UtestShell::getCurrent()->hasFailed()) {
-        m_shared.reset();
+        sharedDeployment.reset();
     }
 }
 
 deployment &deployment_test::running()
 {
-    return *m_shared;
+    return *sharedDeployment;
 }
 
 } // namespace burdockshelf
--- a/tests/system/deployment_test.h
+++ b/tests/system/deployment_test.h
@@ -22,7 +22,7 @@
     deployment &running();
 
 private:
-    static std::unique_ptr<deployment> m_shared;
+    static std::unique_ptr<deployment> sharedDeployment;
 };
 
 } // namespace burdockshelf
