Keep pending reallocations in the replayed state

Cause: a new incarnation took its first configuration whole and did not know that a reallocation between data centres was still waiting. The daemon also left the ledger's wait at 2 h whatever takeover_wait was. Ruled out: timing by records without a time; a configuration record therefore names its writer's time (at_ms). The share functions move from policy to state, and the fleet model now kills members while shares move.

--- a/src/burdockshelfctl/publication.cpp
+++ b/src/burdockshelfctl/publication.cpp
@@ -1,5 +1,7 @@
 #include "burdockshelfctl/publication.h"
 
+#include "core/boot_clock.h"
+
 namespace burdockshelf
 {
 
@@ -14,6 +16,7 @@
                            + std::to_string(inForce.version.value())
                            + " is in force; make your change again in what burdockshelfctl show writes");
     }
+    change.at = unixTime();
     return change;
 }
 
--- a/src/burdockshelfd/instance_tree.cpp
+++ b/src/burdockshelfd/instance_tree.cpp
@@ -227,10 +227,12 @@
     routingSettings.self = self;
     routingSettings.configuration.self = self;
     routingSettings.configuration.idempotencyWindow = settings.idempotencyWindow;
+    routingSettings.configuration.reallocationWindow = std::chrono::ceil<std::chrono::milliseconds>(2 * settings.roster.takeoverWait);
     routingSettings.configuration.retention = settings.logRetention;
     routingSettings.roster = settings.roster;
     routingSettings.quota.dataCentre = settings.dataCentre;
     routingSettings.quota.self = self;
+    routingSettings.quota.reallocationSettle = settings.roster.takeoverWait;
     routingSettings.quotaStrategy = settings.quotaStrategy;
     routingSettings.router = settings.router;
     routing_links links;
--- a/src/policy/quota_ledger.cpp
+++ b/src/policy/quota_ledger.cpp
@@ -1,6 +1,5 @@
 #include "policy/quota_ledger.h"
 
-#include "policy/data_centre_share.h"
 #include "policy/lease_margin.h"
 #include "policy/rendezvous.h"
 
@@ -32,6 +31,27 @@
     return left == right || (left != nullptr && right != nullptr && *left == *right);
 }
 
+bucket_limit shareOf(const workspace_settings *settings, const configuration &config, const data_centre_id &dataCentre)
+{
+    const workspace_share share = settings == nullptr ? workspace_share() : workspaceShare(*settings, config, dataCentre);
+    return {share.rate, share.burst};
+}
+
+const pending_reallocation *findReallocation(const state_view *view, const workspace_id &workspace)
+{
+    if (view == nullptr) {
+        return nullptr;
+    }
+    const auto found = view->reallocations.find(workspace);
+    return found == view->reallocations.end() ? nullptr : &found->second;
+}
+
+bucket_limit smallestShare(const pending_reallocation &pending, const data_centre_id &dataCentre)
+{
+    const auto found = pending.smallest.find(dataCentre);
+    return found == pending.smallest.end() ? bucket_limit() : bucket_limit {found->second.rate, found->second.burst};
+}
+
 } // namespace
 
 quota_ledger::quota_ledger(quota_settings settings, const quota_strategy &strategy, std::uint64_t firstLoan)
@@ -78,12 +98,22 @@
         auto &[workspace, account] = *entry;
         const workspace_settings *earlier = findWorkspace(before.get(), workspace);
         const workspace_settings *later = findWorkspace(m_view.get(), workspace);
-        if (!isSameSplit || !isSame(earlier, later)) {
+        const pending_reallocation *known = findReallocation(before.get(), workspace);
+        const pending_reallocation *pending = findReallocation(m_view.get(), workspace);
+        const bool isReallocated = pending != nullptr && (known == nullptr || *known != *pending);
+        if (!isSameSplit || isReallocated || !isSame(earlier, later)) {
             refresh(workspace, account, now);
             const bool isGrowth = !before || isShareGrowth(earlier, before->config, later, m_view->config);
-            const auto share = later == nullptr ? bucket_limit() : dataCentreShare(*later, m_view->config, m_settings.dataCentre);
-            const auto growsAt = deadline::after(now, withMargin(m_settings.reallocationSettle));
-            account.setShare(share, isGrowth ? std::nullopt : std::optional(growsAt), now);
+            const bucket_limit share = shareOf(later, m_view->config, m_settings.dataCentre);
+            const auto settled = std::optional(deadline::after(now, withMargin(m_settings.reallocationSettle)));
+            const std::optional<deadline> growsAt = isGrowth ? std::nullopt : settled;
+            if (isReallocated) {
+                // A new incarnation, or one that has skipped versions, has not seen the shares in between.
+                account.setShare(smallerLimit(share, smallestShare(*pending, m_settings.dataCentre)), growsAt, now);
+                account.setShare(share, settled, now);
+            } else {
+                account.setShare(share, growsAt, now);
+            }
             refresh(workspace, account, now);
         }
         entry = later == nullptr && account.isIdle(now) ? m_accounts.erase(entry) : std::next(entry);
--- a/src/routing/configuration_task.cpp
+++ b/src/routing/configuration_task.cpp
@@ -30,7 +30,7 @@
     , m_settings(std::move(settings))
     , m_sinks(std::move(sinks))
     , m_random(random)
-    , m_replay(m_settings.idempotencyWindow)
+    , m_replay(m_settings.idempotencyWindow, m_settings.reallocationWindow)
     , m_recent(recentLimit)
     , m_publisher(loop, m_replay, m_sinks.views, m_sinks.claims, m_sinks.advance)
     , m_snapshots(m_settings.retention)
--- a/src/routing/configuration_task.h
+++ b/src/routing/configuration_task.h
@@ -20,6 +20,7 @@
 {
     roster_member self;
     std::chrono::milliseconds idempotencyWindow {86'400'000};
+    std::chrono::milliseconds reallocationWindow = std::chrono::hours(4);
     /// Age at which the platform drops records.
     std::chrono::milliseconds retention {86'400'000};
     /// Time between two asks of peers while the log cannot be read, and the longest wait for their answers.
--- a/src/state/claim_replay.h
+++ b/src/state/claim_replay.h
@@ -24,6 +24,8 @@
 
     const std::map<claim_id, claim_state> &claims() const;
     record_time latest() const;
+    /// Takes the time of a record into account, and forgets the claims that have expired by it.
+    void advanceTo(record_time at, replay_result &result);
 
 private:
     struct expiry
@@ -35,7 +37,6 @@
     };
 
     bool isExpired(record_time at) const;
-    void advanceTo(record_time at, replay_result &result);
     bool tryWin(const claim &wanted, record_time at);
     bool tryEnd(const claim_outcome &ended);
 
--- a/src/state/log_record.h
+++ b/src/state/log_record.h
@@ -27,6 +27,7 @@
     std::map<service_id, std::optional<service_settings>> services;
     std::map<endpoint_id, std::optional<endpoint_settings>> endpoints;
     std::map<urgency_class_id, std::optional<urgency_class_settings>> urgencyClasses;
+    record_time at {};
 
     friend bool operator==(const configuration_change &, const configuration_change &) = default;
 };
--- a/src/state/log_replay.cpp
+++ b/src/state/log_replay.cpp
@@ -22,8 +22,9 @@
 
 } // namespace
 
-log_replay::log_replay(record_time idempotencyWindow)
+log_replay::log_replay(record_time idempotencyWindow, record_time reallocationWindow)
     : m_claims(idempotencyWindow)
+    , m_reallocationWindow(reallocationWindow)
 {
 }
 
@@ -75,7 +76,14 @@
 
 snapshot log_replay::state() const
 {
-    return {m_view.covered, m_claims.latest(), m_view.config, m_view.keys, m_view.drains, m_view.rosters, m_claims.claims()};
+    return {m_view.covered,
+            m_claims.latest(),
+            m_view.config,
+            m_view.keys,
+            m_view.drains,
+            m_view.rosters,
+            m_claims.claims(),
+            m_view.reallocations};
 }
 
 state_view_ptr log_replay::view() const
@@ -111,6 +119,7 @@
 {
     m_view.covered = record.offset;
     const rejection reason = std::visit([&](const auto &content) { return decide(content, result); }, record.record);
+    dropSettledReallocations();
     result.verdicts.push_back({record.offset, record.id, reason});
     result.applied.push_back(std::move(record));
 }
@@ -140,23 +149,32 @@
 
 void log_replay::replaceState(const snapshot &state, replay_result &result)
 {
-    m_view = {state.covered, state.config, state.keys, state.drains, state.rosters};
+    m_view = {state.covered, state.config, state.keys, state.drains, state.rosters, state.reallocations};
     m_claims.load(state.claims, state.latest, result);
+    dropSettledReallocations();
     result.hasViewChanged = true;
 }
 
+void log_replay::dropSettledReallocations()
+{
+    std::erase_if(m_view.reallocations, [this](const auto &entry) { return entry.second.at <= m_claims.latest() - m_reallocationWindow; });
+}
+
 log_replay::rejection log_replay::decide(const configuration_change &change, replay_result &result)
 {
+    m_claims.advanceTo(change.at, result);
     if (change.base != m_view.config.version) {
         return record_rejection::base_superseded;
     }
     configuration &config = m_view.config;
+    const configuration earlier = config;
     mergeEntries(config.dataCentres, change.dataCentres);
     mergeEntries(config.workspaces, change.workspaces);
     mergeEntries(config.services, change.services);
     mergeEntries(config.endpoints, change.endpoints);
     mergeEntries(config.urgencyClasses, change.urgencyClasses);
     config.version += configuration_version(1);
+    noteReallocations(m_view.reallocations, earlier, config, m_claims.latest());
     result.hasViewChanged = true;
     return std::nullopt;
 }
--- a/src/state/log_replay.h
+++ b/src/state/log_replay.h
@@ -19,7 +19,9 @@
 {
 public:
     /// Claims are forgotten once the highest record time is past theirs by the window.
-    explicit log_replay(record_time idempotencyWindow);
+    /// Reallocations are dropped in the same way. Their window is twice takeover_wait: once for the members that are cut off, and once for
+    /// the difference between the writers' clocks. Both windows must be the same at all readers.
+    explicit log_replay(record_time idempotencyWindow, record_time reallocationWindow = std::chrono::hours(4));
 
     replay_result apply(const std::vector<stored_record> &records);
     /// Takes over a peer's state. Does nothing unless it covers more than this one.
@@ -45,6 +47,7 @@
     void applyNext(stored_record record, replay_result &result);
     const snapshot *findUsableSnapshot() const;
     void replaceState(const snapshot &state, replay_result &result);
+    void dropSettledReallocations();
 
     rejection decide(const configuration_change &change, replay_result &result);
     rejection decide(const key_grant &grant, replay_result &result);
@@ -60,6 +63,7 @@
 
     state_view m_view;
     claim_replay m_claims;
+    record_time m_reallocationWindow;
     std::map<log_offset, stored_record> m_waiting;
     std::uint64_t m_skipped = 0;
 };
--- a/src/state/snapshot.h
+++ b/src/state/snapshot.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "state/log_record.h"
+#include "state/reallocation.h"
 
 #include <cstdint>
 #include <map>
@@ -70,6 +71,7 @@
     std::map<drain_target, drain_state> drains;
     std::map<data_centre_id, roster_state> rosters;
     std::map<claim_id, claim_state> claims;
+    pending_reallocations reallocations;
 
     friend bool operator==(const snapshot &, const snapshot &) = default;
 };
--- a/src/state/state_view.h
+++ b/src/state/state_view.h
@@ -15,6 +15,7 @@
     std::map<key_id, key_state> keys;
     std::map<drain_target, drain_state> drains;
     std::map<data_centre_id, roster_state> rosters;
+    pending_reallocations reallocations;
 };
 
 using state_view_ptr = std::shared_ptr<const state_view>;
--- a/src/wire/configuration_codec.cpp
+++ b/src/wire/configuration_codec.cpp
@@ -123,6 +123,7 @@
 void writeConfigurationChange(json_writer &writer, const configuration_change &change)
 {
     writer.set("base", change.base);
+    writer.set("at_ms", change.at.count());
     writeChanges(writer, "data_centres", change.dataCentres);
     writeChanges(writer, "workspaces", change.workspaces);
     writeChanges(writer, "services", change.services);
@@ -134,6 +135,7 @@
 {
     configuration_change change;
     change.base = reader.amount<configuration_version>("base");
+    change.at = record_time(reader.integer("at_ms"));
     readChanges(reader, "data_centres", change.dataCentres);
     readChanges(reader, "workspaces", change.workspaces);
     readChanges(reader, "services", change.services);
--- a/src/wire/snapshot_codec.cpp
+++ b/src/wire/snapshot_codec.cpp
@@ -130,6 +130,21 @@
     }
 }
 
+void writeReallocations(json_writer &writer, const snapshot &state)
+{
+    json_writer reallocations = writer.object("reallocations");
+    for (const auto &[workspace, pending] : state.reallocations) {
+        json_writer entry = reallocations.object(workspace.value());
+        entry.set("at_ms", pending.at.count());
+        json_writer shares = entry.object("smallest");
+        for (const auto &[dataCentre, share] : pending.smallest) {
+            json_writer one = shares.object(dataCentre.value());
+            one.set("rate", share.rate);
+            one.set("burst", share.burst);
+        }
+    }
+}
+
 void readKeys(json_reader &reader, snapshot &state)
 {
     json_reader keys = reader.object("keys");
@@ -166,6 +181,28 @@
     }
 }
 
+pending_reallocation readReallocation(json_reader &reader)
+{
+    pending_reallocation pending;
+    pending.at = record_time(reader.integer("at_ms"));
+    json_reader shares = reader.object("smallest");
+    for (const std::string &name : shares.names()) {
+        json_reader one = shares.object(name);
+        const auto rate = one.amount<token_rate>("rate");
+        pending.smallest.emplace(name, workspace_share {rate, one.amount<token_count>("burst")});
+    }
+    return pending;
+}
+
+void readReallocations(json_reader &reader, snapshot &state)
+{
+    json_reader reallocations = reader.object("reallocations");
+    for (const std::string &name : reallocations.names()) {
+        json_reader entry = reallocations.object(name);
+        state.reallocations.emplace(name, readReallocation(entry));
+    }
+}
+
 } // namespace
 
 std::string encodeSnapshot(const snapshot &state)
@@ -196,6 +233,7 @@
     writeDrains(writer, state);
     writeRosters(writer, state);
     writeClaims(writer, state);
+    writeReallocations(writer, state);
 }
 
 snapshot readSnapshot(json_reader &reader)
@@ -211,6 +249,7 @@
     readDrains(reader, state);
     readRosters(reader, state);
     readClaims(reader, state);
+    readReallocations(reader, state);
     return state;
 }
 
--- a/tests/policy/fleet_model.cpp
+++ b/tests/policy/fleet_model.cpp
@@ -235,6 +235,7 @@
             next.config.version += configuration_version(1);
             workspace_settings &settings = next.config.workspaces[workspace];
             settings.shareWeights = {{data_centre_id("a"), static_cast<int>(1 + m_random.below(9))}};
+            noteReallocations(next.reallocations, m_log.back()->config, next.config, {});
             m_log.push_back(std::make_shared<state_view>(next));
         }
         break;
--- a/tests/policy/fleet_test.cpp
+++ b/tests/policy/fleet_test.cpp
@@ -27,8 +27,9 @@
                                                     fault_kind::cut_data_centre,
                                                     fault_kind::log_outage,
                                                     fault_kind::leave};
-// Without a restart: a new incarnation cannot know of a reallocation before its time.
-const std::vector<fault_kind> withReallocation = {fault_kind::pause,
+const std::vector<fault_kind> withReallocation = {fault_kind::kill,
+                                                  fault_kind::leave,
+                                                  fault_kind::pause,
                                                   fault_kind::cut_from_log,
                                                   fault_kind::cut_from_peers,
                                                   fault_kind::cut_data_centre,
--- a/tests/policy/quota_ledger_test.cpp
+++ b/tests/policy/quota_ledger_test.cpp
@@ -1,6 +1,7 @@
 #include "policy/quota_ledger.h"
 
-#include <CppUTest/TestHarness.h>
+#include "core/random_source.h"
+#include "support/property.h"
 
 using namespace burdockshelf;
 using namespace std::chrono_literals;
@@ -127,3 +128,40 @@
     CHECK_FALSE(f.charge("after a pause", 400));
     CHECK_EQUAL(0U, f.ledger.returnLoans(workspace, f.now).size());
 }
+
+// Guards against a new incarnation that takes its larger share at once while a data centre that is cut off still uses its old one.
+TEST(quota_ledgers, keepToTheSmallestShareWhileAReallocationIsPending)
+{
+    CHECK_PROPERTY("a fresh member and one of any earlier version stay within one whole", [](std::uint64_t seed) {
+        random_source random(seed);
+        const data_centre_id other("b");
+        std::vector<state_view> versions(1);
+        configuration &first = versions[0].config;
+        first.version = configuration_version(1);
+        first.dataCentres = {{here, {}}, {other, {}}};
+        first.workspaces[workspace] = {token_rate(1000), token_count(1000), {}};
+        for (int i = 0; i < 3; ++i) {
+            state_view next = versions.back();
+            next.config.version += configuration_version(1);
+            next.config.workspaces[workspace].shareWeights = {{here, static_cast<int>(random.below(10))}};
+            noteReallocations(next.reallocations, versions.back().config, next.config, {});
+            versions.push_back(next);
+        }
+        moving_shares strategy;
+        const roster_member self = {instance_id("i1"), incarnation_id("x1")};
+        instant now(1000s);
+        quota_ledger ledger({here, self}, strategy, 0);
+        ledger.setView(std::make_shared<state_view>(versions.back()), now);
+        ledger.setAuthority({here, self, roster_epoch(1), {self}, {}, deadline::never(), deadline(instant(0s))}, now);
+        now += 1h;
+        const token_count held = ledger.lend({here, roster_epoch(1), workspace, token_count(1000)}, now).amount;
+        for (const state_view &version : versions) {
+            const workspace_settings &settings = version.config.workspaces.at(workspace);
+            RC_ASSERT(held + workspaceShare(settings, version.config, other).burst <= settings.burst);
+        }
+        now += 2h;
+        const workspace_settings &last = versions.back().config.workspaces.at(workspace);
+        const token_count later = ledger.lend({here, roster_epoch(1), workspace, token_count(1000)}, now).amount;
+        RC_ASSERT(later == workspaceShare(last, versions.back().config, here).burst);
+    });
+}
--- a/tests/state/generated_log.cpp
+++ b/tests/state/generated_log.cpp
@@ -12,7 +12,7 @@
 
 generated_log::generated_log(std::uint64_t seed, std::size_t size)
     : m_random(seed)
-    , m_replay(window)
+    , m_replay(window, window)
 {
     m_states.push_back(m_replay.state());
     for (std::size_t i = 0; i < size; ++i) {
@@ -71,6 +71,8 @@
         change.base = state.config.version - configuration_version(overtaken);
         change.workspaces[workspace_id(name)] = workspace_settings {token_rate(static_cast<std::int64_t>(m_random.below(100))), {}, {}};
         change.workspaces[workspace_id("gone" + name)] = std::nullopt;
+        change.dataCentres[dataCentre] = data_centre_settings {};
+        change.at = m_time;
         return change;
     }
     case 1:
--- a/tests/state/log_replay_test.cpp
+++ b/tests/state/log_replay_test.cpp
@@ -66,7 +66,7 @@
     CHECK_PROPERTY("a reader from offset 0 ends in the same state", [](std::uint64_t seed) {
         const generated_log log(seed, logSize);
         random_source random(seed + 1);
-        log_replay reader(generated_log::window);
+        log_replay reader(generated_log::window, generated_log::window);
         feed(reader, log.records(), random);
         RC_ASSERT(reader.state() == log.stateAfter(logSize));
         RC_ASSERT(!reader.hasGap());
@@ -80,7 +80,7 @@
         const generated_log log(seed, logSize);
         random_source random(seed + 1);
         const std::size_t first = random.below(logSize);
-        log_replay reader(generated_log::window);
+        log_replay reader(generated_log::window, generated_log::window);
         feed(reader, log.from(first), random);
         const bool isReadable = log.isReadableFrom(first);
         RC_CLASSIFY(isReadable, "readable");
@@ -96,7 +96,7 @@
         const generated_log log(seed, logSize);
         random_source random(seed + 1);
         const std::size_t covered = random.below(logSize);
-        log_replay reader(generated_log::window);
+        log_replay reader(generated_log::window, generated_log::window);
         reader.load(log.stateAfter(covered));
         RC_ASSERT(reader.state() == log.stateAfter(covered));
         feed(reader, log.from(random.below(covered + 1)), random);
@@ -198,3 +198,24 @@
     CHECK_TRUE(reader.apply(key_withdrawal {key_id("a")}).isAccepted());
     CHECK_EQUAL(1U, reader.replay.skippedRecords());
 }
+
+// Guards against a fresh incarnation that does not know of a reallocation that others still wait for, and against one kept for good.
+TEST(log_replays, keepAReallocationForItsWindow)
+{
+    const data_centre_id here("a");
+    configuration_change first;
+    first.dataCentres = {{here, data_centre_settings()}, {data_centre_id("b"), data_centre_settings()}};
+    first.workspaces[workspace_id("w")] = workspace_settings {token_rate(100), token_count(1000), {}};
+    configuration_change second;
+    second.base = configuration_version(1);
+    second.workspaces[workspace_id("w")] = workspace_settings {token_rate(100), token_count(1000), {{here, 3}}};
+    second.at = record_time(1000);
+    log_replay reader(record_time(10), record_time(100));
+    reader.apply({{log_offset(0), record_id("r"), first}, {log_offset(1), record_id("r"), second}});
+    log_replay fresh(record_time(10), record_time(100));
+    fresh.load(reader.state());
+    fresh.apply({{log_offset(2), record_id("r"), claimBy("q1", 1099)}});
+    CHECK_TRUE(fresh.view()->reallocations.at(workspace_id("w")).smallest.at(here) == (workspace_share {token_rate(50), token_count(500)}));
+    fresh.apply({{log_offset(3), record_id("r"), claimBy("q1", 1100)}});
+    CHECK_TRUE(fresh.view()->reallocations.empty());
+}
--- a/tests/state/state_view_test.cpp
+++ b/tests/state/state_view_test.cpp
@@ -61,7 +61,7 @@
         const snapshot &old = log.stateAfter(20);
         configuration target = log.stateAfter(40).config;
         target.workspaces.erase(target.workspaces.begin(), target.workspaces.upper_bound(workspace_id("0")));
-        log_replay reader(generated_log::window);
+        log_replay reader(generated_log::window, generated_log::window);
         reader.load(old);
         const configuration_change change = diffConfigurations(old.config, target);
         reader.apply({{old.covered + log_offset(1), record_id("r"), change}});
--- a/tests/wire/generated_values.cpp
+++ b/tests/wire/generated_values.cpp
@@ -118,6 +118,7 @@
     change.services[anyId<service_id>()] = anyService(anyId<urgency_class_id>());
     change.urgencyClasses[anyId<urgency_class_id>()] = anyUrgency();
     change.dataCentres[anyId<data_centre_id>()] = std::nullopt;
+    change.at = anyTime();
     return change;
 }
 
@@ -173,6 +174,8 @@
     for (const claim_state &claimed : several(anyClaimState)) {
         state.claims[claimed.winner.id] = claimed;
     }
+    state.reallocations[anyId<workspace_id>()] = {anyTime(),
+                                                  {{anyId<data_centre_id>(), {token_rate(anyNumber()), token_count(anyNumber())}}}};
     return state;
 }
 
