Mend two properties that read the error of a success

Cause: RC_ASSERT takes its expression apart and evaluates both sides of ||, so the tests read the error of a decoded value, which stops the process. Change: the check is evaluated first; it is as strict as before.

--- a/tests/burdockshelfd/daemon_settings_test.cpp
+++ b/tests/burdockshelfd/daemon_settings_test.cpp
@@ -42,6 +42,7 @@
         text[at % text.size()] = damage;
         text.resize(text.size() - length % 4);
         const auto decoded = decodeSettings(text);
-        RC_ASSERT(decoded.has_value() || !decoded.error().message.empty());
+        const bool isTold = decoded.has_value() || !decoded.error().message.empty();
+        RC_ASSERT(isTold);
     });
 }
--- a/tests/wire/completion_codec_test.cpp
+++ b/tests/wire/completion_codec_test.cpp
@@ -54,6 +54,7 @@
             R"({"model":"m","messages":[{"role":"user","content":"x"}],"prompt":"p","stream_options":{"include_usage":true}})";
         body[at % body.size()] = damage;
         const auto decoded = decodeModelRequest(isChat, body);
-        RC_ASSERT(decoded.has_value() || !decoded.error().message.empty());
+        const bool isTold = decoded.has_value() || !decoded.error().message.empty();
+        RC_ASSERT(isTold);
     });
 }
