Pledge at once when the log is lost

A member whose log is lost still answered its peer's asks by relaying its own last read, until that read was a lease old. The peer's authority then ended with that read, and its next ask came up to 500 ms later; in between it decided nothing. Ruled out: quota that gives nothing (the rate was 400,000 tokens/s), incomplete rosters. Change: a member whose log is lost answers with a pledge, which lasts a whole lease from the ask. An ask from another data centre, whose roster may have the same epoch, gets no pledge: it was of no use there and held back proposals here.

--- a/src/policy/roster_authority.cpp
+++ b/src/policy/roster_authority.cpp
@@ -118,10 +118,13 @@
 void roster_authority::on(const roster_freshness_asked &asked, instant now, actions &out)
 {
     roster_answer_freshness reply;
-    if (canRelay(now)) {
+    const bool isPledgeAllowed = asked.isSameDataCentre && canPledge(asked.epoch);
+    // Once the log is lost, a relay of the last read would end the asker's authority at the very time that this member's own ends, and the
+    // next ask would come too late to bridge the gap. A pledge lasts a whole lease from the ask.
+    if (canRelay(now) && !(m_isLogLost && isPledgeAllowed)) {
         const auto age = std::chrono::ceil<std::chrono::milliseconds>(now - *m_ownRead);
         reply.answer = freshness_answer {m_roster.epoch, m_covered, age, false, {}};
-    } else if (canPledge(asked.epoch)) {
+    } else if (isPledgeAllowed) {
         const auto pledged = std::chrono::floor<std::chrono::milliseconds>(m_settings.lease);
         reply.answer = freshness_answer {m_roster.epoch, m_covered, {}, true, pledged};
         m_pledgedUntil = deadline::after(now, withMargin(m_settings.lease));
--- a/src/policy/roster_authority.h
+++ b/src/policy/roster_authority.h
@@ -58,6 +58,8 @@
 struct roster_freshness_asked
 {
     roster_epoch epoch;
+    /// Pledges are only of use to members of the same roster, and hold back proposals here.
+    bool isSameDataCentre = true;
 };
 
 /// What the platform lists.
--- a/src/routing/roster_task.cpp
+++ b/src/routing/roster_task.cpp
@@ -120,7 +120,7 @@
 void roster_task::on(const peer_received &received)
 {
     if (const auto *ask = std::get_if<freshness_ask>(&received.message)) {
-        feed(roster_freshness_asked {ask->epoch}, &received);
+        feed(roster_freshness_asked {ask->epoch, received.from.dataCentre == m_dataCentre}, &received);
     }
 }
 
--- a/tests/policy/roster_authority_test.cpp
+++ b/tests/policy/roster_authority_test.cpp
@@ -47,9 +47,9 @@
         return handle(roster_log_read {now, log_offset()});
     }
 
-    std::optional<freshness_answer> ask(int epoch)
+    std::optional<freshness_answer> ask(int epoch, bool isSameDataCentre = true)
     {
-        const auto actions = handle(roster_freshness_asked {roster_epoch(epoch)});
+        const auto actions = handle(roster_freshness_asked {roster_epoch(epoch), isSameDataCentre});
         for (const roster_action &action : actions) {
             if (const auto *reply = std::get_if<roster_answer_freshness>(&action)) {
                 return reply->answer;
@@ -70,6 +70,26 @@
 
 TEST_GROUP(roster_authorities) {};
 
+// Guards against a gap in authority when the log is lost: a relay of a read that is nearly a lease old ends before the next ask.
+TEST(roster_authorities, pledgeAtOnceWhenTheLogIsLost)
+{
+    fixture f;
+    f.see(1, {self, second});
+    CHECK_FALSE(f.ask(1)->isPledge);
+    f.handle(roster_log_lost());
+    f.now += 100ms;
+    CHECK_TRUE(f.ask(1)->isPledge);
+}
+
+// Guards against a pledge to an instance of another data centre, whose roster happens to have the same epoch.
+TEST(roster_authorities, pledgeNothingToOtherDataCentres)
+{
+    fixture f;
+    f.see(1, {self, second});
+    f.now += 4s;
+    CHECK_FALSE(f.ask(1, false).has_value());
+}
+
 // Guards against a pledge that an own record on its way to the log may break.
 TEST(roster_authorities, pledgeNothingWhileAProposalIsUndecided)
 {
