Report readiness from one place, and take instances out of service

Cause: an instance counted as ready once its listener was open, also without a configuration, and a drain of an instance had no effect. The endpoint directory had a copy of the drain rule, and the request machine the same refusal twice. Change: class readiness joins listener, configuration, drains and shutdown; the directory uses isDrained() of src/state; refuseQueued().

--- a/bench/demo.cpp
+++ b/bench/demo.cpp
@@ -17,6 +17,9 @@
 using namespace std::chrono_literals;
 
 constexpr auto servingLimit = 60s;
+constexpr auto recordLimit = 10s;
+constexpr auto retryPause = 100ms;
+constexpr int conflictStatus = 409;
 
 int executions(site &deployment, const std::string &key)
 {
@@ -30,6 +33,21 @@
     return count;
 }
 
+// The outcome reaches the other instances through the log; until then they answer that the call is in progress, and a caller tries again.
+http_call_result bookAgain(site &deployment, site_instance &at, const std::string &key)
+{
+    const deadline until = deadline::after(boot_clock::now(), recordLimit);
+    while (true) {
+        http_call_result answer = deployment.call(at, key, "/booking/slots", "demo-1", R"({"slot":"A7"})");
+        const bool isInProgress = answer.has_value() && answer.value().status == conflictStatus;
+        if (!isInProgress || until.hasPassed(boot_clock::now())) {
+            return answer;
+        }
+        std::cout << at.name << " answered: " << answer.value().body << "\n";
+        deployment.pause(retryPause);
+    }
+}
+
 outcome<bool> serve(site &deployment)
 {
     BOOST_OUTCOME_TRYV(deployment.start());
@@ -46,7 +64,7 @@
     }
     std::cout << last.name << " booked: " << booked.value().status << " " << booked.value().body << "\n  served by "
               << booked.value().headers.value("X-Served-By") << "\n";
-    const http_call_result again = deployment.call(first, key, "/booking/slots", "demo-1", R"({"slot":"A7"})");
+    const http_call_result again = bookAgain(deployment, first, key);
     if (!again) {
         return again.error().cause;
     }
--- a/src/burdockshelfd/instance_tree.cpp
+++ b/src/burdockshelfd/instance_tree.cpp
@@ -147,6 +147,7 @@
     , m_shutdownTimeout(settings.shutdownTimeout)
     , m_branches(std::make_unique<branches>())
     , m_operations(std::make_shared<mailbox<operations_message>>(loop, mailboxCapacity))
+    , m_readiness(settings.instance, settings.dataCentre, address(m_operations))
     , m_root(std::make_unique<supervisor>(loop, "root", std::make_unique<one_for_one>(), restart_limit {0, std::chrono::seconds(1)}))
     , m_shutdownTimer(loop, [this] {
         LOG(ERROR) << "supervisor: the graceful shutdown took too long; what is left is cut.";
@@ -176,9 +177,7 @@
     }
     m_isShuttingDown = true;
     LOG(INFO) << "supervisor: graceful shutdown begins.";
-    if (m_operations->post(readiness_changed {false, "shutting down"}) != post_result::delivered) {
-        LOG(WARNING) << "operators: the change of readiness could not be delivered.";
-    }
+    m_readiness.setShuttingDown();
     m_shutdownTimer.start(deadline::after(boot_clock::now(), m_shutdownTimeout));
     m_root->beginShutdown();
 }
@@ -282,6 +281,10 @@
     links.peers = makeSink<peer_post>(mesh);
     links.endpoints = address(endpointsBox);
     links.views = {
+        sinkFrom<view_changed>([this](view_changed &&changed) {
+            m_readiness.setView(*changed.view);
+            return post_result::delivered;
+        }),
         sinkFrom<view_changed>([to = address(endpointsBox)](view_changed &&changed) { return to.post(endpoints_changed {changed.view}); }),
     };
     links.authority = {rosterStatus(operations)};
@@ -294,10 +297,9 @@
     caller_listener_links callerLinks;
     callerLinks.requests = makeSink<caller_request>(router);
     callerLinks.gone = makeSink<caller_gone>(router);
-    callerLinks.onListening = [operations](const socket_address &bound) {
+    callerLinks.onListening = [this](const socket_address &bound) {
         announce("callers", bound);
-        const post_result posted = operations.post(readiness_changed {true, {}});
-        LOG_IF(WARNING, posted != post_result::delivered) << "operators: the change of readiness could not be delivered.";
+        m_readiness.setListening();
     };
     m_branches->callers = makeCallersSupervisor(m_loop, settings.callers, callerLinks);
 
--- a/src/burdockshelfd/instance_tree.h
+++ b/src/burdockshelfd/instance_tree.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "burdockshelfd/daemon_settings.h"
+#include "burdockshelfd/readiness.h"
 #include "operators/operations_messages.h"
 #include "runtime/supervisor.h"
 #include "runtime/timer.h"
@@ -36,6 +37,7 @@
     std::chrono::milliseconds m_shutdownTimeout;
     std::unique_ptr<branches> m_branches;
     std::shared_ptr<mailbox<operations_message>> m_operations;
+    readiness m_readiness;
     std::unique_ptr<supervisor> m_root;
     timer m_shutdownTimer;
     bool m_isShuttingDown = false;
--- a/src/policy/endpoint_directory.cpp
+++ b/src/policy/endpoint_directory.cpp
@@ -1,5 +1,7 @@
 #include "policy/endpoint_directory.h"
 
+#include "state/is_drained.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -16,12 +18,6 @@
 constexpr auto firstFailurePause = 100ms;
 constexpr auto longestFailurePause = 5s;
 
-bool isDrained(const state_view &view, const drain_target &target)
-{
-    const auto found = view.drains.find(target);
-    return found != view.drains.end() && found->second.isDrained;
-}
-
 } // namespace
 
 endpoint_directory::endpoint_directory(data_centre_id local)
@@ -34,7 +30,7 @@
     m_view = std::move(view);
     m_pools.clear();
     for (const auto &[id, settings] : m_view->config.endpoints) {
-        if (!isDrained(*m_view, id) && !isDrained(*m_view, settings.dataCentre)) {
+        if (!isDrained(*m_view, id)) {
             m_pools[{settings.service, settings.role}].push_back(id);
         }
     }
--- a/src/policy/request_machine.cpp
+++ b/src/policy/request_machine.cpp
@@ -313,28 +313,12 @@
 
 request_actions request_machine::queueExpired(const event_context & /*context*/)
 {
-    request_actions actions;
-    if (m_phase == phase::queued) {
-        refuse(http_status::unavailable,
-               {error_code::deadline_exceeded, "no endpoint became free in time"},
-               !m_isDispatched,
-               retryAfterOverload,
-               actions);
-    }
-    return actions;
+    return refuseQueued({error_code::deadline_exceeded, "no endpoint became free in time"});
 }
 
 request_actions request_machine::shed(const event_context & /*context*/)
 {
-    request_actions actions;
-    if (m_phase == phase::queued) {
-        refuse(http_status::unavailable,
-               {error_code::overloaded, "the queue is too long for this request's deadline"},
-               !m_isDispatched,
-               retryAfterOverload,
-               actions);
-    }
-    return actions;
+    return refuseQueued({error_code::overloaded, "the queue is too long for this request's deadline"});
 }
 
 const request_facts &request_machine::facts() const
@@ -574,6 +558,15 @@
     finish(actions);
 }
 
+request_actions request_machine::refuseQueued(error cause)
+{
+    request_actions actions;
+    if (m_phase == phase::queued) {
+        refuse(http_status::unavailable, std::move(cause), !m_isDispatched, retryAfterOverload, actions);
+    }
+    return actions;
+}
+
 void request_machine::finish(request_actions &actions)
 {
     m_phase = phase::finished;
--- a/src/policy/request_machine.h
+++ b/src/policy/request_machine.h
@@ -127,6 +127,7 @@
     void endClaim(claim_ending ending, request_actions &actions);
     void settle(token_count actual, request_actions &actions);
     void refuse(int status, error cause, bool isNotRun, std::optional<std::chrono::milliseconds> retryAfter, request_actions &actions);
+    request_actions refuseQueued(error cause);
     void finish(request_actions &actions);
     token_count costSoFar() const;
     reservation *findReservation(endpoint_role role);
