--- a/src/policy/request_machine.cpp
+++ b/src/policy/request_machine.cpp
@@ -36,20 +36,15 @@
 
 request_actions request_machine::start(const event_context & /*context*/)
 {
+    request_actions actions;
     if (m_facts.workspace.isEmpty()) {
         // Routes open to all belong to no workspace and have no quota.
-        request_actions actions;
-        if (m_facts.needsClaim()) {
-            m_phase = phase::claiming;
-            actions.push_back(claim_action {});
-        } else {
-            m_phase = phase::queued;
-            actions.push_back(enqueue_action {});
-        }
+        claimOrEnqueue(actions);
         return actions;
     }
     m_phase = phase::charging;
-    return {charge_action {m_facts.charge}};
+    actions.push_back(charge_action {m_facts.charge});
+    return actions;
 }
 
 request_actions
@@ -71,13 +66,7 @@
         return actions;
     }
     m_isCharged = true;
-    if (m_facts.needsClaim()) {
-        m_phase = phase::claiming;
-        actions.push_back(claim_action {});
-    } else {
-        m_phase = phase::queued;
-        actions.push_back(enqueue_action {});
-    }
+    claimOrEnqueue(actions);
     return actions;
 }
 
@@ -351,6 +340,17 @@
     return m_dispatchUntil;
 }
 
+void request_machine::claimOrEnqueue(request_actions &actions)
+{
+    if (m_facts.needsClaim()) {
+        m_phase = phase::claiming;
+        actions.push_back(claim_action {});
+    } else {
+        m_phase = phase::queued;
+        actions.push_back(enqueue_action {});
+    }
+}
+
 attempt_id request_machine::nextAttempt()
 {
     ++m_attemptCount;
--- a/src/policy/request_machine.h
+++ b/src/policy/request_machine.h
@@ -110,6 +110,7 @@
         std::optional<endpoint_id> held;
     };
 
+    void claimOrEnqueue(request_actions &actions);
     attempt_id nextAttempt();
     bool isCurrent(const attempt_id &attempt) const;
     void beginReservation(request_actions &actions);
