--- a/src/burdockshelfd/instance_tree.cpp
+++ b/src/burdockshelfd/instance_tree.cpp
@@ -4,7 +4,7 @@
 #include "endpoints/endpoints_supervisor.h"
 #include "mesh/mesh_supervisor.h"
 #include "operators/operators_supervisor.h"
-#include "platform/platform_supervisor.h"
+#include "log_service/log_service_supervisor.h"
 #include "routing/routing_supervisor.h"
 #include "wire/record_codec.h"
 #include "wire/snapshot_codec.h"
@@ -203,7 +203,7 @@
         LOG(WARNING) << "operators: the identity could not be delivered.";
     }
 
-    platform_settings platformSettings;
+    log_service_settings platformSettings;
     platformSettings.log.platform = settings.platform;
     // Authority counts from the sending time of a read, and the next read takes up to the wait again. A read that lasts longer than a third
     // of the lease leaves gaps in the authority.
@@ -212,7 +212,7 @@
     platformSettings.instances.platform = settings.platform;
     platformSettings.instances.interval = settings.instanceListInterval;
     platformSettings.instances.self = {self.instance, self.incarnation, settings.dataCentre, settings.meshListen, instance_state::live};
-    platform_sinks platformSinks;
+    log_service_sinks platformSinks;
     platformSinks.log.batches = {
         makeSink<log_batch>(address(routing.configuration)),
         makeSink<log_batch>(address(routing.roster)),
@@ -228,7 +228,7 @@
         makeSink<instance_list>(mesh),
         statusSink<instance_list>(operations),
     };
-    auto platform = std::make_unique<platform_supervisor>(m_loop, platformSettings, platformSinks, random_source());
+    auto platform = std::make_unique<log_service_supervisor>(m_loop, platformSettings, platformSinks, random_source());
     const address<log_task_message> log = platform->log();
     const address<instance_list_task_message> instances = platform->instances();
     m_branches->platform = std::move(platform);
--- a/src/burdockshelfd/main.cpp
+++ b/src/burdockshelfd/main.cpp
@@ -1,11 +1,16 @@
 #include "burdockshelfd/daemon_settings.h"
 #include "burdockshelfd/instance_tree.h"
+#include "gateway/gateway_tree.h"
+#include "platform/platform.h"
 #include "runtime/event_loop.h"
 
 #include <csignal>
 #include <cstdlib>
+#include <functional>
 #include <iostream>
+#include <string>
 #include <sysexits.h>
+#include <utility>
 
 #include <boost/program_options.hpp>
 #include <event2/event.h>
@@ -17,9 +22,12 @@
 using namespace burdockshelf;
 
 constexpr const char *helpText = R"(Usage: burdockshelfd --settings FILE [--check]
+       burdockshelfd --platform [--settings FILE] [--check]
 
 Routes the requests of callers to prefill, decode and plain endpoints.
-SIGTERM and SIGINT end it gracefully.
+With --platform it does so as a gateway on the users' platform, with the
+settings file that the environment names unless --settings does.
+SIGTERM and SIGINT end it gracefully; SIGHUP cuts nothing.
 
 Examples:
   burdockshelfd --settings /etc/burdockshelf/settings.json
@@ -28,14 +36,43 @@
 Exit status: 0 done, 1 failed, 64 usage, 78 bad settings.
 )";
 
-struct signal_context
+/// A handler of a signal on the loop, for as long as the object lives.
+class signal_handler
 {
-    instance_tree *tree;
+public:
+    signal_handler(event_loop &loop, int number, std::function<void()> onSignal)
+        : m_onSignal(std::move(onSignal))
+        , m_event(evsignal_new(loop.base(), number, &signal_handler::fire, this))
+    {
+        event_add(m_event, nullptr);
+    }
+
+    ~signal_handler()
+    {
+        event_free(m_event);
+    }
+
+    signal_handler(const signal_handler &) = delete;
+    signal_handler &operator=(const signal_handler &) = delete;
+
+private:
+    static void fire(evutil_socket_t /*number*/, short /*what*/, void *self)
+    {
+        static_cast<signal_handler *>(self)->m_onSignal();
+    }
+
+    std::function<void()> m_onSignal;
+    event *m_event;
 };
 
-void onSignal(evutil_socket_t /*number*/, short /*what*/, void *context)
+int runLoop(event_loop &loop, const outcome<void> &started, const int &status)
 {
-    static_cast<signal_context *>(context)->tree->beginShutdown();
+    if (!started) {
+        LOG(ERROR) << "supervisor: the start failed: " << started.error() << ".";
+        return EXIT_FAILURE;
+    }
+    loop.run();
+    return status;
 }
 
 int run(const daemon_settings &settings)
@@ -46,21 +83,42 @@
         status = result;
         loop.stop();
     });
-    signal_context context = {&tree};
-    event *terminate = evsignal_new(loop.base(), SIGTERM, &onSignal, &context);
-    event *interrupt = evsignal_new(loop.base(), SIGINT, &onSignal, &context);
-    event_add(terminate, nullptr);
-    event_add(interrupt, nullptr);
-    const auto started = tree.start();
-    if (started) {
-        loop.run();
-    } else {
-        LOG(ERROR) << "supervisor: the start failed: " << started.error() << ".";
-        status = EXIT_FAILURE;
+    const signal_handler terminate(loop, SIGTERM, [&] { tree.beginShutdown(); });
+    const signal_handler interrupt(loop, SIGINT, [&] { tree.beginShutdown(); });
+    return runLoop(loop, tree.start(), status);
+}
+
+int run(const gateway_settings &settings)
+{
+    const platform_adapter platform;
+    event_loop loop;
+    int status = EXIT_SUCCESS;
+    gateway_tree tree(loop, settings, platform.dialects(), [&](int result) {
+        status = result;
+        loop.stop();
+    });
+    const signal_handler terminate(loop, SIGTERM, [&] { tree.beginShutdown(); });
+    const signal_handler interrupt(loop, SIGINT, [&] { tree.beginShutdown(); });
+    const signal_handler reload(loop, SIGHUP, [&] { tree.noteReload(); });
+    return runLoop(loop, tree.start(), status);
+}
+
+/// Loads settings of one kind, and runs the daemon unless they are only to be checked.
+template<typename Settings>
+int loadAndRun(const outcome<Settings> &settings, bool isCheck, const char *program)
+{
+    if (!settings) {
+        std::cerr << "burdockshelfd: " << settings.error().message << "\n";
+        return EX_CONFIG;
     }
-    event_free(terminate);
-    event_free(interrupt);
-    return status;
+    if (isCheck) {
+        std::cout << "the settings are valid\n";
+        return EXIT_SUCCESS;
+    }
+    google::InitGoogleLogging(program);
+    FLAGS_logtostderr = true;
+    std::signal(SIGPIPE, SIG_IGN);
+    return run(settings.value());
 }
 
 } // namespace
@@ -70,7 +128,7 @@
     namespace options = boost::program_options;
     options::options_description description("Options");
     description.add_options()("help,h", "show this text")("version", "show the version")(
-        "settings,s", options::value<std::string>(), "the settings file, JSON")("check", "check the settings and exit");
+        "settings,s", options::value<std::string>(), "the settings file, JSON")("platform", "run as a gateway on the users' platform")("check", "check the settings and exit");
     options::variables_map chosen;
     try {
         options::store(options::parse_command_line(argc, argv, description), chosen);
@@ -86,21 +144,15 @@
         std::cout << "burdockshelfd " << BURDOCKSHELF_VERSION << "\n";
         return EXIT_SUCCESS;
     }
-    if (chosen.count("settings") == 0) {
+    const bool isCheck = chosen.count("check") > 0;
+    const bool isGateway = chosen.count("platform") > 0;
+    std::string file = chosen.count("settings") > 0 ? chosen["settings"].as<std::string>() : "";
+    if (const char *named = std::getenv(platform_adapter::settingsVariable); file.empty() && isGateway && named != nullptr) {
+        file = named;
+    }
+    if (file.empty()) {
         std::cerr << "burdockshelfd: --settings is missing\n" << helpText;
         return EX_USAGE;
     }
-    const auto settings = loadSettings(chosen["settings"].as<std::string>());
-    if (!settings) {
-        std::cerr << "burdockshelfd: " << settings.error().message << "\n";
-        return EX_CONFIG;
-    }
-    if (chosen.count("check") > 0) {
-        std::cout << "the settings are valid\n";
-        return EXIT_SUCCESS;
-    }
-    google::InitGoogleLogging(argv[0]);
-    FLAGS_logtostderr = true;
-    std::signal(SIGPIPE, SIG_IGN);
-    return run(settings.value());
+    return isGateway ? loadAndRun(loadGatewaySettings(file), isCheck, argv[0]) : loadAndRun(loadSettings(file), isCheck, argv[0]);
 }
--- /dev/null
+++ b/src/forwarding/endpoint_table.cpp
@@ -0,0 +1,314 @@
+#include "forwarding/endpoint_table.h"
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+namespace burdockshelf
+{
+
+namespace
+{
+
+using std::chrono::milliseconds;
+
+// Weight of the newest value in the running means of failures and latencies.
+constexpr double newestWeight = 0.15;
+// Failures in a row after which an endpoint gets no requests for a while.
+constexpr std::int64_t failuresToBlock = 2;
+constexpr milliseconds firstBlock {300};
+constexpr milliseconds longestBlock {2400};
+// An answer that is missing for this long marks the endpoint as suspect.
+constexpr milliseconds plainSilence {250};
+constexpr milliseconds engineSilence {1200};
+// Reports of other instances' work fade out, because the endpoint does not speak again while nothing is sent to it.
+constexpr milliseconds foreignLifetime {1500};
+// Score terms, in units of a fully used endpoint.
+constexpr double failurePenalty = 3.0;
+constexpr double suspectPenalty = 6.0;
+constexpr double blockedPenalty = 20.0;
+constexpr double coldPenalty = 0.6;
+constexpr double remotePenalty = 0.12;
+constexpr double tieBreak = 0.02;
+// Latencies count relative to this one, so that an endpoint that is ten times slower is as good as full.
+constexpr double latencyScaleSeconds = 0.2;
+// Tokens of a request of another instance, which reports tell only by number.
+constexpr double typicalTokens = 3300.0;
+
+milliseconds silenceOf(const endpoint_state &endpoint)
+{
+    return endpoint.entry.stage ? engineSilence : plainSilence;
+}
+
+bool isSuspect(const endpoint_state &endpoint, instant now)
+{
+    return !endpoint.unanswered.empty() && now - *endpoint.unanswered.begin() > silenceOf(endpoint);
+}
+
+double foreignAt(const endpoint_state &endpoint, instant now)
+{
+    const std::chrono::duration<double> age = now - endpoint.foreignSeen;
+    const std::chrono::duration<double> lifetime = foreignLifetime;
+    return age >= lifetime ? 0.0 : endpoint.foreignRequests * (1.0 - age / lifetime);
+}
+
+bool fitsDuty(const endpoint_state &endpoint, endpoint_duty duty)
+{
+    const std::array<std::optional<engine_stage>, 3> needed = {std::nullopt, engine_stage::prefill, engine_stage::decode};
+    return endpoint.entry.stage == needed.at(static_cast<std::size_t>(duty));
+}
+
+} // namespace
+
+endpoint_table::endpoint_table(endpoint_table_settings settings)
+    : m_settings(std::move(settings))
+{
+}
+
+bool endpoint_table::put(const endpoint_entry &entry, const traffic_service *service, instant now)
+{
+    auto found = m_endpoints.find(entry.id);
+    if (found != m_endpoints.end()) {
+        endpoint_entry &known = found->second->entry;
+        // An older record read again must not bring back an earlier life of the endpoint.
+        if (entry.born < known.born) {
+            return false;
+        }
+        const bool isSameLife = entry.born == known.born && entry.address == known.address && entry.service == known.service;
+        if (isSameLife) {
+            endpoint_state &endpoint = *found->second;
+            const bool isChanged = known.isDraining != entry.isDraining || known.stage != entry.stage || !endpoint.isListed;
+            known = entry;
+            endpoint.isListed = true;
+            if (entry.coldLeft > milliseconds::zero()) {
+                endpoint.coldUntil = deadline::after(now, entry.coldLeft);
+                setColdShare(endpoint, service, now);
+            }
+            return isChanged;
+        }
+        std::erase(m_byService[known.service], found->second.get());
+        m_endpoints.erase(found);
+    }
+    auto fresh = std::make_unique<endpoint_state>();
+    fresh->entry = entry;
+    if (entry.coldLeft > milliseconds::zero()) {
+        fresh->coldUntil = deadline::after(now, entry.coldLeft);
+    }
+    fresh->coldShare = rate_window(0.0, 1.0, now);
+    setColdShare(*fresh, service, now);
+    m_byService[entry.service].push_back(fresh.get());
+    m_endpoints[entry.id] = std::move(fresh);
+    return true;
+}
+
+bool endpoint_table::remove(const endpoint_id &endpoint)
+{
+    const auto found = m_endpoints.find(endpoint);
+    if (found == m_endpoints.end()) {
+        return false;
+    }
+    std::erase(m_byService[found->second->entry.service], found->second.get());
+    m_endpoints.erase(found);
+    return true;
+}
+
+void endpoint_table::setEvacuated(std::set<data_centre_id> dataCentres)
+{
+    m_evacuated = std::move(dataCentres);
+}
+
+void endpoint_table::setInstanceCount(std::int64_t count, instant /*now*/)
+{
+    m_instanceCount = std::max<std::int64_t>(count, 1);
+}
+
+const endpoint_state *endpoint_table::choose(const service_id &service,
+                                             endpoint_duty duty,
+                                             token_count tokens,
+                                             const std::vector<endpoint_id> &excluded,
+                                             const traffic_service *profile,
+                                             instant now,
+                                             random_source &random)
+{
+    const auto found = m_byService.find(service);
+    if (found == m_byService.end()) {
+        return nullptr;
+    }
+    endpoint_state *best = nullptr;
+    double bestScore = 0.0;
+    for (endpoint_state *candidate : found->second) {
+        const bool isExcluded = std::find(excluded.begin(), excluded.end(), candidate->entry.id) != excluded.end();
+        if (isExcluded || !fitsDuty(*candidate, duty) || !mayReceive(candidate->entry.id, now)) {
+            continue;
+        }
+        if (!candidate->coldUntil.hasPassed(now) && candidate->coldShare.level(now) < 1.0) {
+            continue;
+        }
+        const double candidateScore = score(*candidate, duty, tokens, profile, now) + random.uniform() * tieBreak;
+        if (best == nullptr || candidateScore < bestScore) {
+            best = candidate;
+            bestScore = candidateScore;
+        }
+    }
+    return best;
+}
+
+bool endpoint_table::serves(const service_id &service) const
+{
+    const auto found = m_byService.find(service);
+    return found != m_byService.end() && !found->second.empty();
+}
+
+const endpoint_state *endpoint_table::find(const endpoint_id &endpoint) const
+{
+    const auto found = m_endpoints.find(endpoint);
+    return found == m_endpoints.end() ? nullptr : found->second.get();
+}
+
+std::size_t endpoint_table::size() const
+{
+    return m_endpoints.size();
+}
+
+void endpoint_table::forEach(const std::function<void(const endpoint_state &)> &visit) const
+{
+    for (const auto &[id, known] : m_endpoints) {
+        visit(*known);
+    }
+}
+
+const std::set<data_centre_id> &endpoint_table::evacuated() const
+{
+    return m_evacuated;
+}
+
+bool endpoint_table::mayReceive(const endpoint_id &endpoint, instant /*now*/) const
+{
+    const endpoint_state *known = find(endpoint);
+    return known != nullptr && !known->entry.isDraining && known->isListed && m_evacuated.count(known->entry.dataCentre) == 0;
+}
+
+bool endpoint_table::takeColdShare(const endpoint_id &endpoint, instant now)
+{
+    endpoint_state *known = state(endpoint);
+    return known == nullptr || known->coldUntil.hasPassed(now) || known->coldShare.take(1.0, now);
+}
+
+void endpoint_table::noteSent(const endpoint_id &endpoint, token_count tokens, instant now)
+{
+    if (endpoint_state *known = state(endpoint)) {
+        ++known->outstanding;
+        known->outstandingTokens += tokens;
+        known->unanswered.insert(now);
+    }
+}
+
+void endpoint_table::noteAnswer(const endpoint_id &endpoint, instant sentAt)
+{
+    if (endpoint_state *known = state(endpoint)) {
+        const auto found = known->unanswered.find(sentAt);
+        if (found != known->unanswered.end()) {
+            known->unanswered.erase(found);
+        }
+    }
+}
+
+void endpoint_table::noteEnded(const endpoint_id &endpoint,
+                               token_count tokens,
+                               instant sentAt,
+                               bool wasAnswered,
+                               endpoint_verdict verdict,
+                               instant now)
+{
+    endpoint_state *known = state(endpoint);
+    if (known == nullptr) {
+        return;
+    }
+    // The endpoint may have been replaced under its id meanwhile; its counts then start anew and must not go below zero.
+    known->outstanding = std::max<std::int64_t>(known->outstanding - 1, 0);
+    known->outstandingTokens = std::max(known->outstandingTokens - tokens, token_count());
+    if (!wasAnswered) {
+        noteAnswer(endpoint, sentAt);
+    }
+    switch (verdict) {
+    case endpoint_verdict::good: {
+        const std::chrono::duration<double> took = now - sentAt;
+        known->failuresInRow = 0;
+        known->blockedUntil = deadline();
+        known->failureShare *= 1.0 - newestWeight;
+        known->latencySeconds += (took.count() - known->latencySeconds) * newestWeight;
+        break;
+    }
+    case endpoint_verdict::failed:
+    case endpoint_verdict::unreachable:
+        ++known->failuresInRow;
+        known->failureShare += (1.0 - known->failureShare) * newestWeight;
+        if (known->failuresInRow >= failuresToBlock || verdict == endpoint_verdict::unreachable) {
+            const auto doublings = std::min<std::int64_t>(known->failuresInRow - 1, 3);
+            known->blockedUntil = deadline::after(now, std::min(firstBlock * (1 << doublings), longestBlock));
+        }
+        break;
+    case endpoint_verdict::refused:
+        known->failureShare += (1.0 - known->failureShare) * newestWeight / 2;
+        break;
+    case endpoint_verdict::abandoned:
+        break;
+    }
+}
+
+void endpoint_table::noteLoad(const endpoint_id &endpoint, const endpoint_load &load, instant now)
+{
+    if (endpoint_state *known = state(endpoint)) {
+        known->foreignRequests = static_cast<double>(std::max<std::int64_t>(load.running + load.waiting - known->outstanding, 0));
+        known->foreignSeen = now;
+    }
+}
+
+void endpoint_table::noteMisdirected(const endpoint_id &endpoint)
+{
+    if (endpoint_state *known = state(endpoint)) {
+        known->isListed = false;
+    }
+}
+
+endpoint_state *endpoint_table::state(const endpoint_id &endpoint)
+{
+    const auto found = m_endpoints.find(endpoint);
+    return found == m_endpoints.end() ? nullptr : found->second.get();
+}
+
+double endpoint_table::score(const endpoint_state &candidate,
+                             endpoint_duty duty,
+                             token_count tokens,
+                             const traffic_service *profile,
+                             instant now) const
+{
+    const auto slots = static_cast<double>(std::max<std::int64_t>(candidate.entry.slots.value(), 1));
+    const double foreign = foreignAt(candidate, now);
+    double load = (static_cast<double>(candidate.outstanding) + foreign) / slots;
+    if (duty != endpoint_duty::plain_call && profile != nullptr && profile->engine && profile->engine->memory.value() > 0) {
+        const auto memory = static_cast<double>(profile->engine->memory.value());
+        const double used = static_cast<double>((candidate.outstandingTokens + tokens).value()) + foreign * typicalTokens;
+        load = std::max(load, used / memory);
+    }
+    double total = load + candidate.failureShare * failurePenalty;
+    if (duty == endpoint_duty::plain_call) {
+        total += std::min(candidate.latencySeconds / latencyScaleSeconds, 1.0) * load;
+    }
+    total += candidate.blockedUntil.hasPassed(now) ? 0.0 : blockedPenalty;
+    total += isSuspect(candidate, now) ? suspectPenalty : 0.0;
+    total += candidate.coldUntil.hasPassed(now) ? 0.0 : coldPenalty;
+    total += candidate.entry.dataCentre == m_settings.dataCentre ? 0.0 : remotePenalty;
+    return total;
+}
+
+void endpoint_table::setColdShare(endpoint_state &endpoint, const traffic_service *service, instant now) const
+{
+    const double rate = service == nullptr ? 0.0 : service->coldPerSecond / static_cast<double>(m_instanceCount);
+    endpoint.coldShare.setBound(rate, 1.0, now);
+    if (rate <= 0.0) {
+        endpoint.coldUntil = deadline();
+    }
+}
+
+} // namespace burdockshelf
--- /dev/null
+++ b/src/forwarding/endpoint_table.h
@@ -0,0 +1,127 @@
+#pragma once
+
+#include "core/random_source.h"
+#include "forwarding/endpoint_entry.h"
+#include "forwarding/rate_window.h"
+#include "forwarding/traffic_plan.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace burdockshelf
+{
+
+/// What a request needs an endpoint for.
+enum class endpoint_duty
+{
+    /// The whole request at a plain service.
+    plain_call,
+    /// Reading the prompt.
+    prefill,
+    /// Generating the answer.
+    decode,
+};
+
+/// How an attempt at an endpoint ended, as far as the endpoint's health is concerned.
+enum class endpoint_verdict
+{
+    good,
+    /// The endpoint has refused without running the request.
+    refused,
+    /// A failure of the endpoint's own, or a broken, wrong or missing answer.
+    failed,
+    /// No connection.
+    unreachable,
+    /// Given up for a reason that says nothing about the endpoint.
+    abandoned,
+};
+
+/// An endpoint as this instance knows it. Owned by endpoint_table.
+struct endpoint_state
+{
+    endpoint_entry entry;
+    deadline coldUntil;
+    /// Share of the cold rate that this instance may use.
+    rate_window coldShare;
+    std::int64_t outstanding = 0;
+    token_count outstandingTokens;
+    /// Work of other instances there, from the last load report.
+    double foreignRequests = 0.0;
+    instant foreignSeen;
+    double failureShare = 0.0;
+    double latencySeconds = 0.0;
+    std::int64_t failuresInRow = 0;
+    /// No requests before this instant, after failures in a row.
+    deadline blockedUntil;
+    /// When the oldest attempt without an answer was sent; unset while there is none.
+    std::multiset<instant> unanswered;
+    bool isListed = true;
+};
+
+/// Bounds of all endpoint choices of an instance.
+struct endpoint_table_settings
+{
+    data_centre_id dataCentre;
+};
+
+/// The endpoints, their health as far as the answers show it, and the choice among them. A pure value: time and random numbers are passed in.
+class endpoint_table
+{
+public:
+    explicit endpoint_table(endpoint_table_settings settings);
+
+    /// Adds or changes an endpoint. Returns true when something that matters for requests has changed.
+    bool put(const endpoint_entry &entry, const traffic_service *service, instant now);
+    /// The endpoint has left or its entry has lapsed.
+    bool remove(const endpoint_id &endpoint);
+    void setEvacuated(std::set<data_centre_id> dataCentres);
+    /// Number of instances that share the cold rates.
+    void setInstanceCount(std::int64_t count, instant now);
+
+    /// The best endpoint for a duty, excluding some. Nothing when none may get requests.
+    const endpoint_state *choose(const service_id &service,
+                                 endpoint_duty duty,
+                                 token_count tokens,
+                                 const std::vector<endpoint_id> &excluded,
+                                 const traffic_service *profile,
+                                 instant now,
+                                 random_source &random);
+    /// True when an endpoint of the service could run requests at all, now or soon.
+    bool serves(const service_id &service) const;
+    const endpoint_state *find(const endpoint_id &endpoint) const;
+    std::size_t size() const;
+    void forEach(const std::function<void(const endpoint_state &)> &visit) const;
+    const std::set<data_centre_id> &evacuated() const;
+
+    /// True while the endpoint may still be sent to; checked once more before each send.
+    bool mayReceive(const endpoint_id &endpoint, instant now) const;
+    /// Takes one request out of the cold share of a cold endpoint.
+    bool takeColdShare(const endpoint_id &endpoint, instant now);
+    void noteSent(const endpoint_id &endpoint, token_count tokens, instant now);
+    /// First byte of an answer for an attempt that was sent at the given time.
+    void noteAnswer(const endpoint_id &endpoint, instant sentAt);
+    void noteEnded(const endpoint_id &endpoint, token_count tokens, instant sentAt, bool wasAnswered, endpoint_verdict verdict, instant now);
+    void noteLoad(const endpoint_id &endpoint, const endpoint_load &load, instant now);
+    /// The address belongs to another endpoint by now.
+    void noteMisdirected(const endpoint_id &endpoint);
+
+private:
+    using service_endpoints = std::vector<endpoint_state *>;
+
+    endpoint_state *state(const endpoint_id &endpoint);
+    double score(const endpoint_state &candidate, endpoint_duty duty, token_count tokens, const traffic_service *profile, instant now) const;
+    void setColdShare(endpoint_state &endpoint, const traffic_service *service, instant now) const;
+
+    endpoint_table_settings m_settings;
+    std::map<endpoint_id, std::unique_ptr<endpoint_state>> m_endpoints;
+    std::map<service_id, service_endpoints> m_byService;
+    std::set<data_centre_id> m_evacuated;
+    std::int64_t m_instanceCount = 1;
+};
+
+} // namespace burdockshelf
--- /dev/null
+++ b/src/forwarding/event_splitter.cpp
@@ -0,0 +1,95 @@
+#include "forwarding/event_splitter.h"
+
+#include <charconv>
+#include <utility>
+
+namespace burdockshelf
+{
+
+namespace
+{
+
+// The position behind the blank line that ends the first event, or npos.
+std::size_t endOfEvent(std::string_view text)
+{
+    for (std::size_t at = text.find('\n'); at != std::string_view::npos; at = text.find('\n', at + 1)) {
+        std::size_t next = at + 1;
+        if (next < text.size() && text[next] == '\r') {
+            ++next;
+        }
+        if (next < text.size() && text[next] == '\n') {
+            return next + 1;
+        }
+    }
+    return std::string_view::npos;
+}
+
+} // namespace
+
+std::string event_splitter::take(std::string_view bytes)
+{
+    m_partial.append(bytes);
+    std::string whole;
+    std::string_view rest = m_partial;
+    for (std::size_t end = endOfEvent(rest); end != std::string_view::npos; end = endOfEvent(rest)) {
+        const std::string_view event = rest.substr(0, end);
+        const auto id = idOf(event);
+        if (!id || !m_lastId || *id > *m_lastId) {
+            whole.append(event);
+        }
+        if (id) {
+            m_lastId = m_lastId && *m_lastId > *id ? m_lastId : id;
+        }
+        rest.remove_prefix(end);
+    }
+    m_partial = std::string(rest);
+    return whole;
+}
+
+bool event_splitter::hasPartial() const
+{
+    return !m_partial.empty();
+}
+
+std::string event_splitter::takeRest()
+{
+    return std::exchange(m_partial, {});
+}
+
+void event_splitter::dropPartial()
+{
+    m_partial.clear();
+}
+
+const std::optional<std::int64_t> &event_splitter::lastId() const
+{
+    return m_lastId;
+}
+
+void event_splitter::setLastId(std::optional<std::int64_t> id)
+{
+    m_lastId = id;
+}
+
+std::optional<std::int64_t> event_splitter::idOf(std::string_view event)
+{
+    while (!event.empty()) {
+        const auto end = event.find('\n');
+        std::string_view line = event.substr(0, end);
+        event = end == std::string_view::npos ? std::string_view() : event.substr(end + 1);
+        if (!line.starts_with("id:")) {
+            continue;
+        }
+        line.remove_prefix(3);
+        while (!line.empty() && line.front() == ' ') {
+            line.remove_prefix(1);
+        }
+        std::int64_t id = 0;
+        if (std::from_chars(line.data(), line.data() + line.size(), id).ec == std::errc()) {
+            return id;
+        }
+    }
+    return std::nullopt;
+}
+
+} // namespace burdockshelf
--- /dev/null
+++ b/src/forwarding/flow_messages.cpp
@@ -0,0 +1,31 @@
+#include "forwarding/flow_messages.h"
+
+#include <array>
+
+namespace burdockshelf
+{
+
+std::string_view refusalName(refusal_cause cause)
+{
+    static constexpr std::array<std::string_view, 10> names = {
+        "not_ready",
+        "unknown_route",
+        "unknown_key",
+        "over_quota",
+        "no_endpoint",
+        "overloaded",
+        "expired",
+        "timed_out",
+        "endpoint_failed",
+        "shutting_down",
+    };
+    return names.at(static_cast<std::size_t>(cause));
+}
+
+std::string_view attemptEndName(attempt_end end)
+{
+    static constexpr std::array<std::string_view, 5> names = {"whole", "rejected", "misdirected", "not_sent", "lost"};
+    return names.at(static_cast<std::size_t>(end));
+}
+
+} // namespace burdockshelf
--- /dev/null
+++ b/src/forwarding/flow_messages.h
@@ -0,0 +1,158 @@
+#pragma once
+
+#include "forwarding/endpoint_table.h"
+#include "forwarding/traffic_plan.h"
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace burdockshelf
+{
+
+/// Number of a caller's request on this instance.
+using flow_id = quantity<struct flow_tag>;
+/// Number of an attempt of one request, from 1.
+using attempt_number = quantity<struct attempt_number_tag>;
+
+/// Facts of a request that decisions need, read once from its head.
+struct forward_facts
+{
+    /// The caller's id of this try; a caller that tries again uses a new one.
+    attempt_id id;
+    std::string method;
+    std::string host;
+    std::string path;
+    /// The key as presented, empty without one. Never logged.
+    std::string key;
+    /// Until when the caller waits; never when it did not say.
+    deadline callerUntil = deadline::never();
+    /// Not set for requests that are not for a language model.
+    std::optional<token_count> promptTokens;
+    token_count outputTokens;
+    /// The caller resumes a stream behind this event.
+    std::optional<std::int64_t> resumeAfter;
+};
+
+/// Where the result of reading a prompt lies until a decode endpoint fetches it.
+struct prompt_handle
+{
+    endpoint_id endpoint;
+    socket_address address;
+    std::string handle;
+};
+
+/// Why a request ends without an endpoint's answer.
+enum class refusal_cause
+{
+    not_ready,
+    unknown_route,
+    unknown_key,
+    over_quota,
+    no_endpoint,
+    /// Endpoints have refused it, or are full.
+    overloaded,
+    /// The caller's time is over before anything was sent.
+    expired,
+    /// The time is over and an endpoint may have run it.
+    timed_out,
+    /// An endpoint may have run it and gave no usable answer.
+    endpoint_failed,
+    shutting_down,
+};
+
+std::string_view refusalName(refusal_cause cause);
+
+/// How an attempt ended.
+enum class attempt_end
+{
+    /// A whole answer, or the clean end of a stream.
+    whole,
+    /// The endpoint says that it did not run the request.
+    rejected,
+    /// Another endpoint has the address; not run.
+    misdirected,
+    /// No connection could be made; no byte was sent.
+    not_sent,
+    /// Sent, and the answer is missing, cut or not usable.
+    lost,
+};
+
+std::string_view attemptEndName(attempt_end end);
+
+/// The head of an answer as far as decisions need it.
+struct answer_summary
+{
+    int status = 0;
+    /// The endpoint's proof that the answer is its own.
+    bool hasProof = false;
+};
+
+// Actions of a flow.
+
+struct start_attempt
+{
+    attempt_number number;
+    endpoint_duty duty = endpoint_duty::plain_call;
+    endpoint_id endpoint;
+    socket_address address;
+    service_id service;
+    std::optional<prompt_handle> source;
+    std::optional<std::int64_t> resumeAfter;
+    deadline until;
+    /// The answer is handed on in pieces as it comes.
+    bool isStreamed = false;
+};
+
+struct withdraw_attempt
+{
+    attempt_number number;
+};
+
+struct release_handle
+{
+    prompt_handle handle;
+};
+
+/// Hands on the head of an attempt's answer; pieces follow.
+struct relay_head
+{
+    attempt_number number;
+};
+
+struct relay_piece
+{
+    std::string bytes;
+};
+
+struct relay_end
+{
+};
+
+/// Hands on the whole answer of an attempt.
+struct relay_whole
+{
+    attempt_number number;
+};
+
+struct refuse_request
+{
+    refusal_cause cause = refusal_cause::not_ready;
+    /// When a further try makes sense; not set where none does.
+    std::optional<std::chrono::milliseconds> retryAfter;
+};
+
+/// Ends an answer that has begun so that the caller sees that it is cut.
+struct break_answer
+{
+};
+
+using flow_action =
+    std::variant<start_attempt, withdraw_attempt, release_handle, relay_head, relay_piece, relay_end, relay_whole, refuse_request, break_answer>;
+using flow_actions = std::vector<flow_action>;
+
+} // namespace burdockshelf
--- /dev/null
+++ b/src/forwarding/forward_flow.cpp
@@ -0,0 +1,566 @@
+#include "forwarding/forward_flow.h"
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+namespace burdockshelf
+{
+
+namespace
+{
+
+using std::chrono::milliseconds;
+
+// Connections that may fail before the request is given up; no byte of it was sent to any of them.
+constexpr std::int64_t mostUnsentTries = 4;
+// An endpoint that has said nothing for this long is given up where the request may go elsewhere.
+constexpr milliseconds plainSilenceLeast {120};
+constexpr milliseconds prefillSilence {700};
+constexpr milliseconds decodeSilence {1100};
+// When a caller whose request was not run may come again: after the blocking of a failed endpoint has begun to end, and long before its
+// own deadline.
+constexpr milliseconds retryAfterOverload {120};
+constexpr milliseconds retryAfterNoEndpoint {300};
+constexpr int firstServerErrorStatus = 500;
+
+} // namespace
+
+forward_flow::forward_flow(admitted_request request)
+    : m_request(std::move(request))
+    , m_until(std::min(m_request.facts.callerUntil, deadline::after(m_request.arrived, m_request.route->timeout)))
+{
+    m_events.setLastId(m_request.facts.resumeAfter);
+}
+
+const forward_flow::duty_rules &forward_flow::rulesOf(endpoint_duty duty)
+{
+    static constexpr std::array<duty_rules, 3> rules = {
+        duty_rules {&forward_flow::finishPlain, &forward_flow::passPlainSilence},
+        duty_rules {&forward_flow::finishPrefill, &forward_flow::passPrefillSilence},
+        duty_rules {&forward_flow::finishDecode, &forward_flow::passDecodeSilence},
+    };
+    return rules.at(static_cast<std::size_t>(duty));
+}
+
+flow_actions forward_flow::begin(const flow_context &context, instant now)
+{
+    return run(context, now, [this] {
+        chooseService();
+        m_context->repeats.earn(m_service, m_now);
+        sendFirst();
+    });
+}
+
+flow_actions forward_flow::onHead(attempt_number number, const flow_context &context, instant now)
+{
+    return run(context, now, [&] {
+        attempt *answered = find(number);
+        if (answered == nullptr || answered->isAnswered) {
+            return;
+        }
+        answered->isAnswered = true;
+        answered->silentAt = deadline::after(m_now, decodeSilence);
+        m_context->endpoints.noteAnswer(answered->endpoint, answered->sentAt);
+    });
+}
+
+flow_actions forward_flow::onPiece(attempt_number number, std::string_view bytes, const flow_context &context, instant now)
+{
+    return run(context, now, [&] {
+        attempt *sender = find(number);
+        if (sender == nullptr || m_isFinal) {
+            return;
+        }
+        sender->silentAt = deadline::after(m_now, decodeSilence);
+        if (!m_isHeadRelayed) {
+            // The head waits for the first bytes, so that a stream that breaks before them can begin anew elsewhere.
+            m_actions.emplace_back(relay_head {number});
+            m_isHeadRelayed = true;
+        }
+        sender->isRelayed = true;
+        std::string whole = m_events.take(bytes);
+        if (!whole.empty()) {
+            m_actions.emplace_back(relay_piece {std::move(whole)});
+        }
+    });
+}
+
+flow_actions forward_flow::onEnd(attempt_number number,
+                                 attempt_end end,
+                                 const answer_summary &answer,
+                                 const std::optional<std::string> &handle,
+                                 const flow_context &context,
+                                 instant now)
+{
+    return run(context, now, [&] {
+        const std::optional<attempt> ended = take(number);
+        if (!ended) {
+            return;
+        }
+        m_context->endpoints.noteEnded(ended->endpoint,
+                                       tokensFor(ended->duty),
+                                       ended->sentAt,
+                                       ended->isAnswered,
+                                       verdictOf(*ended, end, answer),
+                                       m_now);
+        if (end == attempt_end::misdirected) {
+            m_context->endpoints.noteMisdirected(ended->endpoint);
+        }
+        if (end == attempt_end::lost || end == attempt_end::whole) {
+            m_mayHaveRun = m_mayHaveRun || ended->duty != endpoint_duty::prefill;
+        }
+        if (end == attempt_end::not_sent) {
+            ++m_unsentTries;
+            (ended->duty == endpoint_duty::prefill ? m_prefillsSent : m_attemptsUsed) -= 1;
+        }
+        if (m_isFinal || m_isCallerGone) {
+            return;
+        }
+        (this->*rulesOf(ended->duty).onEnd)(*ended, end, answer, handle);
+    });
+}
+
+flow_actions forward_flow::onDeadline(const flow_context &context, instant now)
+{
+    return run(context, now, [this] {
+        if (m_until.hasPassed(m_now) && m_isFinal) {
+            cancelAll();
+            return;
+        }
+        if (m_until.hasPassed(m_now)) {
+            const bool isOutstanding =
+                std::any_of(m_attempts.begin(), m_attempts.end(), [](const attempt &one) { return one.duty != endpoint_duty::prefill; });
+            cancelAll();
+            if (m_mayHaveRun || isOutstanding) {
+                answerFailure(refusal_cause::timed_out);
+            } else {
+                refuse(refusal_cause::expired, std::nullopt);
+            }
+            return;
+        }
+        const std::vector<attempt> current = m_attempts;
+        for (const attempt &one : current) {
+            if (one.silentAt.hasPassed(m_now) && !m_isFinal) {
+                if (attempt *silent = find(one.number)) {
+                    silent->silentAt = deadline::never();
+                }
+                (this->*rulesOf(one.duty).onSilence)(one);
+            }
+        }
+    });
+}
+
+flow_actions forward_flow::onCallerGone(const flow_context &context, instant now)
+{
+    return run(context, now, [this] {
+        m_isCallerGone = true;
+        m_isFinal = true;
+        // A call that may run only once is left to end, because its effect is wanted; nobody hears of its answer.
+        if (m_request.route->kind != request_kind::non_idempotent) {
+            cancelAll();
+        }
+    });
+}
+
+deadline forward_flow::nextDeadline() const
+{
+    deadline next = m_isFinal && m_attempts.empty() ? deadline::never() : m_until;
+    for (const attempt &one : m_attempts) {
+        next = std::min(next, one.silentAt);
+    }
+    return next;
+}
+
+bool forward_flow::isDone() const
+{
+    return m_isFinal && m_attempts.empty();
+}
+
+bool forward_flow::hasFinalAnswer() const
+{
+    return m_isFinal;
+}
+
+const admitted_request &forward_flow::request() const
+{
+    return m_request;
+}
+
+std::int64_t forward_flow::attemptCount() const
+{
+    return m_attemptsUsed + m_prefillsSent;
+}
+
+void forward_flow::finishPlain(const attempt &ended,
+                               attempt_end end,
+                               const answer_summary &answer,
+                               const std::optional<std::string> & /*handle*/)
+{
+    if (end == attempt_end::whole) {
+        const bool isFailure = answer.status >= firstServerErrorStatus;
+        if (isFailure && mayRepeat() && hasAttemptsLeft() && spendRepeat() && send(endpoint_duty::plain_call, std::nullopt)) {
+            return;
+        }
+        cancelAll();
+        m_actions.emplace_back(relay_whole {ended.number});
+        m_isFinal = true;
+        return;
+    }
+    if (!m_attempts.empty()) {
+        return;
+    }
+    const bool isRun = end == attempt_end::lost;
+    const bool isFree = end == attempt_end::not_sent && m_unsentTries < mostUnsentTries;
+    const bool mayGoOn = isFree || ((!isRun || mayRepeat()) && hasAttemptsLeft() && spendRepeat());
+    if (mayGoOn && send(endpoint_duty::plain_call, std::nullopt)) {
+        return;
+    }
+    if (m_mayHaveRun) {
+        answerFailure(refusal_cause::endpoint_failed);
+    } else {
+        refuseNotRun(refusal_cause::overloaded);
+    }
+}
+
+void forward_flow::finishPrefill(const attempt &ended,
+                                 attempt_end end,
+                                 const answer_summary & /*answer*/,
+                                 const std::optional<std::string> &handle)
+{
+    if (end == attempt_end::whole && handle) {
+        const endpoint_state *source = m_context->endpoints.find(ended.endpoint);
+        if (source != nullptr) {
+            m_handle = prompt_handle {ended.endpoint, source->entry.address, *handle};
+            sendDecode(m_handle);
+            return;
+        }
+    }
+    if (end == attempt_end::not_sent && m_unsentTries < mostUnsentTries) {
+        sendPrefill();
+        return;
+    }
+    if (end == attempt_end::rejected || end == attempt_end::misdirected) {
+        // Unlike the first call that an endpoint takes, a refused one counts against the route's bound.
+        ++m_attemptsUsed;
+        if (!hasAttemptsLeft() || !spendRepeat()) {
+            refuseNotRun(refusal_cause::overloaded);
+            return;
+        }
+    }
+    sendDecode(std::nullopt);
+}
+
+void forward_flow::finishDecode(const attempt &ended,
+                                attempt_end end,
+                                const answer_summary & /*answer*/,
+                                const std::optional<std::string> & /*handle*/)
+{
+    if (end == attempt_end::whole && !ended.isAnswered) {
+        // An error, which comes in one piece.
+        if (mayRepeat() && hasAttemptsLeft() && spendRepeat() && send(endpoint_duty::decode, std::nullopt)) {
+            return;
+        }
+        if (m_isHeadRelayed) {
+            answerFailure(refusal_cause::endpoint_failed);
+            return;
+        }
+        m_actions.emplace_back(relay_whole {ended.number});
+        m_isFinal = true;
+        return;
+    }
+    if (end == attempt_end::whole && !(m_events.hasPartial() && mayRepeat())) {
+        if (!m_isHeadRelayed) {
+            m_actions.emplace_back(relay_head {ended.number});
+            m_isHeadRelayed = true;
+        }
+        std::string rest = m_events.takeRest();
+        if (!rest.empty()) {
+            m_actions.emplace_back(relay_piece {std::move(rest)});
+        }
+        m_actions.emplace_back(relay_end {});
+        m_isFinal = true;
+        return;
+    }
+    repeatDecode(ended);
+}
+
+void forward_flow::repeatDecode(const attempt &ended)
+{
+    m_events.dropPartial();
+    const bool mayGoOn = (!m_mayHaveRun || mayRepeat()) && hasAttemptsLeft() && m_unsentTries < mostUnsentTries;
+    const bool isFree = m_unsentTries > 0 && ended.number == m_lastNumber && m_attemptsUsed == 0;
+    if (mayGoOn && (isFree || spendRepeat())) {
+        // A handle that no endpoint has taken yet can still be fetched.
+        const bool isHandleUnused = isFree && m_handle.has_value();
+        if (send(endpoint_duty::decode, isHandleUnused ? m_handle : std::nullopt)) {
+            return;
+        }
+    }
+    if (m_mayHaveRun) {
+        answerFailure(refusal_cause::endpoint_failed);
+    } else {
+        refuseNotRun(refusal_cause::overloaded);
+    }
+}
+
+void forward_flow::passPlainSilence(const attempt & /*silent*/)
+{
+    // The silent endpoint keeps its chance; the first whole answer counts.
+    if (mayRepeat() && hasAttemptsLeft() && spendRepeat()) {
+        send(endpoint_duty::plain_call, std::nullopt);
+    }
+}
+
+void forward_flow::passPrefillSilence(const attempt &silent)
+{
+    cancel(silent);
+    sendDecode(std::nullopt);
+}
+
+void forward_flow::passDecodeSilence(const attempt &silent)
+{
+    if (!mayRepeat() || !hasAttemptsLeft() || !spendRepeat()) {
+        return;
+    }
+    // The old run is ended first, so that two endpoints never work on one stream.
+    cancel(silent);
+    m_mayHaveRun = true;
+    m_events.dropPartial();
+    if (!send(endpoint_duty::decode, std::nullopt)) {
+        answerFailure(refusal_cause::endpoint_failed);
+    }
+}
+
+bool forward_flow::mayRepeat() const
+{
+    const traffic_route &route = *m_request.route;
+    return route.kind == request_kind::idempotent || (route.kind == request_kind::streaming && route.isResumable);
+}
+
+bool forward_flow::hasAttemptsLeft() const
+{
+    return m_attemptsUsed < std::max<std::int64_t>(m_request.route->maxAttempts, 1);
+}
+
+bool forward_flow::usesEngine() const
+{
+    return m_profile != nullptr && m_profile->engine.has_value();
+}
+
+void forward_flow::chooseService()
+{
+    const std::vector<route_target> &targets = m_request.route->targets;
+    std::int64_t total = 0;
+    for (const route_target &target : targets) {
+        total += target.weight;
+    }
+    if (targets.empty()) {
+        return;
+    }
+    std::int64_t drawn = total > 0 ? static_cast<std::int64_t>(m_context->random.below(static_cast<std::uint64_t>(total))) : 0;
+    m_service = targets.front().service;
+    for (const route_target &target : targets) {
+        if (drawn < target.weight) {
+            m_service = target.service;
+            break;
+        }
+        drawn -= target.weight;
+    }
+    m_profile = m_request.plan->findService(m_service);
+}
+
+void forward_flow::sendFirst()
+{
+    if (m_until.hasPassed(m_now)) {
+        refuse(refusal_cause::expired, std::nullopt);
+    } else if (usesEngine()) {
+        sendPrefill();
+    } else {
+        sendPlain();
+    }
+}
+
+void forward_flow::sendPlain()
+{
+    if (!send(endpoint_duty::plain_call, std::nullopt)) {
+        refuseNotRun(refusal_cause::no_endpoint);
+    }
+}
+
+void forward_flow::sendPrefill()
+{
+    // A prompt is not read while nobody could generate from it.
+    const bool canDecode = m_context->endpoints.choose(
+                               m_service, endpoint_duty::decode, tokensFor(endpoint_duty::decode), m_tried, m_profile, m_now, m_context->random)
+        != nullptr;
+    if (!canDecode) {
+        refuseNotRun(refusal_cause::no_endpoint);
+        return;
+    }
+    if (!send(endpoint_duty::prefill, std::nullopt)) {
+        sendDecode(std::nullopt);
+    }
+}
+
+void forward_flow::sendDecode(std::optional<prompt_handle> source)
+{
+    if (!send(endpoint_duty::decode, std::move(source))) {
+        refuseNotRun(refusal_cause::no_endpoint);
+    }
+}
+
+bool forward_flow::send(endpoint_duty duty, std::optional<prompt_handle> source)
+{
+    const endpoint_state *chosen =
+        m_context->endpoints.choose(m_service, duty, tokensFor(duty), m_tried, m_profile, m_now, m_context->random);
+    if (chosen == nullptr || !m_context->endpoints.takeColdShare(chosen->entry.id, m_now)) {
+        return false;
+    }
+    m_lastNumber += attempt_number(1);
+    attempt fresh;
+    fresh.number = m_lastNumber;
+    fresh.duty = duty;
+    fresh.endpoint = chosen->entry.id;
+    fresh.sentAt = m_now;
+    fresh.silentAt = deadline::after(m_now, silenceFor(duty));
+    m_tried.push_back(fresh.endpoint);
+    m_attempts.push_back(fresh);
+    (duty == endpoint_duty::prefill ? m_prefillsSent : m_attemptsUsed) += 1;
+
+    start_attempt order;
+    order.number = fresh.number;
+    order.duty = duty;
+    order.endpoint = fresh.endpoint;
+    order.address = chosen->entry.address;
+    order.service = m_service;
+    order.source = std::move(source);
+    order.resumeAfter = m_events.lastId();
+    order.until = m_until;
+    order.isStreamed = duty == endpoint_duty::decode || (duty == endpoint_duty::plain_call && m_request.route->kind == request_kind::streaming);
+    m_context->endpoints.noteSent(fresh.endpoint, tokensFor(duty), m_now);
+    m_actions.emplace_back(std::move(order));
+    return true;
+}
+
+bool forward_flow::spendRepeat()
+{
+    return m_context->repeats.spend(m_service, m_now);
+}
+
+void forward_flow::refuseNotRun(refusal_cause cause)
+{
+    if (m_isHeadRelayed) {
+        answerFailure(cause);
+        return;
+    }
+    releaseUnusedHandle();
+    refuse(cause, cause == refusal_cause::no_endpoint ? retryAfterNoEndpoint : retryAfterOverload);
+}
+
+void forward_flow::releaseUnusedHandle()
+{
+    if (m_handle) {
+        m_actions.emplace_back(release_handle {*std::exchange(m_handle, std::nullopt)});
+    }
+}
+
+void forward_flow::answerFailure(refusal_cause cause)
+{
+    if (m_isHeadRelayed) {
+        m_actions.emplace_back(break_answer {});
+        m_isFinal = true;
+        return;
+    }
+    refuse(cause, std::nullopt);
+}
+
+void forward_flow::refuse(refusal_cause cause, std::optional<milliseconds> retryAfter)
+{
+    m_actions.emplace_back(refuse_request {cause, retryAfter});
+    m_isFinal = true;
+}
+
+void forward_flow::cancel(const attempt &target)
+{
+    const std::optional<attempt> ended = take(target.number);
+    if (!ended) {
+        return;
+    }
+    const bool wasSilent = !ended->isAnswered && m_now - ended->sentAt > silenceFor(ended->duty);
+    const endpoint_verdict verdict = wasSilent ? endpoint_verdict::failed : endpoint_verdict::abandoned;
+    m_context->endpoints.noteEnded(ended->endpoint, tokensFor(ended->duty), ended->sentAt, ended->isAnswered, verdict, m_now);
+    m_actions.emplace_back(withdraw_attempt {ended->number});
+}
+
+void forward_flow::cancelAll()
+{
+    const std::vector<attempt> current = m_attempts;
+    for (const attempt &one : current) {
+        cancel(one);
+    }
+}
+
+forward_flow::attempt *forward_flow::find(attempt_number number)
+{
+    const auto found = std::find_if(m_attempts.begin(), m_attempts.end(), [&](const attempt &one) { return one.number == number; });
+    return found == m_attempts.end() ? nullptr : &*found;
+}
+
+std::optional<forward_flow::attempt> forward_flow::take(attempt_number number)
+{
+    const auto found = std::find_if(m_attempts.begin(), m_attempts.end(), [&](const attempt &one) { return one.number == number; });
+    if (found == m_attempts.end()) {
+        return std::nullopt;
+    }
+    attempt taken = *found;
+    m_attempts.erase(found);
+    return taken;
+}
+
+endpoint_verdict forward_flow::verdictOf(const attempt &ended, attempt_end end, const answer_summary &answer) const
+{
+    switch (end) {
+    case attempt_end::whole:
+        return answer.status >= firstServerErrorStatus ? endpoint_verdict::failed : endpoint_verdict::good;
+    case attempt_end::rejected:
+        return endpoint_verdict::refused;
+    case attempt_end::misdirected:
+    case attempt_end::not_sent:
+        return endpoint_verdict::unreachable;
+    case attempt_end::lost:
+        return m_isFinal && !ended.isAnswered ? endpoint_verdict::abandoned : endpoint_verdict::failed;
+    }
+    return endpoint_verdict::failed;
+}
+
+flow_actions forward_flow::run(const flow_context &context, instant now, const std::function<void()> &step)
+{
+    m_context = &context;
+    m_now = now;
+    m_actions.clear();
+    step();
+    m_context = nullptr;
+    return std::exchange(m_actions, {});
+}
+
+milliseconds forward_flow::silenceFor(endpoint_duty duty) const
+{
+    switch (duty) {
+    case endpoint_duty::plain_call:
+        return std::max(m_request.route->target, plainSilenceLeast);
+    case endpoint_duty::prefill:
+        return prefillSilence;
+    case endpoint_duty::decode:
+        return decodeSilence;
+    }
+    return decodeSilence;
+}
+
+token_count forward_flow::tokensFor(endpoint_duty duty) const
+{
+    const token_count prompt = m_request.facts.promptTokens.value_or(token_count());
+    return duty == endpoint_duty::decode ? prompt + m_request.facts.outputTokens : (duty == endpoint_duty::prefill ? prompt : token_count());
+}
+
+} // namespace burdockshelf
--- /dev/null
+++ b/src/forwarding/forward_flow.h
@@ -0,0 +1,143 @@
+#pragma once
+
+#include "core/random_source.h"
+#include "forwarding/event_splitter.h"
+#include "forwarding/flow_messages.h"
+#include "forwarding/repeat_budget.h"
+
+#include <functional>
+
+namespace burdockshelf
+{
+
+/// What flows share on one instance.
+struct flow_context
+{
+    endpoint_table &endpoints;
+    repeat_budget &repeats;
+    random_source &random;
+};
+
+/// A request that was admitted under a plan.
+struct admitted_request
+{
+    forward_facts facts;
+    /// Keeps the route and the services alive while the request runs.
+    std::shared_ptr<const plan_index> plan;
+    const traffic_route *route = nullptr;
+    workspace_id workspace;
+    std::int64_t priority = 0;
+    instant arrived;
+};
+
+/// The life of one admitted request: which endpoint gets it, what may be repeated, and what the caller is told. Takes typed events and
+/// returns typed actions; knows neither sockets nor encodings.
+class forward_flow
+{
+public:
+    explicit forward_flow(admitted_request request);
+
+    flow_actions begin(const flow_context &context, instant now);
+    /// The head of a streamed answer.
+    flow_actions onHead(attempt_number number, const flow_context &context, instant now);
+    /// A piece of a streamed answer.
+    flow_actions onPiece(attempt_number number, std::string_view bytes, const flow_context &context, instant now);
+    /// The end of an attempt. The answer is set for whole answers that were not streamed, the handle for prompts that were read.
+    flow_actions onEnd(attempt_number number,
+                       attempt_end end,
+                       const answer_summary &answer,
+                       const std::optional<std::string> &handle,
+                       const flow_context &context,
+                       instant now);
+    /// To be called once nextDeadline() has passed.
+    flow_actions onDeadline(const flow_context &context, instant now);
+    flow_actions onCallerGone(const flow_context &context, instant now);
+
+    deadline nextDeadline() const;
+    /// The caller has its final answer, or is gone, and no attempt is left.
+    bool isDone() const;
+    bool hasFinalAnswer() const;
+    const admitted_request &request() const;
+    std::int64_t attemptCount() const;
+
+private:
+    struct attempt
+    {
+        attempt_number number;
+        endpoint_duty duty = endpoint_duty::plain_call;
+        endpoint_id endpoint;
+        instant sentAt;
+        /// When the attempt counts as silent.
+        deadline silentAt = deadline::never();
+        bool isAnswered = false;
+        bool isRelayed = false;
+    };
+
+    using end_handler = void (forward_flow::*)(const attempt &, attempt_end, const answer_summary &, const std::optional<std::string> &);
+    using silence_handler = void (forward_flow::*)(const attempt &);
+
+    /// How attempts of one duty are dealt with.
+    struct duty_rules
+    {
+        end_handler onEnd;
+        silence_handler onSilence;
+    };
+
+    static const duty_rules &rulesOf(endpoint_duty duty);
+
+    void finishPlain(const attempt &ended, attempt_end end, const answer_summary &answer, const std::optional<std::string> &handle);
+    void finishPrefill(const attempt &ended, attempt_end end, const answer_summary &answer, const std::optional<std::string> &handle);
+    void finishDecode(const attempt &ended, attempt_end end, const answer_summary &answer, const std::optional<std::string> &handle);
+    void passPlainSilence(const attempt &silent);
+    void passPrefillSilence(const attempt &silent);
+    void passDecodeSilence(const attempt &silent);
+
+    bool mayRepeat() const;
+    bool hasAttemptsLeft() const;
+    bool usesEngine() const;
+    void chooseService();
+    void sendFirst();
+    void sendPrefill();
+    void sendDecode(std::optional<prompt_handle> source);
+    void sendPlain();
+    /// False when no endpoint can be had.
+    bool send(endpoint_duty duty, std::optional<prompt_handle> source);
+    bool spendRepeat();
+    void repeatDecode(const attempt &ended);
+    void refuseNotRun(refusal_cause cause);
+    void answerFailure(refusal_cause cause);
+    void refuse(refusal_cause cause, std::optional<std::chrono::milliseconds> retryAfter);
+    void cancel(const attempt &target);
+    void cancelAll();
+    void releaseUnusedHandle();
+    attempt *find(attempt_number number);
+    std::optional<attempt> take(attempt_number number);
+    endpoint_verdict verdictOf(const attempt &ended, attempt_end end, const answer_summary &answer) const;
+    flow_actions run(const flow_context &context, instant now, const std::function<void()> &step);
+    std::chrono::milliseconds silenceFor(endpoint_duty duty) const;
+    token_count tokensFor(endpoint_duty duty) const;
+
+    admitted_request m_request;
+    service_id m_service;
+    const traffic_service *m_profile = nullptr;
+    deadline m_until;
+    std::vector<attempt> m_attempts;
+    std::vector<endpoint_id> m_tried;
+    attempt_number m_lastNumber;
+    /// Endpoints that count against the route's bound.
+    std::int64_t m_attemptsUsed = 0;
+    std::int64_t m_prefillsSent = 0;
+    std::int64_t m_unsentTries = 0;
+    bool m_mayHaveRun = false;
+    bool m_isHeadRelayed = false;
+    bool m_isFinal = false;
+    bool m_isCallerGone = false;
+    event_splitter m_events;
+    std::optional<prompt_handle> m_handle;
+    // Valid while an event is handled.
+    const flow_context *m_context = nullptr;
+    instant m_now;
+    flow_actions m_actions;
+};
+
+} // namespace burdockshelf
--- /dev/null
+++ b/src/forwarding/member_view.cpp
@@ -0,0 +1,74 @@
+#include "forwarding/member_view.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace burdockshelf
+{
+
+namespace
+{
+
+// Reports come every two seconds. An instance that has been cut off goes back to its even part before the others give that part away.
+constexpr std::chrono::seconds ownLifetime {6};
+constexpr std::chrono::seconds memberLifetime {12};
+
+} // namespace
+
+member_view::member_view(instance_id self)
+    : m_self(std::move(self))
+{
+}
+
+void member_view::put(const instance_id &instance, const member_report &report, instant now)
+{
+    const auto found = m_members.find(instance);
+    if (found == m_members.end()) {
+        m_members[instance] = {report, now};
+        return;
+    }
+    member &known = found->second;
+    if (known.report.incarnation != report.incarnation || known.report.sequence != report.sequence) {
+        known = {report, now};
+    }
+}
+
+void member_view::remove(const instance_id &instance)
+{
+    m_members.erase(instance);
+}
+
+std::int64_t member_view::count(instant now) const
+{
+    const auto counted = std::count_if(m_members.begin(), m_members.end(), [&](const auto &entry) {
+        return entry.first != m_self && isCounted(entry.second, now);
+    });
+    return static_cast<std::int64_t>(counted) + 1;
+}
+
+std::vector<const workspace_demand *> member_view::demands(instant now) const
+{
+    std::vector<const workspace_demand *> all;
+    for (const auto &[instance, one] : m_members) {
+        if (isCounted(one, now)) {
+            all.push_back(&one.report.demand);
+        }
+    }
+    return all;
+}
+
+const workspace_demand *member_view::ownDemand(instant now) const
+{
+    const auto found = m_members.find(m_self);
+    if (found == m_members.end() || now - found->second.changedAt > ownLifetime) {
+        return nullptr;
+    }
+    return &found->second.report.demand;
+}
+
+bool member_view::isCounted(const member &one, instant now) const
+{
+    return now - one.changedAt <= memberLifetime;
+}
+
+} // namespace burdockshelf
--- /dev/null
+++ b/src/forwarding/member_view.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "core/ids.h"
+#include "forwarding/workspace_shares.h"
+
+#include <map>
+
+namespace burdockshelf
+{
+
+/// What an instance says of itself to the others.
+struct member_report
+{
+    incarnation_id incarnation;
+    /// Rises with every report of an incarnation.
+    std::int64_t sequence = 0;
+    workspace_demand demand;
+};
+
+/// The instances that have reported lately. Judges freshness by changes that it sees, so that clocks need not agree.
+class member_view
+{
+public:
+    explicit member_view(instance_id self);
+
+    void put(const instance_id &instance, const member_report &report, instant now);
+    void remove(const instance_id &instance);
+
+    /// Instances that may be serving, this one included.
+    std::int64_t count(instant now) const;
+    std::vector<const workspace_demand *> demands(instant now) const;
+    /// This instance's demand as the others see it; nullptr when it is out of touch.
+    const workspace_demand *ownDemand(instant now) const;
+
+private:
+    struct member
+    {
+        member_report report;
+        instant changedAt;
+    };
+
+    bool isCounted(const member &one, instant now) const;
+
+    instance_id m_self;
+    std::map<instance_id, member> m_members;
+};
+
+} // namespace burdockshelf
--- /dev/null
+++ b/src/forwarding/traffic_plan.cpp
@@ -0,0 +1,85 @@
+#include "forwarding/traffic_plan.h"
+
+#include <algorithm>
+#include <cctype>
+#include <utility>
+
+namespace burdockshelf
+{
+
+namespace
+{
+
+std::string lowerCase(std::string_view text)
+{
+    std::string lower(text);
+    std::transform(lower.begin(), lower.end(), lower.begin(), [](unsigned char letter) { return static_cast<char>(std::tolower(letter)); });
+    return lower;
+}
+
+std::string hostName(std::string_view host)
+{
+    const auto colon = host.rfind(':');
+    return lowerCase(colon == std::string_view::npos ? host : host.substr(0, colon));
+}
+
+} // namespace
+
+plan_index::plan_index(traffic_plan plan)
+    : m_plan(std::move(plan))
+{
+    for (const traffic_route &route : m_plan.routes) {
+        m_routesByHost[lowerCase(route.host)].push_back(&route);
+    }
+    for (auto &[host, routes] : m_routesByHost) {
+        std::stable_sort(routes.begin(), routes.end(), [](const traffic_route *left, const traffic_route *right) {
+            return left->pathPrefix.size() > right->pathPrefix.size();
+        });
+    }
+    for (const traffic_service &service : m_plan.services) {
+        m_services.emplace(service.id, &service);
+    }
+    for (const workspace_plan &workspace : m_plan.workspaces) {
+        for (const std::string &key : workspace.keys) {
+            m_workspaceByKey.emplace(key, &workspace);
+        }
+    }
+}
+
+const traffic_plan &plan_index::plan() const
+{
+    return m_plan;
+}
+
+const traffic_route *plan_index::findRoute(std::string_view host, std::string_view path) const
+{
+    const auto found = m_routesByHost.find(hostName(host));
+    if (found == m_routesByHost.end()) {
+        return nullptr;
+    }
+    for (const traffic_route *route : found->second) {
+        if (path.starts_with(route->pathPrefix)) {
+            return route;
+        }
+    }
+    return nullptr;
+}
+
+const traffic_service *plan_index::findService(const service_id &service) const
+{
+    const auto found = m_services.find(service);
+    return found == m_services.end() ? nullptr : found->second;
+}
+
+const workspace_plan *plan_index::findWorkspaceOfKey(std::string_view key) const
+{
+    const auto found = m_workspaceByKey.find(std::string(key));
+    return found == m_workspaceByKey.end() ? nullptr : found->second;
+}
+
+bool plan_index::requiresKeys() const
+{
+    return !m_plan.workspaces.empty();
+}
+
+} // namespace burdockshelf
--- /dev/null
+++ b/src/gateway/dispatch_task.h
@@ -0,0 +1,147 @@
+#pragma once
+
+#include "forwarding/member_view.h"
+#include "forwarding/workspace_shares.h"
+#include "gateway/gateway_messages.h"
+#include "gateway/monitor_messages.h"
+#include "logging/log_writer_task.h"
+#include "runtime/task.h"
+#include "runtime/timer.h"
+
+#include <map>
+#include <memory>
+#include <set>
+
+namespace burdockshelf
+{
+
+struct dispatch_settings
+{
+    instance_id instance;
+    incarnation_id incarnation;
+    data_centre_id dataCentre;
+    repeat_limits repeats;
+    double quotaSlack = 0.0;
+};
+
+/// Where the dispatcher sends its decisions.
+struct dispatch_addresses
+{
+    address<front_message> callers;
+    address<endpoint_link_message> endpoints;
+    address<store_message> store;
+    sink<readiness_report> readiness;
+    sink<metric_batch> metrics;
+};
+
+/// Decides on every request: admits it under the plan in force, runs its flow, and carries the flow's actions to the tasks that own the
+/// sockets. Owns all that this instance believes: plan, endpoints, members, quotas.
+class dispatch_task : public task<dispatch_message>
+{
+public:
+    dispatch_task(event_loop &loop,
+                  std::shared_ptr<mailbox<dispatch_message>> box,
+                  dispatch_settings settings,
+                  const gateway_dialects &dialects,
+                  dispatch_addresses to,
+                  event_log log,
+                  random_source random);
+    ~dispatch_task() override;
+
+    outcome<void> start() override;
+
+private:
+    struct active_flow;
+    using active_flows = std::map<flow_id, std::unique_ptr<active_flow>>;
+
+    /// How the records of one topic are taken in.
+    struct topic_handler
+    {
+        void (dispatch_task::*reset)(const std::vector<store_record> &);
+        void (dispatch_task::*change)(const std::vector<store_record> &);
+    };
+
+    static const topic_handler &handlerOf(store_topic topic);
+
+    void handle(dispatch_message &&message) override;
+    void apply(request_arrived &&arrived);
+    void apply(const caller_left &gone);
+    void apply(attempt_head &&head);
+    void apply(const attempt_piece &piece);
+    void apply(attempt_ended &&ended);
+    void apply(const topic_reset &reset);
+    void apply(const topic_changed &change);
+    void apply(const store_reachability &change);
+    void apply(const shutdown_begun &begun);
+
+    void resetOperators(const std::vector<store_record> &records);
+    void changeOperators(const std::vector<store_record> &records);
+    void resetEndpoints(const std::vector<store_record> &records);
+    void changeEndpoints(const std::vector<store_record> &records);
+    void changeMembers(const std::vector<store_record> &records);
+    void takeOperatorRecord(const store_record &record, std::set<data_centre_id> &evacuated);
+    void takePlan(traffic_plan plan);
+    void setEvacuated(std::set<data_centre_id> evacuated);
+    void putEndpoint(const endpoint_entry &entry);
+    void removeEndpoint(const endpoint_id &endpoint, std::string_view cause);
+
+    /// The admitted request, or the cause of its refusal.
+    struct admission
+    {
+        std::optional<admitted_request> request;
+        caller_refusal refusal;
+    };
+
+    admission admit(const forward_facts &facts, instant arrived);
+    void refuse(flow_id flow, const caller_refusal &refusal, const forward_facts &facts);
+    void carryOut(active_flow &flow, flow_actions &&actions);
+    void perform(active_flow &flow, start_attempt &&action);
+    void perform(active_flow &flow, const withdraw_attempt &action);
+    void perform(active_flow &flow, const release_handle &action);
+    void perform(active_flow &flow, const relay_head &action);
+    void perform(active_flow &flow, relay_piece &&action);
+    void perform(active_flow &flow, const relay_end &action);
+    void perform(active_flow &flow, const relay_whole &action);
+    void perform(active_flow &flow, const refuse_request &action);
+    void perform(active_flow &flow, const break_answer &action);
+    void settle(active_flow &flow);
+    void noteOutcome(active_flow &flow, std::string_view outcome, int status);
+    active_flow *find(flow_id flow);
+    /// Tokens of this instance's requests at an endpoint, for the log.
+    token_count ownTokensAt(const endpoint_id &endpoint) const;
+    void armDeadline();
+    void checkDeadlines();
+    void reportState();
+    void updateReadiness();
+    flow_context context();
+    void toCallers(front_message message);
+    void toEndpoints(endpoint_link_message message);
+    void count(std::string_view metric, std::string_view label, std::string_view value);
+
+    event_loop &m_loop;
+    dispatch_settings m_settings;
+    gateway_dialects m_dialects;
+    dispatch_addresses m_to;
+    event_log m_log;
+    random_source m_random;
+    std::shared_ptr<const plan_index> m_plan;
+    endpoint_table m_endpoints;
+    /// Entries that came before the first plan.
+    std::map<endpoint_id, endpoint_entry> m_early;
+    repeat_budget m_repeats;
+    workspace_shares m_shares;
+    member_view m_members;
+    std::int64_t m_instanceCount = 1;
+    std::int64_t m_reportSequence = 0;
+    active_flows m_flows;
+    std::set<std::pair<instant, flow_id>> m_deadlines;
+    timer m_deadline;
+    timer m_report;
+    metric_batch m_metrics;
+    std::int64_t m_successLines = 0;
+    std::int64_t m_sampledOut = 0;
+    bool m_isReady = false;
+    bool m_isShuttingDown = false;
+};
+
+} // namespace burdockshelf
--- /dev/null
+++ b/src/gateway/gateway_settings.cpp
@@ -0,0 +1,64 @@
+#include "gateway/gateway_settings.h"
+
+#include "wire/json_reader.h"
+
+#include <fstream>
+#include <sstream>
+
+namespace burdockshelf
+{
+
+namespace
+{
+
+constexpr number_range percentRange = {0, 1000};
+constexpr number_range slackRange = {0, 1'000'000};
+constexpr number_range quotaSlackRange = {0, 1'000'000'000};
+constexpr number_range graceRange = {1, 600'000};
+
+socket_address addressOf(json_reader &reader, std::string_view key)
+{
+    const auto parsed = socket_address::parse(reader.nonEmptyText(key));
+    if (!parsed) {
+        reader.reject(key, "an IP number and a port");
+        return {};
+    }
+    return parsed.value();
+}
+
+} // namespace
+
+outcome<gateway_settings> parseGatewaySettings(std::string_view text)
+{
+    BOOST_OUTCOME_TRY(reader, json_reader::parse(text, error_code::invalid_settings));
+    gateway_settings settings;
+    settings.instance = reader.id<instance_id>("instance");
+    settings.dataCentre = reader.id<data_centre_id>("dataCentre");
+    settings.callerAddress = addressOf(reader, "callerAddress");
+    settings.readinessAddress = addressOf(reader, "readinessAddress");
+    settings.metricsAddress = addressOf(reader, "metricsAddress");
+    settings.storeAddress = addressOf(reader, "storeAddress");
+    settings.grace = std::chrono::milliseconds(reader.integer("graceMs", graceRange));
+    settings.repeats.perHundred = reader.integer("repeatsPerHundred", percentRange);
+    settings.repeats.slack = reader.integer("repeatSlack", slackRange);
+    settings.quotaSlack = reader.integer("quotaSlack", quotaSlackRange);
+    BOOST_OUTCOME_TRYV(reader.finish());
+    return settings;
+}
+
+outcome<gateway_settings> loadGatewaySettings(const std::string &path)
+{
+    std::ifstream file(path);
+    if (!file) {
+        return failure(error_code::invalid_settings, path + ": the file cannot be read");
+    }
+    std::ostringstream text;
+    text << file.rdbuf();
+    auto settings = parseGatewaySettings(text.str());
+    if (!settings) {
+        return failure(settings.error().code, path + ": " + settings.error().message);
+    }
+    return settings;
+}
+
+} // namespace burdockshelf
--- /dev/null
+++ b/src/gateway/gateway_settings.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "core/ids.h"
+#include "core/outcome.h"
+#include "core/socket_address.h"
+#include "forwarding/repeat_budget.h"
+
+#include <chrono>
+#include <string>
+
+namespace burdockshelf
+{
+
+/// Settings of a gateway, JSON, checked whole at the start. Durations are in milliseconds.
+struct gateway_settings
+{
+    instance_id instance;
+    data_centre_id dataCentre;
+    socket_address callerAddress;
+    socket_address readinessAddress;
+    socket_address metricsAddress;
+    socket_address storeAddress;
+    /// From SIGTERM until the process is ended by force.
+    std::chrono::milliseconds grace {8000};
+    repeat_limits repeats;
+    /// Imprecision of quotas that the fleet may have in a window, in cost units.
+    std::int64_t quotaSlack = 0;
+};
+
+/// Reads and checks a settings file. The error names the file, the JSON pointer, what was found and what is allowed.
+outcome<gateway_settings> loadGatewaySettings(const std::string &path);
+outcome<gateway_settings> parseGatewaySettings(std::string_view text);
+
+} // namespace burdockshelf
--- /dev/null
+++ b/src/gateway/gateway_tree.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "gateway/caller_front_task.h"
+#include "gateway/dialects.h"
+#include "gateway/gateway_settings.h"
+#include "gateway/monitor_messages.h"
+#include "logging/log_writer_task.h"
+#include "runtime/supervisor.h"
+
+#include <functional>
+#include <memory>
+
+namespace burdockshelf
+{
+
+/// The supervisor tree of a gateway. Children in start order: log, monitor, endpoints, dispatcher, store, callers; they end in the reverse
+/// order, so that what was taken from callers is answered first.
+class gateway_tree
+{
+public:
+    /// Called once with the exit status.
+    using end_handler = std::function<void(int)>;
+
+    gateway_tree(event_loop &loop, const gateway_settings &settings, const gateway_dialects &dialects, end_handler onEnd);
+    ~gateway_tree();
+
+    outcome<void> start();
+    /// Graceful: not ready first, then the children end.
+    void beginShutdown();
+    /// The settings file has changed. Only a restart takes over new addresses, so this is noted and cuts nothing.
+    void noteReload();
+
+private:
+    event_loop &m_loop;
+    end_handler m_onEnd;
+    std::shared_ptr<mailbox<log_line>> m_logBox;
+    std::shared_ptr<mailbox<monitor_message>> m_monitorBox;
+    std::shared_ptr<mailbox<endpoint_link_message>> m_endpointBox;
+    std::shared_ptr<mailbox<dispatch_message>> m_dispatchBox;
+    std::shared_ptr<mailbox<store_message>> m_storeBox;
+    std::shared_ptr<mailbox<front_message>> m_frontBox;
+    event_log m_log;
+    std::unique_ptr<supervisor> m_root;
+    bool m_isShuttingDown = false;
+};
+
+} // namespace burdockshelf
--- /dev/null
+++ b/src/gateway/member_codec.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include "core/outcome.h"
+#include "forwarding/member_view.h"
+
+#include <string>
+#include <string_view>
+
+namespace burdockshelf
+{
+
+/// A member's report as JSON.
+std::string encodeMemberReport(const member_report &report);
+outcome<member_report> decodeMemberReport(std::string_view text);
+
+} // namespace burdockshelf
--- /dev/null
+++ b/src/gateway/store_call.cpp
@@ -0,0 +1,69 @@
+#include "gateway/store_call.h"
+
+#include <utility>
+
+namespace burdockshelf
+{
+
+store_call::store_call(event_loop &loop, const socket_address &store)
+    : m_loop(loop)
+    , m_store(store)
+    , m_timeout(loop,
+                [this] {
+                    discardConnection();
+                    finish(failure(error_code::deadline_exceeded, "no answer in time"));
+                })
+    , m_burial(loop, [this] { m_discarded.reset(); })
+{
+}
+
+store_call::~store_call() = default;
+
+bool store_call::isBusy() const
+{
+    return m_onDone != nullptr;
+}
+
+void store_call::begin(const http_request &request, deadline until, handler onDone)
+{
+    m_onDone = std::move(onDone);
+    m_response = {};
+    m_timeout.start(until);
+    if (!m_connection || !m_connection->isReusable(boot_clock::now())) {
+        discardConnection();
+        m_connection = std::make_unique<client_connection>(m_loop, m_store, client_connection_settings {});
+    }
+    exchange_handlers handlers;
+    handlers.onHead = [this](http_response &&head, const message_framing & /*framing*/) { m_response = std::move(head); };
+    handlers.onBody = [this](std::string_view bytes) { m_response.body.append(bytes); };
+    handlers.onEnd = [this](exchange_end end) {
+        if (end == exchange_end::complete) {
+            finish(std::move(m_response));
+            return;
+        }
+        discardConnection();
+        finish(failure(end == exchange_end::not_sent ? error_code::connection_refused : error_code::connection_lost, "no whole answer"));
+    };
+    // A connection that could not even be begun ends the call by its deadline.
+    m_connection->send(request, std::move(handlers));
+}
+
+void store_call::finish(outcome<http_response> result)
+{
+    m_timeout.stop();
+    const handler onDone = std::exchange(m_onDone, nullptr);
+    if (onDone) {
+        onDone(std::move(result));
+    }
+}
+
+// The connection may be the caller of this function and is destroyed from the loop.
+void store_call::discardConnection()
+{
+    if (m_connection) {
+        m_discarded = std::move(m_connection);
+        m_burial.start(deadline());
+    }
+}
+
+} // namespace burdockshelf
--- /dev/null
+++ b/src/gateway/store_task.cpp
@@ -0,0 +1,97 @@
+#include "gateway/store_task.h"
+
+#include <array>
+#include <utility>
+
+namespace burdockshelf
+{
+
+namespace
+{
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds writeTime {1500};
+
+// Changes of the operator must be in force within two seconds of the store's acknowledgement, also when the connection on which they were
+// awaited has gone silent; a silent one is noticed after wait and answer time.
+constexpr std::array<follow_settings, 3> followed = {
+    follow_settings {store_topic::operators, milliseconds(800), milliseconds(0), milliseconds(450), milliseconds(8000)},
+    follow_settings {store_topic::endpoints, milliseconds(800), milliseconds(0), milliseconds(450), milliseconds(8000)},
+    follow_settings {store_topic::members, milliseconds(0), milliseconds(2000), milliseconds(1000), milliseconds(60000)},
+};
+
+} // namespace
+
+store_task::store_task(event_loop &loop,
+                       std::shared_ptr<mailbox<store_message>> box,
+                       store_settings settings,
+                       const store_dialect &dialect,
+                       address<dispatch_message> dispatcher,
+                       event_log log,
+                       random_source random)
+    : task(std::move(box))
+    , m_settings(std::move(settings))
+    , m_dialect(dialect)
+    , m_dispatcher(std::move(dispatcher))
+    , m_log(std::move(log))
+    , m_random(std::move(random))
+    , m_writer(loop, m_settings.address)
+{
+    for (const follow_settings &topic : followed) {
+        m_followers.push_back(std::make_unique<topic_follower>(
+            loop,
+            m_settings.address,
+            m_dialect,
+            topic,
+            [this](dispatch_message update) { post(std::move(update)); },
+            [this](bool isReachable) { noteContact(isReachable); },
+            m_log,
+            m_random));
+    }
+}
+
+outcome<void> store_task::start()
+{
+    for (const auto &follower : m_followers) {
+        follower->start();
+    }
+    return success();
+}
+
+void store_task::handle(store_message &&message)
+{
+    std::visit([this](auto &&typed) { apply(std::forward<decltype(typed)>(typed)); }, std::move(message));
+}
+
+void store_task::apply(member_state &&state)
+{
+    if (m_writer.isBusy()) {
+        return;
+    }
+    const deadline until = deadline::after(boot_clock::now(), writeTime);
+    const http_request request = m_dialect.write(store_topic::members, m_settings.instance.value(), state.value);
+    m_writer.begin(request, until, [this](const outcome<http_response> &answer) {
+        const auto written = answer ? m_dialect.decodeWritten(answer.value()) : outcome<void>(answer.error());
+        if (!written) {
+            m_log.write(log_line("store", "write_failed").add("topic", "members").add("cause", written.error().message));
+        }
+    });
+}
+
+void store_task::noteContact(bool isReachable)
+{
+    if (isReachable != m_isReachable) {
+        m_isReachable = isReachable;
+        post(store_reachability {isReachable});
+    }
+}
+
+void store_task::post(dispatch_message message)
+{
+    if (m_dispatcher.post(std::move(message)) != post_result::delivered) {
+        m_log.write(log_line("store", "message_dropped").add("receiver", "dispatcher"));
+    }
+}
+
+} // namespace burdockshelf
--- /dev/null
+++ b/src/http1/client_connection.cpp
@@ -0,0 +1,194 @@
+#include "http1/client_connection.h"
+
+#include "http1/message_writer.h"
+
+#include <charconv>
+#include <utility>
+
+namespace burdockshelf
+{
+
+namespace
+{
+
+// Before the server's stated idle timeout, because its clock started when it sent, and a request needs time to arrive.
+constexpr std::chrono::milliseconds idleMargin {300};
+constexpr int firstFinalStatus = 200;
+
+std::chrono::milliseconds keepAliveOf(const http_headers &headers)
+{
+    const std::string_view value = headers.value("Keep-Alive");
+    const auto at = value.find("timeout=");
+    if (at == std::string_view::npos) {
+        return std::chrono::milliseconds(-1);
+    }
+    const std::string_view digits = value.substr(at + std::string_view("timeout=").size());
+    std::int64_t seconds = 0;
+    if (std::from_chars(digits.data(), digits.data() + digits.size(), seconds).ec != std::errc()) {
+        return std::chrono::milliseconds(-1);
+    }
+    return std::chrono::seconds(seconds);
+}
+
+} // namespace
+
+client_connection::client_connection(event_loop &loop, const socket_address &to, client_connection_settings settings)
+    : m_server(to)
+    , m_parser(message_parser::direction::responses, settings.maxHead, *this)
+{
+    byte_stream::handlers handlers;
+    handlers.onConnected = [this] { onConnected(); };
+    handlers.onReadable = [this] { onReadable(); };
+    handlers.onEnded = [this](stream_end end) { onEnded(end); };
+    m_stream = byte_stream::connect(loop, to, settings.userTimeout, std::move(handlers));
+    m_isUsable = m_stream != nullptr;
+}
+
+client_connection::~client_connection() = default;
+
+void client_connection::send(const http_request &request, exchange_handlers handlers)
+{
+    m_handlers = std::move(handlers);
+    m_isBusy = true;
+    m_isMine = false;
+    m_isComplete = false;
+    m_keepAlive = std::chrono::milliseconds(-1);
+    m_parser.resume();
+    m_parser.setNoBody(request.method == "HEAD");
+    const bool hasBody = !request.body.empty() || request.method == "POST" || request.method == "PUT" || request.method == "PATCH";
+    std::string bytes = requestBytes(request, hasBody ? body_framing::length : body_framing::none);
+    if (m_isConnected) {
+        m_stream->write(bytes);
+    } else {
+        m_unsent = std::move(bytes);
+    }
+}
+
+bool client_connection::isOpen() const
+{
+    return m_isUsable;
+}
+
+bool client_connection::isConnected() const
+{
+    return m_isConnected;
+}
+
+bool client_connection::isBusy() const
+{
+    return m_isBusy;
+}
+
+bool client_connection::isReusable(instant now) const
+{
+    return m_isUsable && !m_isBusy && m_isConnected && m_isKeptAlive && !m_idleUntil.hasPassed(now);
+}
+
+deadline client_connection::idleUntil() const
+{
+    return m_idleUntil;
+}
+
+instant client_connection::idleSince() const
+{
+    return m_idleSince;
+}
+
+std::size_t client_connection::exchangeCount() const
+{
+    return m_exchanges;
+}
+
+const socket_address &client_connection::server() const
+{
+    return m_server;
+}
+
+void client_connection::onResponseHead(http_response &&head, const message_framing &framing)
+{
+    if (head.status < firstFinalStatus) {
+        return;
+    }
+    m_isKeptAlive = framing.keepAlive && !framing.endsWithConnection;
+    m_keepAlive = keepAliveOf(head.headers);
+    m_isMine = !m_handlers.isMine || m_handlers.isMine(head);
+    if (m_isMine) {
+        m_handlers.onHead(std::move(head), framing);
+    }
+}
+
+void client_connection::onBody(std::string_view bytes)
+{
+    if (m_isMine) {
+        m_handlers.onBody(bytes);
+    }
+}
+
+void client_connection::onComplete()
+{
+    m_isComplete = m_isMine;
+}
+
+void client_connection::onConnected()
+{
+    m_isConnected = true;
+    m_stream->write(m_unsent);
+    m_unsent.clear();
+}
+
+void client_connection::onReadable()
+{
+    if (!m_isBusy) {
+        // Bytes that answer nothing.
+        m_isUsable = false;
+        return;
+    }
+    while (m_parser.state() == parse_state::reading) {
+        const std::string_view bytes = m_stream->peek();
+        if (bytes.empty()) {
+            return;
+        }
+        m_stream->drop(m_parser.take(bytes));
+        if (m_parser.state() == parse_state::complete && !m_isComplete) {
+            // An interim response or one that belongs to another request.
+            m_parser.resume();
+        }
+    }
+    if (m_parser.state() == parse_state::complete) {
+        finish(exchange_end::complete);
+    } else {
+        finish(exchange_end::broken);
+    }
+}
+
+void client_connection::onEnded(stream_end end)
+{
+    m_isUsable = false;
+    if (!m_isBusy) {
+        return;
+    }
+    if (!m_isConnected) {
+        finish(exchange_end::not_sent);
+        return;
+    }
+    if (end == stream_end::closed) {
+        m_parser.takeEnd();
+    }
+    finish(m_isComplete ? exchange_end::complete : exchange_end::lost);
+}
+
+void client_connection::finish(exchange_end end)
+{
+    const bool isClean = end == exchange_end::complete && m_stream->peek().empty() && m_stream->unsentBytes() == 0;
+    m_isUsable = m_isUsable && isClean;
+    m_isBusy = false;
+    ++m_exchanges;
+    m_idleSince = boot_clock::now();
+    m_idleUntil = m_keepAlive < std::chrono::milliseconds::zero() ? deadline::never()
+                                                                   : deadline::after(m_idleSince, m_keepAlive - idleMargin);
+    const exchange_handlers handlers = std::move(m_handlers);
+    m_handlers = {};
+    handlers.onEnd(end);
+}
+
+} // namespace burdockshelf
--- /dev/null
+++ b/src/http1/message_parser.cpp
@@ -0,0 +1,202 @@
+#include "http1/message_parser.h"
+
+#include <algorithm>
+#include <utility>
+
+#include <http_parser.h>
+
+namespace burdockshelf
+{
+
+struct message_parser::engine
+{
+    http_parser parser = {};
+    http_parser_settings callbacks = {};
+    message_handler &handler;
+    std::int64_t maxHead;
+    parse_state state = parse_state::reading;
+    bool isBetween = true;
+    bool hasNoBody = false;
+    bool readsRequests;
+    std::int64_t headBytes = 0;
+    std::string target;
+    std::string field;
+    std::string value;
+    bool isInValue = false;
+    http_headers headers;
+
+    engine(direction reads, byte_count limit, message_handler &to)
+        : handler(to)
+        , maxHead(limit.value())
+        , readsRequests(reads == direction::requests)
+    {
+        http_parser_init(&parser, readsRequests ? HTTP_REQUEST : HTTP_RESPONSE);
+        parser.data = this;
+        http_parser_settings_init(&callbacks);
+        callbacks.on_message_begin = [](http_parser *at) { return of(at).begin(); };
+        callbacks.on_url = [](http_parser *at, const char *text, std::size_t size) { return of(at).addTarget(text, size); };
+        callbacks.on_header_field = [](http_parser *at, const char *text, std::size_t size) { return of(at).addField(text, size); };
+        callbacks.on_header_value = [](http_parser *at, const char *text, std::size_t size) { return of(at).addValue(text, size); };
+        callbacks.on_headers_complete = [](http_parser *at) { return of(at).finishHead(); };
+        callbacks.on_body = [](http_parser *at, const char *text, std::size_t size) {
+            of(at).handler.onBody({text, size});
+            return 0;
+        };
+        callbacks.on_message_complete = [](http_parser *at) { return of(at).finishMessage(); };
+    }
+
+    static engine &of(http_parser *at)
+    {
+        return *static_cast<engine *>(at->data);
+    }
+
+    int begin()
+    {
+        isBetween = false;
+        headBytes = 0;
+        target.clear();
+        field.clear();
+        value.clear();
+        isInValue = false;
+        headers = {};
+        return 0;
+    }
+
+    int count(std::size_t size)
+    {
+        headBytes += static_cast<std::int64_t>(size);
+        if (headBytes > maxHead) {
+            state = parse_state::head_too_large;
+            return 1;
+        }
+        return 0;
+    }
+
+    int addTarget(const char *text, std::size_t size)
+    {
+        target.append(text, size);
+        return count(size);
+    }
+
+    int addField(const char *text, std::size_t size)
+    {
+        flushField();
+        field.append(text, size);
+        return count(size);
+    }
+
+    int addValue(const char *text, std::size_t size)
+    {
+        isInValue = true;
+        value.append(text, size);
+        return count(size);
+    }
+
+    // Fields of a trailer come after the head was handed out and are dropped.
+    void flushField()
+    {
+        if (isInValue) {
+            headers.add(std::move(field), std::move(value));
+            field.clear();
+            value.clear();
+            isInValue = false;
+        }
+    }
+
+    int finishHead()
+    {
+        flushField();
+        message_framing framing;
+        framing.keepAlive = http_should_keep_alive(&parser) != 0;
+        framing.isChunked = (parser.flags & F_CHUNKED) != 0;
+        if (!framing.isChunked && (parser.flags & F_CONTENTLENGTH) != 0) {
+            framing.contentLength = static_cast<std::int64_t>(parser.content_length);
+        }
+        if (readsRequests) {
+            http_request head;
+            head.method = http_method_str(static_cast<http_method>(parser.method));
+            head.target = std::move(target);
+            head.headers = std::move(headers);
+            handler.onRequestHead(std::move(head), framing);
+            return 0;
+        }
+        const bool isBodiless = hasNoBody || parser.status_code < 200 || parser.status_code == 204 || parser.status_code == 304;
+        framing.endsWithConnection = !isBodiless && !framing.isChunked && framing.contentLength < 0;
+        http_response head;
+        head.status = static_cast<int>(parser.status_code);
+        head.headers = std::move(headers);
+        handler.onResponseHead(std::move(head), framing);
+        return hasNoBody ? 1 : 0;
+    }
+
+    int finishMessage()
+    {
+        state = parse_state::complete;
+        isBetween = true;
+        http_parser_pause(&parser, 1);
+        handler.onComplete();
+        return 0;
+    }
+};
+
+message_parser::message_parser(direction reads, byte_count maxHead, message_handler &handler)
+    : m_engine(std::make_unique<engine>(reads, maxHead, handler))
+{
+}
+
+message_parser::~message_parser() = default;
+
+std::size_t message_parser::take(std::string_view bytes)
+{
+    engine &self = *m_engine;
+    if (self.state != parse_state::reading || bytes.empty()) {
+        return 0;
+    }
+    const std::size_t taken = http_parser_execute(&self.parser, &self.callbacks, bytes.data(), bytes.size());
+    if (self.state == parse_state::complete) {
+        return taken;
+    }
+    // An upgrade would leave HTTP; nothing here offers one.
+    if (HTTP_PARSER_ERRNO(&self.parser) != HPE_OK || self.parser.upgrade != 0) {
+        if (self.state == parse_state::reading) {
+            self.state = parse_state::broken;
+        }
+    }
+    return taken;
+}
+
+void message_parser::takeEnd()
+{
+    engine &self = *m_engine;
+    if (self.state == parse_state::reading && !self.isBetween) {
+        http_parser_execute(&self.parser, &self.callbacks, nullptr, 0);
+        if (self.state == parse_state::reading) {
+            self.state = parse_state::broken;
+        }
+    }
+}
+
+void message_parser::resume()
+{
+    if (m_engine->state == parse_state::complete) {
+        m_engine->state = parse_state::reading;
+        http_parser_pause(&m_engine->parser, 0);
+    }
+}
+
+void message_parser::setNoBody(bool hasNoBody)
+{
+    m_engine->hasNoBody = hasNoBody;
+}
+
+parse_state message_parser::state() const
+{
+    return m_engine->state;
+}
+
+bool message_parser::isBetweenMessages() const
+{
+    return m_engine->isBetween;
+}
+
+} // namespace burdockshelf
--- a/src/platform/instance_list_task.cpp
+++ b/src/log_service/instance_list_task.cpp
@@ -1,4 +1,4 @@
-#include "platform/instance_list_task.h"
+#include "log_service/instance_list_task.h"
 
 #include "wire/platform_codec.h"
 
--- a/src/platform/platform_messages.h
+++ b/src/log_service/log_service_messages.h
@@ -4,7 +4,7 @@
 #include "core/ids.h"
 #include "core/outcome.h"
 #include "core/units.h"
-#include "platform/listed_instance.h"
+#include "log_service/listed_instance.h"
 #include "runtime/sink.h"
 #include "state/stored_record.h"
 
--- a/src/platform/platform_supervisor.cpp
+++ b/src/log_service/log_service_supervisor.cpp
@@ -1,4 +1,4 @@
-#include "platform/platform_supervisor.h"
+#include "log_service/log_service_supervisor.h"
 
 namespace burdockshelf
 {
@@ -11,9 +11,9 @@
 
 } // namespace
 
-platform_supervisor::platform_supervisor(event_loop &loop,
-                                         const platform_settings &settings,
-                                         const platform_sinks &sinks,
+log_service_supervisor::log_service_supervisor(event_loop &loop,
+                                         const log_service_settings &settings,
+                                         const log_service_sinks &sinks,
                                          random_source random)
     : supervisor(loop, "platform", std::make_unique<one_for_one>())
     , m_logBox(std::make_shared<mailbox<log_task_message>>(loop, logMailboxCapacity))
@@ -29,12 +29,12 @@
               }});
 }
 
-address<log_task_message> platform_supervisor::log() const
+address<log_task_message> log_service_supervisor::log() const
 {
     return address<log_task_message>(m_logBox);
 }
 
-address<instance_list_task_message> platform_supervisor::instances() const
+address<instance_list_task_message> log_service_supervisor::instances() const
 {
     return address<instance_list_task_message>(m_instancesBox);
 }
--- a/src/platform/platform_supervisor.h
+++ b/src/log_service/log_service_supervisor.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "platform/instance_list_task.h"
-#include "platform/log_task.h"
+#include "log_service/instance_list_task.h"
+#include "log_service/log_task.h"
 #include "runtime/supervisor.h"
 
 #include <memory>
@@ -10,24 +10,24 @@
 namespace burdockshelf
 {
 
-struct platform_settings
+struct log_service_settings
 {
     log_task_settings log;
     instance_list_settings instances;
 };
 
 /// Who hears of the platform.
-struct platform_sinks
+struct log_service_sinks
 {
     log_task_sinks log;
     std::vector<sink<instance_list>> instances;
 };
 
 /// The branch of the supervisor tree that talks to the platform. Its mailboxes outlive restarts of their tasks.
-class platform_supervisor : public supervisor
+class log_service_supervisor : public supervisor
 {
 public:
-    platform_supervisor(event_loop &loop, const platform_settings &settings, const platform_sinks &sinks, random_source random);
+    log_service_supervisor(event_loop &loop, const log_service_settings &settings, const log_service_sinks &sinks, random_source random);
 
     address<log_task_message> log() const;
     address<instance_list_task_message> instances() const;
--- a/src/platform/log_task.cpp
+++ b/src/log_service/log_task.cpp
@@ -1,4 +1,4 @@
-#include "platform/log_task.h"
+#include "log_service/log_task.h"
 
 #include "wire/platform_codec.h"
 
--- a/src/platform/log_task.h
+++ b/src/log_service/log_task.h
@@ -2,7 +2,7 @@
 
 #include "core/random_source.h"
 #include "http/http_client.h"
-#include "platform/platform_messages.h"
+#include "log_service/log_service_messages.h"
 #include "runtime/backoff.h"
 #include "runtime/task.h"
 #include "runtime/timer.h"
--- /dev/null
+++ b/src/logging/log_line.cpp
@@ -0,0 +1,64 @@
+#include "logging/log_line.h"
+
+#include <algorithm>
+
+namespace burdockshelf
+{
+
+namespace
+{
+
+bool isPlain(std::string_view value)
+{
+    return !value.empty() && std::all_of(value.begin(), value.end(), [](char letter) { return letter > ' ' && letter != '"' && letter != '='; });
+}
+
+} // namespace
+
+log_line::log_line(std::string_view part, std::string_view event)
+{
+    m_text.reserve(256);
+    m_text.append("part=").append(part).append(" event=").append(event);
+}
+
+log_line &log_line::add(std::string_view name, std::string_view value)
+{
+    if (isPlain(value)) {
+        return addRaw(name, value);
+    }
+    std::string quoted = "\"";
+    for (const char letter : value) {
+        const bool isControl = static_cast<unsigned char>(letter) < ' ';
+        quoted += isControl ? ' ' : (letter == '"' ? '\'' : letter);
+    }
+    quoted += '"';
+    return addRaw(name, quoted);
+}
+
+log_line &log_line::add(std::string_view name, const char *value)
+{
+    return add(name, std::string_view(value));
+}
+
+log_line &log_line::add(std::string_view name, bool value)
+{
+    return addRaw(name, value ? "true" : "false");
+}
+
+log_line &log_line::add(std::string_view name, boot_clock::duration value)
+{
+    return addRaw(name, std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(value).count()));
+}
+
+const std::string &log_line::text() const
+{
+    return m_text;
+}
+
+log_line &log_line::addRaw(std::string_view name, std::string_view value)
+{
+    m_text.append(" ").append(name).append("=").append(value);
+    return *this;
+}
+
+} // namespace burdockshelf
--- a/src/mesh/mesh_messages.h
+++ b/src/mesh/mesh_messages.h
@@ -4,7 +4,7 @@
 #include "core/ids.h"
 #include "core/outcome.h"
 #include "core/socket_address.h"
-#include "platform/platform_messages.h"
+#include "log_service/log_service_messages.h"
 #include "policy/peer_message.h"
 #include "runtime/sink.h"
 
--- a/src/operators/operations_messages.h
+++ b/src/operators/operations_messages.h
@@ -6,7 +6,7 @@
 #include "core/units.h"
 #include "mesh/mesh_messages.h"
 #include "metrics/metric_batch.h"
-#include "platform/platform_messages.h"
+#include "log_service/log_service_messages.h"
 #include "state/log_record.h"
 
 #include <cstdint>
--- a/src/routing/routing_messages.h
+++ b/src/routing/routing_messages.h
@@ -4,7 +4,7 @@
 #include "core/deadline.h"
 #include "endpoints/endpoint_messages.h"
 #include "mesh/mesh_messages.h"
-#include "platform/platform_messages.h"
+#include "log_service/log_service_messages.h"
 #include "policy/claim_ledger.h"
 #include "policy/decision_authority.h"
 #include "runtime/sink.h"
--- a/src/wire/platform_codec.h
+++ b/src/wire/platform_codec.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "core/outcome.h"
-#include "platform/listed_instance.h"
+#include "log_service/listed_instance.h"
 #include "wire/record_codec.h"
 
 #include <string>
--- a/tests/platform/fake_platform.cpp
+++ b/tests/log_service/fake_platform.cpp
@@ -1,4 +1,4 @@
-#include "platform/fake_platform.h"
+#include "log_service/fake_platform.h"
 
 #include <event2/event.h>
 
--- a/tests/platform/platform_test.cpp
+++ b/tests/log_service/log_service_test.cpp
@@ -1,5 +1,5 @@
-#include "platform/fake_platform.h"
-#include "platform/platform_supervisor.h"
+#include "log_service/fake_platform.h"
+#include "log_service/log_service_supervisor.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -21,11 +21,11 @@
     std::vector<instance_list> lists;
     std::vector<append_result> appends;
     int refusals = 0;
-    std::unique_ptr<platform_supervisor> branch;
+    std::unique_ptr<log_service_supervisor> branch;
 
     fixture()
     {
-        platform_settings settings;
+        log_service_settings settings;
         settings.log.platform = platform.address;
         settings.log.leastRetry = 1ms;
         settings.log.mostRetry = 4ms;
@@ -33,7 +33,7 @@
         settings.instances.platform = platform.address;
         settings.instances.self = {instance_id("i"), incarnation_id("1"), data_centre_id("d"), {"127.0.0.1", 9}, instance_state::live};
         settings.instances.interval = 10ms;
-        platform_sinks sinks;
+        log_service_sinks sinks;
         sinks.log.batches.push_back(sink<log_batch>([this](log_batch &&batch) { return take(std::move(batch)); }));
         sinks.log.outages.push_back(sink<log_unreachable>([this](log_unreachable &&outage) {
             outages.push_back(outage.cause);
@@ -43,7 +43,7 @@
             lists.push_back(std::move(list));
             return post_result::delivered;
         }));
-        branch = std::make_unique<platform_supervisor>(platform.loop, settings, sinks, random_source(7));
+        branch = std::make_unique<log_service_supervisor>(platform.loop, settings, sinks, random_source(7));
         CHECK_TRUE(branch->start().has_value());
     }
 
--- a/tests/standins/platform/standin_instance_list.h
+++ b/tests/standins/platform/standin_instance_list.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "core/boot_clock.h"
-#include "platform/listed_instance.h"
+#include "log_service/listed_instance.h"
 #include "standins/platform/platform_control.h"
 
 #include <deque>
