--- a/src/forwarding/endpoint_table.cpp
+++ b/src/forwarding/endpoint_table.cpp
@@ -22,16 +22,19 @@
 constexpr milliseconds plainSilence {250};
 constexpr milliseconds engineSilence {1200};
 // Reports of other instances' work fade out, because the endpoint does not speak again while nothing is sent to it.
-constexpr milliseconds foreignLifetime {1500};
+constexpr milliseconds foreignLifetime {4000};
 // Score terms, in units of a fully used endpoint.
 constexpr double failurePenalty = 3.0;
 constexpr double suspectPenalty = 6.0;
 constexpr double blockedPenalty = 20.0;
+constexpr double fullPenalty = 4.0;
 constexpr double coldPenalty = 0.6;
 constexpr double remotePenalty = 0.12;
 constexpr double tieBreak = 0.02;
 // Latencies count relative to this one, so that an endpoint that is ten times slower is as good as full.
 constexpr double latencyScaleSeconds = 0.2;
+// Streams last for seconds, so an endpoint that was full stays so for some tens of milliseconds.
+constexpr milliseconds fullTime {60};
 // Tokens of a request of another instance, which reports tell only by number.
 constexpr double typicalTokens = 3300.0;
 
@@ -54,7 +57,12 @@
 
 bool fitsDuty(const endpoint_state &endpoint, endpoint_duty duty)
 {
-    const std::array<std::optional<engine_stage>, 3> needed = {std::nullopt, engine_stage::prefill, engine_stage::decode};
+    const std::array<std::optional<engine_stage>, 4> needed = {
+        std::nullopt,
+        engine_stage::decode,
+        engine_stage::prefill,
+        engine_stage::decode,
+    };
     return endpoint.entry.stage == needed.at(static_cast<std::size_t>(duty));
 }
 
@@ -264,6 +272,19 @@
     }
 }
 
+void endpoint_table::noteFull(const endpoint_id &endpoint, instant now)
+{
+    if (endpoint_state *known = state(endpoint)) {
+        known->fullUntil = deadline::after(now, fullTime);
+    }
+}
+
+double endpoint_table::loadOf(const endpoint_id &endpoint, const traffic_service *profile, instant now) const
+{
+    const endpoint_state *known = find(endpoint);
+    return known == nullptr ? 1.0 : load(*known, endpoint_duty::decode, token_count(), profile, now);
+}
+
 void endpoint_table::noteMisdirected(const endpoint_id &endpoint)
 {
     if (endpoint_state *known = state(endpoint)) {
@@ -283,25 +304,36 @@
                              const traffic_service *profile,
                              instant now) const
 {
-    const auto slots = static_cast<double>(std::max<std::int64_t>(candidate.entry.slots.value(), 1));
-    const double foreign = foreignAt(candidate, now);
-    double load = (static_cast<double>(candidate.outstanding) + foreign) / slots;
-    if (duty != endpoint_duty::plain_call && profile != nullptr && profile->engine && profile->engine->memory.value() > 0) {
-        const auto memory = static_cast<double>(profile->engine->memory.value());
-        const double used = static_cast<double>((candidate.outstandingTokens + tokens).value()) + foreign * typicalTokens;
-        load = std::max(load, used / memory);
-    }
-    double total = load + candidate.failureShare * failurePenalty;
+    const double used = load(candidate, duty, tokens, profile, now);
+    double total = used + candidate.failureShare * failurePenalty;
     if (duty == endpoint_duty::plain_call) {
-        total += std::min(candidate.latencySeconds / latencyScaleSeconds, 1.0) * load;
+        total += std::min(candidate.latencySeconds / latencyScaleSeconds, 1.0) * used;
     }
     total += candidate.blockedUntil.hasPassed(now) ? 0.0 : blockedPenalty;
     total += isSuspect(candidate, now) ? suspectPenalty : 0.0;
+    total += candidate.fullUntil.hasPassed(now) ? 0.0 : fullPenalty;
     total += candidate.coldUntil.hasPassed(now) ? 0.0 : coldPenalty;
     total += candidate.entry.dataCentre == m_settings.dataCentre ? 0.0 : remotePenalty;
     return total;
 }
 
+double endpoint_table::load(const endpoint_state &candidate,
+                            endpoint_duty duty,
+                            token_count tokens,
+                            const traffic_service *profile,
+                            instant now)
+{
+    const auto slots = static_cast<double>(std::max<std::int64_t>(candidate.entry.slots.value(), 1));
+    const double foreign = foreignAt(candidate, now);
+    double used = (static_cast<double>(candidate.outstanding) + foreign) / slots;
+    if (duty != endpoint_duty::plain_call && profile != nullptr && profile->engine && profile->engine->memory.value() > 0) {
+        const auto memory = static_cast<double>(profile->engine->memory.value());
+        const double tokensUsed = static_cast<double>((candidate.outstandingTokens + tokens).value()) + foreign * typicalTokens;
+        used = std::max(used, tokensUsed / memory);
+    }
+    return used;
+}
+
 void endpoint_table::setColdShare(endpoint_state &endpoint, const traffic_service *service, instant now) const
 {
     const double rate = service == nullptr ? 0.0 : service->coldPerSecond / static_cast<double>(m_instanceCount);
--- a/src/forwarding/endpoint_table.h
+++ b/src/forwarding/endpoint_table.h
@@ -21,6 +21,8 @@
 {
     /// The whole request at a plain service.
     plain_call,
+    /// Setting aside room for a request that will be generated.
+    reserve,
     /// Reading the prompt.
     prefill,
     /// Generating the answer.
@@ -58,6 +60,8 @@
     std::int64_t failuresInRow = 0;
     /// No requests before this instant, after failures in a row.
     deadline blockedUntil;
+    /// The endpoint has just had no room for a reservation.
+    deadline fullUntil;
     /// When the oldest attempt without an answer was sent; unset while there is none.
     std::multiset<instant> unanswered;
     bool isListed = true;
@@ -107,6 +111,10 @@
     void noteAnswer(const endpoint_id &endpoint, instant sentAt);
     void noteEnded(const endpoint_id &endpoint, token_count tokens, instant sentAt, bool wasAnswered, endpoint_verdict verdict, instant now);
     void noteLoad(const endpoint_id &endpoint, const endpoint_load &load, instant now);
+    /// The endpoint has no room now.
+    void noteFull(const endpoint_id &endpoint, instant now);
+    /// Estimated use of an endpoint, 1 when it is full.
+    double loadOf(const endpoint_id &endpoint, const traffic_service *profile, instant now) const;
     /// The address belongs to another endpoint by now.
     void noteMisdirected(const endpoint_id &endpoint);
 
@@ -115,6 +123,7 @@
 
     endpoint_state *state(const endpoint_id &endpoint);
     double score(const endpoint_state &candidate, endpoint_duty duty, token_count tokens, const traffic_service *profile, instant now) const;
+    static double load(const endpoint_state &candidate, endpoint_duty duty, token_count tokens, const traffic_service *profile, instant now);
     void setColdShare(endpoint_state &endpoint, const traffic_service *service, instant now) const;
 
     endpoint_table_settings m_settings;
--- a/src/forwarding/flow_messages.h
+++ b/src/forwarding/flow_messages.h
@@ -46,6 +46,14 @@
     std::string handle;
 };
 
+/// Room that an endpoint has set aside for a request.
+struct reserved_room
+{
+    endpoint_id endpoint;
+    socket_address address;
+    std::string reservation;
+};
+
 /// Why a request ends without an endpoint's answer.
 enum class refusal_cause
 {
@@ -102,6 +110,9 @@
     socket_address address;
     service_id service;
     std::optional<prompt_handle> source;
+    std::optional<reserved_room> room;
+    /// Room that the request needs, for reservations.
+    token_count tokens;
     std::optional<std::int64_t> resumeAfter;
     deadline until;
     /// The answer is handed on in pieces as it comes.
@@ -118,6 +129,11 @@
     prompt_handle handle;
 };
 
+struct release_room
+{
+    reserved_room room;
+};
+
 /// Hands on the head of an attempt's answer; pieces follow.
 struct relay_head
 {
@@ -152,7 +168,7 @@
 };
 
 using flow_action =
-    std::variant<start_attempt, withdraw_attempt, release_handle, relay_head, relay_piece, relay_end, relay_whole, refuse_request, break_answer>;
+    std::variant<start_attempt, withdraw_attempt, release_handle, release_room, relay_head, relay_piece, relay_end, relay_whole, refuse_request, break_answer>;
 using flow_actions = std::vector<flow_action>;
 
 } // namespace burdockshelf
--- a/src/forwarding/forward_flow.cpp
+++ b/src/forwarding/forward_flow.cpp
@@ -18,12 +18,27 @@
 constexpr milliseconds plainSilenceLeast {120};
 constexpr milliseconds prefillSilence {700};
 constexpr milliseconds decodeSilence {1100};
+constexpr milliseconds reserveSilence {250};
+// From this use on, an endpoint may be filled by other instances between the choice and the sending, and room is reserved first.
+constexpr double loadToReserve = 0.0;
+// Endpoints that are asked for room before the request waits.
+constexpr std::size_t mostFullPerRound = 3;
+constexpr milliseconds roomRetryPause {70};
+// A request that finds no room within this part of its route's target is refused, so that its caller can come back later.
+constexpr double waitPartOfTarget = 0.7;
 // When a caller whose request was not run may come again: after the blocking of a failed endpoint has begun to end, and long before its
 // own deadline.
 constexpr milliseconds retryAfterOverload {120};
 constexpr milliseconds retryAfterNoEndpoint {300};
+constexpr milliseconds retryAfterNoRoom {1200};
 constexpr int firstServerErrorStatus = 500;
 
+// Reading a prompt and setting aside room are no runs of the request.
+bool isRun(endpoint_duty duty)
+{
+    return duty == endpoint_duty::plain_call || duty == endpoint_duty::decode;
+}
+
 } // namespace
 
 forward_flow::forward_flow(admitted_request request)
@@ -35,8 +50,9 @@
 
 const forward_flow::duty_rules &forward_flow::rulesOf(endpoint_duty duty)
 {
-    static constexpr std::array<duty_rules, 3> rules = {
+    static constexpr std::array<duty_rules, 4> rules = {
         duty_rules {&forward_flow::finishPlain, &forward_flow::passPlainSilence},
+        duty_rules {&forward_flow::finishReserve, &forward_flow::passReserveSilence},
         duty_rules {&forward_flow::finishPrefill, &forward_flow::passPrefillSilence},
         duty_rules {&forward_flow::finishDecode, &forward_flow::passDecodeSilence},
     };
@@ -108,11 +124,11 @@
             m_context->endpoints.noteMisdirected(ended->endpoint);
         }
         if (end == attempt_end::lost || end == attempt_end::whole) {
-            m_mayHaveRun = m_mayHaveRun || ended->duty != endpoint_duty::prefill;
+            m_mayHaveRun = m_mayHaveRun || isRun(ended->duty);
         }
         if (end == attempt_end::not_sent) {
             ++m_unsentTries;
-            (ended->duty == endpoint_duty::prefill ? m_prefillsSent : m_attemptsUsed) -= 1;
+            counterOf(ended->duty) -= 1;
         }
         if (m_isFinal || m_isCallerGone) {
             return;
@@ -130,7 +146,7 @@
         }
         if (m_until.hasPassed(m_now)) {
             const bool isOutstanding =
-                std::any_of(m_attempts.begin(), m_attempts.end(), [](const attempt &one) { return one.duty != endpoint_duty::prefill; });
+                std::any_of(m_attempts.begin(), m_attempts.end(), [](const attempt &one) { return isRun(one.duty); });
             cancelAll();
             if (m_mayHaveRun || isOutstanding) {
                 answerFailure(refusal_cause::timed_out);
@@ -139,6 +155,11 @@
             }
             return;
         }
+        if (m_roomRetryAt.hasPassed(m_now) && !m_isFinal) {
+            m_roomRetryAt = deadline::never();
+            m_full.clear();
+            findRoom();
+        }
         const std::vector<attempt> current = m_attempts;
         for (const attempt &one : current) {
             if (one.silentAt.hasPassed(m_now) && !m_isFinal) {
@@ -160,6 +181,7 @@
         if (m_request.route->kind != request_kind::non_idempotent) {
             cancelAll();
         }
+        releaseUnused();
     });
 }
 
@@ -169,7 +191,7 @@
     for (const attempt &one : m_attempts) {
         next = std::min(next, one.silentAt);
     }
-    return next;
+    return m_isFinal ? next : std::min(next, m_roomRetryAt);
 }
 
 bool forward_flow::isDone() const
@@ -223,6 +245,24 @@
     }
 }
 
+void forward_flow::finishReserve(const attempt &ended,
+                                 attempt_end end,
+                                 const answer_summary & /*answer*/,
+                                 const std::optional<std::string> &handle)
+{
+    const endpoint_state *endpoint = m_context->endpoints.find(ended.endpoint);
+    if (end == attempt_end::whole && handle && endpoint != nullptr) {
+        m_room = reserved_room {ended.endpoint, endpoint->entry.address, *handle};
+        sendPrefill();
+        return;
+    }
+    if (end == attempt_end::whole || end == attempt_end::rejected) {
+        m_context->endpoints.noteFull(ended.endpoint, m_now);
+    }
+    m_full.push_back(ended.endpoint);
+    findRoom();
+}
+
 void forward_flow::finishPrefill(const attempt &ended,
                                  attempt_end end,
                                  const answer_summary & /*answer*/,
@@ -231,8 +271,7 @@
     if (end == attempt_end::whole && handle) {
         const endpoint_state *source = m_context->endpoints.find(ended.endpoint);
         if (source != nullptr) {
-            m_handle = prompt_handle {ended.endpoint, source->entry.address, *handle};
-            sendDecode(m_handle);
+            sendDecode(prompt_handle {ended.endpoint, source->entry.address, *handle});
             return;
         }
     }
@@ -287,6 +326,9 @@
 
 void forward_flow::repeatDecode(const attempt &ended)
 {
+    if (m_unsentTries == 0) {
+        m_handle.reset();
+    }
     m_events.dropPartial();
     const bool mayGoOn = (!m_mayHaveRun || mayRepeat()) && hasAttemptsLeft() && m_unsentTries < mostUnsentTries;
     const bool isFree = m_unsentTries > 0 && ended.number == m_lastNumber && m_attemptsUsed == 0;
@@ -312,6 +354,13 @@
     }
 }
 
+void forward_flow::passReserveSilence(const attempt &silent)
+{
+    cancel(silent);
+    m_full.push_back(silent.endpoint);
+    findRoom();
+}
+
 void forward_flow::passPrefillSilence(const attempt &silent)
 {
     cancel(silent);
@@ -326,6 +375,7 @@
     // The old run is ended first, so that two endpoints never work on one stream.
     cancel(silent);
     m_mayHaveRun = true;
+    m_handle.reset();
     m_events.dropPartial();
     if (!send(endpoint_duty::decode, std::nullopt)) {
         answerFailure(refusal_cause::endpoint_failed);
@@ -375,7 +425,7 @@
     if (m_until.hasPassed(m_now)) {
         refuse(refusal_cause::expired, std::nullopt);
     } else if (usesEngine()) {
-        sendPrefill();
+        findRoom();
     } else {
         sendPlain();
     }
@@ -388,16 +438,39 @@
     }
 }
 
-void forward_flow::sendPrefill()
+void forward_flow::findRoom()
 {
-    // A prompt is not read while nobody could generate from it.
-    const bool canDecode = m_context->endpoints.choose(
-                               m_service, endpoint_duty::decode, tokensFor(endpoint_duty::decode), m_tried, m_profile, m_now, m_context->random)
-        != nullptr;
-    if (!canDecode) {
+    const endpoint_state *chosen = m_context->endpoints.choose(
+        m_service, endpoint_duty::reserve, tokensFor(endpoint_duty::reserve), m_full, m_profile, m_now, m_context->random);
+    if (chosen == nullptr && m_full.empty()) {
         refuseNotRun(refusal_cause::no_endpoint);
         return;
     }
+    if (chosen == nullptr || m_full.size() >= mostFullPerRound) {
+        waitForRoom();
+        return;
+    }
+    if (m_full.empty() && m_context->endpoints.loadOf(chosen->entry.id, m_profile, m_now) < loadToReserve) {
+        sendPrefill();
+        return;
+    }
+    if (!sendTo(*chosen, endpoint_duty::reserve, std::nullopt)) {
+        waitForRoom();
+    }
+}
+
+void forward_flow::waitForRoom()
+{
+    const auto longest = std::chrono::duration_cast<milliseconds>(m_request.route->target * waitPartOfTarget);
+    if (m_now - m_request.arrived > longest) {
+        refuse(refusal_cause::overloaded, retryAfterNoRoom);
+        return;
+    }
+    m_roomRetryAt = deadline::after(m_now, roomRetryPause);
+}
+
+void forward_flow::sendPrefill()
+{
     if (!send(endpoint_duty::prefill, std::nullopt)) {
         sendDecode(std::nullopt);
     }
@@ -405,6 +478,7 @@
 
 void forward_flow::sendDecode(std::optional<prompt_handle> source)
 {
+    m_handle = source;
     if (!send(endpoint_duty::decode, std::move(source))) {
         refuseNotRun(refusal_cause::no_endpoint);
     }
@@ -412,29 +486,49 @@
 
 bool forward_flow::send(endpoint_duty duty, std::optional<prompt_handle> source)
 {
-    const endpoint_state *chosen =
-        m_context->endpoints.choose(m_service, duty, tokensFor(duty), m_tried, m_profile, m_now, m_context->random);
-    if (chosen == nullptr || !m_context->endpoints.takeColdShare(chosen->entry.id, m_now)) {
+    const endpoint_state *chosen = nullptr;
+    if (duty == endpoint_duty::decode && m_room && m_context->endpoints.mayReceive(m_room->endpoint, m_now)) {
+        chosen = m_context->endpoints.find(m_room->endpoint);
+    } else {
+        chosen = m_context->endpoints.choose(m_service, duty, tokensFor(duty), m_tried, m_profile, m_now, m_context->random);
+    }
+    return chosen != nullptr && sendTo(*chosen, duty, std::move(source));
+}
+
+bool forward_flow::sendTo(const endpoint_state &chosen, endpoint_duty duty, std::optional<prompt_handle> source)
+{
+    if (!m_context->endpoints.takeColdShare(chosen.entry.id, m_now)) {
         return false;
     }
     m_lastNumber += attempt_number(1);
     attempt fresh;
     fresh.number = m_lastNumber;
     fresh.duty = duty;
-    fresh.endpoint = chosen->entry.id;
+    fresh.endpoint = chosen.entry.id;
     fresh.sentAt = m_now;
     fresh.silentAt = deadline::after(m_now, silenceFor(duty));
-    m_tried.push_back(fresh.endpoint);
+    if (duty != endpoint_duty::reserve) {
+        m_tried.push_back(fresh.endpoint);
+    }
     m_attempts.push_back(fresh);
-    (duty == endpoint_duty::prefill ? m_prefillsSent : m_attemptsUsed) += 1;
+    counterOf(duty) += 1;
 
     start_attempt order;
     order.number = fresh.number;
     order.duty = duty;
     order.endpoint = fresh.endpoint;
-    order.address = chosen->entry.address;
+    order.address = chosen.entry.address;
     order.service = m_service;
     order.source = std::move(source);
+    order.tokens = tokensFor(duty);
+    if (duty == endpoint_duty::decode && m_room) {
+        // A reservation serves once, and only at its own endpoint.
+        if (m_room->endpoint == fresh.endpoint) {
+            order.room = std::exchange(m_room, std::nullopt);
+        } else {
+            releaseUnused();
+        }
+    }
     order.resumeAfter = m_events.lastId();
     order.until = m_until;
     order.isStreamed = duty == endpoint_duty::decode || (duty == endpoint_duty::plain_call && m_request.route->kind == request_kind::streaming);
@@ -454,15 +548,17 @@
         answerFailure(cause);
         return;
     }
-    releaseUnusedHandle();
     refuse(cause, cause == refusal_cause::no_endpoint ? retryAfterNoEndpoint : retryAfterOverload);
 }
 
-void forward_flow::releaseUnusedHandle()
+void forward_flow::releaseUnused()
 {
     if (m_handle) {
         m_actions.emplace_back(release_handle {*std::exchange(m_handle, std::nullopt)});
     }
+    if (m_room) {
+        m_actions.emplace_back(release_room {*std::exchange(m_room, std::nullopt)});
+    }
 }
 
 void forward_flow::answerFailure(refusal_cause cause)
@@ -477,6 +573,7 @@
 
 void forward_flow::refuse(refusal_cause cause, std::optional<milliseconds> retryAfter)
 {
+    releaseUnused();
     m_actions.emplace_back(refuse_request {cause, retryAfter});
     m_isFinal = true;
 }
@@ -520,6 +617,10 @@
 
 endpoint_verdict forward_flow::verdictOf(const attempt &ended, attempt_end end, const answer_summary &answer) const
 {
+    if (ended.duty == endpoint_duty::reserve && (end == attempt_end::whole || end == attempt_end::rejected)) {
+        // Having no room is no failure.
+        return endpoint_verdict::abandoned;
+    }
     switch (end) {
     case attempt_end::whole:
         return answer.status >= firstServerErrorStatus ? endpoint_verdict::failed : endpoint_verdict::good;
@@ -549,6 +650,8 @@
     switch (duty) {
     case endpoint_duty::plain_call:
         return std::max(m_request.route->target, plainSilenceLeast);
+    case endpoint_duty::reserve:
+        return reserveSilence;
     case endpoint_duty::prefill:
         return prefillSilence;
     case endpoint_duty::decode:
@@ -557,10 +660,33 @@
     return decodeSilence;
 }
 
+std::int64_t &forward_flow::counterOf(endpoint_duty duty)
+{
+    switch (duty) {
+    case endpoint_duty::reserve:
+        return m_reservesSent;
+    case endpoint_duty::prefill:
+        return m_prefillsSent;
+    case endpoint_duty::plain_call:
+    case endpoint_duty::decode:
+        break;
+    }
+    return m_attemptsUsed;
+}
+
 token_count forward_flow::tokensFor(endpoint_duty duty) const
 {
     const token_count prompt = m_request.facts.promptTokens.value_or(token_count());
-    return duty == endpoint_duty::decode ? prompt + m_request.facts.outputTokens : (duty == endpoint_duty::prefill ? prompt : token_count());
+    switch (duty) {
+    case endpoint_duty::plain_call:
+        return {};
+    case endpoint_duty::prefill:
+        return prompt;
+    case endpoint_duty::reserve:
+    case endpoint_duty::decode:
+        break;
+    }
+    return prompt + m_request.facts.outputTokens;
 }
 
 } // namespace burdockshelf
--- a/src/forwarding/forward_flow.h
+++ b/src/forwarding/forward_flow.h
@@ -42,7 +42,8 @@
     flow_actions onHead(attempt_number number, const flow_context &context, instant now);
     /// A piece of a streamed answer.
     flow_actions onPiece(attempt_number number, std::string_view bytes, const flow_context &context, instant now);
-    /// The end of an attempt. The answer is set for whole answers that were not streamed, the handle for prompts that were read.
+    /// The end of an attempt. The answer is set for whole answers that were not streamed, the handle for prompts that were read and for room
+    /// that was set aside.
     flow_actions onEnd(attempt_number number,
                        attempt_end end,
                        const answer_summary &answer,
@@ -86,9 +87,11 @@
     static const duty_rules &rulesOf(endpoint_duty duty);
 
     void finishPlain(const attempt &ended, attempt_end end, const answer_summary &answer, const std::optional<std::string> &handle);
+    void finishReserve(const attempt &ended, attempt_end end, const answer_summary &answer, const std::optional<std::string> &handle);
     void finishPrefill(const attempt &ended, attempt_end end, const answer_summary &answer, const std::optional<std::string> &handle);
     void finishDecode(const attempt &ended, attempt_end end, const answer_summary &answer, const std::optional<std::string> &handle);
     void passPlainSilence(const attempt &silent);
+    void passReserveSilence(const attempt &silent);
     void passPrefillSilence(const attempt &silent);
     void passDecodeSilence(const attempt &silent);
 
@@ -97,7 +100,11 @@
     bool usesEngine() const;
     void chooseService();
     void sendFirst();
+    /// Finds room for the whole request before its prompt is read.
+    void findRoom();
+    void waitForRoom();
     void sendPrefill();
+    bool sendTo(const endpoint_state &chosen, endpoint_duty duty, std::optional<prompt_handle> source);
     void sendDecode(std::optional<prompt_handle> source);
     void sendPlain();
     /// False when no endpoint can be had.
@@ -109,13 +116,14 @@
     void refuse(refusal_cause cause, std::optional<std::chrono::milliseconds> retryAfter);
     void cancel(const attempt &target);
     void cancelAll();
-    void releaseUnusedHandle();
+    void releaseUnused();
     attempt *find(attempt_number number);
     std::optional<attempt> take(attempt_number number);
     endpoint_verdict verdictOf(const attempt &ended, attempt_end end, const answer_summary &answer) const;
     flow_actions run(const flow_context &context, instant now, const std::function<void()> &step);
     std::chrono::milliseconds silenceFor(endpoint_duty duty) const;
     token_count tokensFor(endpoint_duty duty) const;
+    std::int64_t &counterOf(endpoint_duty duty);
 
     admitted_request m_request;
     service_id m_service;
@@ -127,6 +135,7 @@
     /// Endpoints that count against the route's bound.
     std::int64_t m_attemptsUsed = 0;
     std::int64_t m_prefillsSent = 0;
+    std::int64_t m_reservesSent = 0;
     std::int64_t m_unsentTries = 0;
     bool m_mayHaveRun = false;
     bool m_isHeadRelayed = false;
@@ -134,6 +143,10 @@
     bool m_isCallerGone = false;
     event_splitter m_events;
     std::optional<prompt_handle> m_handle;
+    std::optional<reserved_room> m_room;
+    /// Endpoints that had no room in the current round.
+    std::vector<endpoint_id> m_full;
+    deadline m_roomRetryAt = deadline::never();
     // Valid while an event is handled.
     const flow_context *m_context = nullptr;
     instant m_now;
--- a/src/gateway/dialects.h
+++ b/src/gateway/dialects.h
@@ -55,6 +55,11 @@
     virtual http_request
     forward(const http_request &original, const admitted_request &admitted, const start_attempt &attempt, instant now) const = 0;
     virtual answer_facts readAnswer(const http_response &head) const = 0;
+    /// Asks an endpoint to set room aside for an attempt that will follow.
+    virtual http_request reserve(const start_attempt &attempt) const = 0;
+    /// The reservation in the answer; nothing when there was no room.
+    virtual std::optional<std::string> readReservation(std::string_view body) const = 0;
+    virtual http_request releaseRoom(const std::string &reservation) const = 0;
     /// The handle in the answer to a prompt that was read; nothing when the answer is not usable.
     virtual std::optional<std::string> readPromptHandle(std::string_view body) const = 0;
     virtual http_request releaseHandle(const std::string &handle) const = 0;
--- a/src/gateway/dispatch_task.cpp
+++ b/src/gateway/dispatch_task.cpp
@@ -35,7 +35,7 @@
 
 std::string_view dutyName(endpoint_duty duty)
 {
-    static constexpr std::array<std::string_view, 3> names = {"plain_call", "prefill", "decode"};
+    static constexpr std::array<std::string_view, 4> names = {"plain_call", "reserve", "prefill", "decode"};
     return names.at(static_cast<std::size_t>(duty));
 }
 
@@ -150,9 +150,7 @@
     const auto sent = target->sent.find(ended.number);
     std::optional<std::string> handle;
     if (sent != target->sent.end()) {
-        if (sent->second.duty == endpoint_duty::prefill && ended.end == attempt_end::whole) {
-            handle = m_dialects.endpoints.readPromptHandle(ended.response.body);
-        }
+        handle = readHandle(sent->second.duty, ended);
         if (ended.end != attempt_end::whole || ended.response.status >= firstFailureStatus) {
             m_log.write(log_line("dispatch", "attempt_failed")
                             .add("request", target->flow.request().facts.id)
@@ -178,6 +176,23 @@
     carryOut(*target, target->flow.onEnd(ended.number, ended.end, summary, handle, context(), now));
 }
 
+std::optional<std::string> dispatch_task::readHandle(endpoint_duty duty, const attempt_ended &ended) const
+{
+    if (ended.end != attempt_end::whole || ended.response.status >= firstFailureStatus) {
+        return std::nullopt;
+    }
+    switch (duty) {
+    case endpoint_duty::reserve:
+        return m_dialects.endpoints.readReservation(ended.response.body);
+    case endpoint_duty::prefill:
+        return m_dialects.endpoints.readPromptHandle(ended.response.body);
+    case endpoint_duty::plain_call:
+    case endpoint_duty::decode:
+        break;
+    }
+    return std::nullopt;
+}
+
 token_count dispatch_task::ownTokensAt(const endpoint_id &endpoint) const
 {
     const endpoint_state *known = m_endpoints.find(endpoint);
@@ -464,9 +479,26 @@
     order.address = action.address;
     order.expected = request.facts.id;
     order.isStreamed = action.isStreamed;
-    order.needsProof = action.duty != endpoint_duty::prefill;
-    order.isRepeatable = request.route->kind == request_kind::idempotent || action.duty == endpoint_duty::prefill;
-    order.request = m_dialects.endpoints.forward(flow.original, request, action, boot_clock::now());
+    const bool isRun = action.duty == endpoint_duty::plain_call || action.duty == endpoint_duty::decode;
+    order.needsProof = isRun;
+    order.isRepeatable = request.route->kind == request_kind::idempotent || !isRun;
+    order.request = action.duty == endpoint_duty::reserve
+        ? m_dialects.endpoints.reserve(action)
+        : m_dialects.endpoints.forward(flow.original, request, action, boot_clock::now());
+    const endpoint_state *endpoint = m_endpoints.find(action.endpoint);
+    m_log.write(log_line("dispatch", "attempt_sent")
+                    .add("request", request.facts.id)
+                    .add("attempt", action.number)
+                    .add("duty", dutyName(action.duty))
+                    .add("endpoint", action.endpoint)
+                    .add("tokens", action.tokens)
+                    .add("own_requests_there", endpoint == nullptr ? 0 : endpoint->outstanding)
+                    .add("own_tokens_there", endpoint == nullptr ? 0 : endpoint->outstandingTokens.value())
+                    .add("others_there", endpoint == nullptr ? 0 : static_cast<std::int64_t>(endpoint->foreignRequests))
+                    .add("others_seen_ms", endpoint == nullptr ? boot_clock::duration() : boot_clock::now() - endpoint->foreignSeen)
+                    .add("has_room", action.room.has_value())
+                    .add("has_prompt", action.source.has_value())
+                    .add("left_ms", action.until.remaining(boot_clock::now())));
     flow.sent[action.number] = std::move(action);
     toEndpoints(std::move(order));
 }
@@ -487,6 +519,11 @@
     toEndpoints(call_and_forget {action.handle.address, m_dialects.endpoints.releaseHandle(action.handle.handle)});
 }
 
+void dispatch_task::perform(active_flow & /*flow*/, const release_room &action)
+{
+    toEndpoints(call_and_forget {action.room.address, m_dialects.endpoints.releaseRoom(action.room.reservation)});
+}
+
 void dispatch_task::perform(active_flow &flow, const relay_head &action)
 {
     flow.answeredAt = boot_clock::now();
--- a/src/gateway/dispatch_task.h
+++ b/src/gateway/dispatch_task.h
@@ -98,6 +98,7 @@
     void perform(active_flow &flow, start_attempt &&action);
     void perform(active_flow &flow, const withdraw_attempt &action);
     void perform(active_flow &flow, const release_handle &action);
+    void perform(active_flow &flow, const release_room &action);
     void perform(active_flow &flow, const relay_head &action);
     void perform(active_flow &flow, relay_piece &&action);
     void perform(active_flow &flow, const relay_end &action);
@@ -107,6 +108,7 @@
     void settle(active_flow &flow);
     void noteOutcome(active_flow &flow, std::string_view outcome, int status);
     active_flow *find(flow_id flow);
+    std::optional<std::string> readHandle(endpoint_duty duty, const attempt_ended &ended) const;
     /// Tokens of this instance's requests at an endpoint, for the log.
     token_count ownTokensAt(const endpoint_id &endpoint) const;
     void armDeadline();
