Ignore events of withdrawn attempts, and leave late requests of a shutdown to others

Ruled out: memory over the limit (1.6 MB at most); destruction order at the exit (the crash came 6 s before any SIGTERM). Change: a buried connection drops its handlers; streams are taken for a third of the grace, calls for three quarters.

--- a/src/gateway/dispatch_task.cpp
+++ b/src/gateway/dispatch_task.cpp
@@ -24,6 +24,11 @@
 constexpr std::int64_t spareConnectionShares = 1;
 constexpr std::size_t leastConnectionsPerEndpoint = 4;
 constexpr milliseconds retryAfterStart {250};
+constexpr milliseconds retryAfterShutdown {50};
+// Parts of the grace, in percent, in which new streams and new calls are still taken. Streams last for seconds; the balancer sends new
+// connections elsewhere after two.
+constexpr std::int64_t streamPartOfGrace = 34;
+constexpr std::int64_t callPartOfGrace = 75;
 constexpr milliseconds longestQuotaRetry {2000};
 constexpr int firstFailureStatus = 400;
 
@@ -221,6 +226,9 @@
 void dispatch_task::apply(const shutdown_begun & /*begun*/)
 {
     m_isShuttingDown = true;
+    const instant now = boot_clock::now();
+    m_streamsUntil = deadline::after(now, m_settings.grace * streamPartOfGrace / 100);
+    m_callsUntil = deadline::after(now, m_settings.grace * callPartOfGrace / 100);
     m_log.write(log_line("dispatch", "shutdown_begun").add("active", m_flows.size()));
     updateReadiness();
 }
@@ -423,6 +431,11 @@
     if (workspace == nullptr && m_plan->requiresKeys() && !route->isOpen) {
         return {std::nullopt, {refusal_cause::unknown_key, std::nullopt}};
     }
+    // What could not be finished within the grace is left to other instances.
+    const deadline taken = route->kind == request_kind::streaming ? m_streamsUntil : m_callsUntil;
+    if (taken.hasPassed(now)) {
+        return {std::nullopt, {refusal_cause::shutting_down, retryAfterShutdown}};
+    }
     admitted_request admitted;
     admitted.facts = facts;
     admitted.plan = m_plan;
--- a/src/gateway/dispatch_task.h
+++ b/src/gateway/dispatch_task.h
@@ -22,6 +22,8 @@
     data_centre_id dataCentre;
     repeat_limits repeats;
     double quotaSlack = 0.0;
+    /// From the begin of the shutdown until the process is ended by force.
+    std::chrono::milliseconds grace {8000};
 };
 
 /// Where the dispatcher sends its decisions.
@@ -143,6 +145,8 @@
     std::int64_t m_successLines = 0;
     std::int64_t m_sampledOut = 0;
     bool m_isReady = false;
+    deadline m_streamsUntil = deadline::never();
+    deadline m_callsUntil = deadline::never();
     bool m_isShuttingDown = false;
 };
 
--- a/src/gateway/endpoint_link_task.cpp
+++ b/src/gateway/endpoint_link_task.cpp
@@ -257,6 +257,8 @@
     if (found != m_pools.end()) {
         --found->second.open;
     }
+    // Events may still come for it before it is destroyed.
+    connection->abandon();
     m_buried.push_back(std::move(connection));
     m_burial.start(deadline());
 }
--- a/src/gateway/store_call.cpp
+++ b/src/gateway/store_call.cpp
@@ -61,6 +61,7 @@
 void store_call::discardConnection()
 {
     if (m_connection) {
+        m_connection->abandon();
         m_discarded = std::move(m_connection);
         m_burial.start(deadline());
     }
--- a/src/http1/client_connection.cpp
+++ b/src/http1/client_connection.cpp
@@ -64,6 +64,13 @@
     }
 }
 
+void client_connection::abandon()
+{
+    m_handlers = {};
+    m_isBusy = false;
+    m_isUsable = false;
+}
+
 bool client_connection::isOpen() const
 {
     return m_isUsable;
--- a/src/http1/client_connection.h
+++ b/src/http1/client_connection.h
@@ -51,6 +51,8 @@
 
     /// Begins an exchange; the connection must be idle.
     void send(const http_request &request, exchange_handlers handlers);
+    /// Ends the exchange without a word to its handlers; the connection carries no further one.
+    void abandon();
     /// False once the connection has ended or could not even be begun.
     bool isOpen() const;
     bool isConnected() const;
