--- a/src/burdockshelfd/main.cpp
+++ b/src/burdockshelfd/main.cpp
@@ -15,6 +15,7 @@
 #include <boost/program_options.hpp>
 #include <event2/event.h>
 #include <glog/logging.h>
+#include <unistd.h>
 
 namespace
 {
@@ -93,7 +94,7 @@
     const platform_adapter platform;
     event_loop loop;
     int status = EXIT_SUCCESS;
-    gateway_tree tree(loop, settings, platform.dialects(), [&](int result) {
+    gateway_tree tree(loop, settings, platform.dialects(), STDOUT_FILENO, [&](int result) {
         status = result;
         loop.stop();
     });
@@ -128,7 +129,8 @@
     namespace options = boost::program_options;
     options::options_description description("Options");
     description.add_options()("help,h", "show this text")("version", "show the version")(
-        "settings,s", options::value<std::string>(), "the settings file, JSON")("platform", "run as a gateway on the users' platform")("check", "check the settings and exit");
+        "settings,s", options::value<std::string>(), "the settings file, JSON")("platform", "run as a gateway on the users' platform")(
+        "check", "check the settings and exit");
     options::variables_map chosen;
     try {
         options::store(options::parse_command_line(argc, argv, description), chosen);
--- a/src/forwarding/endpoint_table.cpp
+++ b/src/forwarding/endpoint_table.cpp
@@ -221,12 +221,8 @@
     }
 }
 
-void endpoint_table::noteEnded(const endpoint_id &endpoint,
-                               token_count tokens,
-                               instant sentAt,
-                               bool wasAnswered,
-                               endpoint_verdict verdict,
-                               instant now)
+void endpoint_table::noteEnded(
+    const endpoint_id &endpoint, token_count tokens, instant sentAt, bool wasAnswered, endpoint_verdict verdict, instant now)
 {
     endpoint_state *known = state(endpoint);
     if (known == nullptr) {
@@ -298,11 +294,8 @@
     return found == m_endpoints.end() ? nullptr : found->second.get();
 }
 
-double endpoint_table::score(const endpoint_state &candidate,
-                             endpoint_duty duty,
-                             token_count tokens,
-                             const traffic_service *profile,
-                             instant now) const
+double endpoint_table::score(
+    const endpoint_state &candidate, endpoint_duty duty, token_count tokens, const traffic_service *profile, instant now) const
 {
     const double used = load(candidate, duty, tokens, profile, now);
     double total = used + candidate.failureShare * failurePenalty;
@@ -317,11 +310,8 @@
     return total;
 }
 
-double endpoint_table::load(const endpoint_state &candidate,
-                            endpoint_duty duty,
-                            token_count tokens,
-                            const traffic_service *profile,
-                            instant now)
+double
+endpoint_table::load(const endpoint_state &candidate, endpoint_duty duty, token_count tokens, const traffic_service *profile, instant now)
 {
     const auto slots = static_cast<double>(std::max<std::int64_t>(candidate.entry.slots.value(), 1));
     const double foreign = foreignAt(candidate, now);
--- a/src/forwarding/endpoint_table.h
+++ b/src/forwarding/endpoint_table.h
@@ -73,7 +73,8 @@
     data_centre_id dataCentre;
 };
 
-/// The endpoints, their health as far as the answers show it, and the choice among them. A pure value: time and random numbers are passed in.
+/// The endpoints, their health as far as the answers show it, and the choice among them. A pure value: time and random numbers are passed
+/// in.
 class endpoint_table
 {
 public:
@@ -109,7 +110,8 @@
     void noteSent(const endpoint_id &endpoint, token_count tokens, instant now);
     /// First byte of an answer for an attempt that was sent at the given time.
     void noteAnswer(const endpoint_id &endpoint, instant sentAt);
-    void noteEnded(const endpoint_id &endpoint, token_count tokens, instant sentAt, bool wasAnswered, endpoint_verdict verdict, instant now);
+    void
+    noteEnded(const endpoint_id &endpoint, token_count tokens, instant sentAt, bool wasAnswered, endpoint_verdict verdict, instant now);
     void noteLoad(const endpoint_id &endpoint, const endpoint_load &load, instant now);
     /// The endpoint has no room now.
     void noteFull(const endpoint_id &endpoint, instant now);
@@ -122,8 +124,10 @@
     using service_endpoints = std::vector<endpoint_state *>;
 
     endpoint_state *state(const endpoint_id &endpoint);
-    double score(const endpoint_state &candidate, endpoint_duty duty, token_count tokens, const traffic_service *profile, instant now) const;
-    static double load(const endpoint_state &candidate, endpoint_duty duty, token_count tokens, const traffic_service *profile, instant now);
+    double
+    score(const endpoint_state &candidate, endpoint_duty duty, token_count tokens, const traffic_service *profile, instant now) const;
+    static double
+    load(const endpoint_state &candidate, endpoint_duty duty, token_count tokens, const traffic_service *profile, instant now);
     void setColdShare(endpoint_state &endpoint, const traffic_service *service, instant now) const;
 
     endpoint_table_settings m_settings;
--- a/src/forwarding/flow_messages.h
+++ b/src/forwarding/flow_messages.h
@@ -167,8 +167,16 @@
 {
 };
 
-using flow_action =
-    std::variant<start_attempt, withdraw_attempt, release_handle, release_room, relay_head, relay_piece, relay_end, relay_whole, refuse_request, break_answer>;
+using flow_action = std::variant<start_attempt,
+                                 withdraw_attempt,
+                                 release_handle,
+                                 release_room,
+                                 relay_head,
+                                 relay_piece,
+                                 relay_end,
+                                 relay_whole,
+                                 refuse_request,
+                                 break_answer>;
 using flow_actions = std::vector<flow_action>;
 
 } // namespace burdockshelf
--- a/src/forwarding/forward_flow.cpp
+++ b/src/forwarding/forward_flow.cpp
@@ -114,12 +114,8 @@
         if (!ended) {
             return;
         }
-        m_context->endpoints.noteEnded(ended->endpoint,
-                                       tokensFor(ended->duty),
-                                       ended->sentAt,
-                                       ended->isAnswered,
-                                       verdictOf(*ended, end, answer),
-                                       m_now);
+        m_context->endpoints.noteEnded(
+            ended->endpoint, tokensFor(ended->duty), ended->sentAt, ended->isAnswered, verdictOf(*ended, end, answer), m_now);
         if (end == attempt_end::misdirected) {
             m_context->endpoints.noteMisdirected(ended->endpoint);
         }
@@ -531,7 +527,8 @@
     }
     order.resumeAfter = m_events.lastId();
     order.until = m_until;
-    order.isStreamed = duty == endpoint_duty::decode || (duty == endpoint_duty::plain_call && m_request.route->kind == request_kind::streaming);
+    order.isStreamed =
+        duty == endpoint_duty::decode || (duty == endpoint_duty::plain_call && m_request.route->kind == request_kind::streaming);
     m_context->endpoints.noteSent(fresh.endpoint, tokensFor(duty), m_now);
     m_actions.emplace_back(std::move(order));
     return true;
--- a/src/forwarding/forward_flow.h
+++ b/src/forwarding/forward_flow.h
@@ -42,8 +42,8 @@
     flow_actions onHead(attempt_number number, const flow_context &context, instant now);
     /// A piece of a streamed answer.
     flow_actions onPiece(attempt_number number, std::string_view bytes, const flow_context &context, instant now);
-    /// The end of an attempt. The answer is set for whole answers that were not streamed, the handle for prompts that were read and for room
-    /// that was set aside.
+    /// The end of an attempt. The answer is set for whole answers that were not streamed, the handle for prompts that were read and for
+    /// room that was set aside.
     flow_actions onEnd(attempt_number number,
                        attempt_end end,
                        const answer_summary &answer,
--- a/src/forwarding/member_view.cpp
+++ b/src/forwarding/member_view.cpp
@@ -40,9 +40,8 @@
 
 std::int64_t member_view::count(instant now) const
 {
-    const auto counted = std::count_if(m_members.begin(), m_members.end(), [&](const auto &entry) {
-        return entry.first != m_self && isCounted(entry.second, now);
-    });
+    const auto counted = std::count_if(
+        m_members.begin(), m_members.end(), [&](const auto &entry) { return entry.first != m_self && isCounted(entry.second, now); });
     return static_cast<std::int64_t>(counted) + 1;
 }
 
--- a/src/forwarding/repeat_budget.h
+++ b/src/forwarding/repeat_budget.h
@@ -17,8 +17,8 @@
     std::int64_t slack = 50;
 };
 
-/// This instance's share of the fleet's repeats: calls to endpoints beyond the first of each request, per service. Needs no message, because
-/// the ratio holds for each instance by itself and the slack is split among them.
+/// This instance's share of the fleet's repeats: calls to endpoints beyond the first of each request, per service. Needs no message,
+/// because the ratio holds for each instance by itself and the slack is split among them.
 class repeat_budget
 {
 public:
--- a/src/gateway/caller_front_task.cpp
+++ b/src/gateway/caller_front_task.cpp
@@ -45,8 +45,12 @@
         , m_idleSince(boot_clock::now())
     {
         byte_stream::handlers handlers;
-        handlers.onReadable = [this] { readMore(); };
-        handlers.onEnded = [this](stream_end) { end(); };
+        handlers.onReadable = [this] {
+            readMore();
+        };
+        handlers.onEnded = [this](stream_end) {
+            end();
+        };
         m_stream = byte_stream::adopt(owner.m_loop, socket, std::move(handlers));
     }
 
--- a/src/gateway/dispatch_task.cpp
+++ b/src/gateway/dispatch_task.cpp
@@ -18,8 +18,9 @@
 constexpr milliseconds reportPause {1000};
 // Every second report goes to the other instances by way of the store.
 constexpr std::int64_t reportsPerMemberReport = 2;
-// Lines for requests that went well, per report; failures are always logged.
-constexpr std::int64_t mostSuccessLines = 30;
+// Lines per report for requests that went well, and for those that failed or were refused. What is left out is counted.
+constexpr std::int64_t mostSuccessLines = 150;
+constexpr std::int64_t mostFailureLines = 300;
 // A part of each endpoint's connections stays free for instances that are about to come.
 constexpr std::int64_t spareConnectionShares = 1;
 constexpr std::size_t leastConnectionsPerEndpoint = 4;
@@ -108,8 +109,18 @@
         refuse(arrived.flow, decided.refusal, facts);
         return;
     }
-    auto fresh = std::make_unique<active_flow>(
-        active_flow {arrived.flow, std::move(arrived.request), forward_flow(std::move(*decided.request)), {}, {}, {}, false, false, 0, "unfinished", {}, {}});
+    auto fresh = std::make_unique<active_flow>(active_flow {arrived.flow,
+                                                            std::move(arrived.request),
+                                                            forward_flow(std::move(*decided.request)),
+                                                            {},
+                                                            {},
+                                                            {},
+                                                            false,
+                                                            false,
+                                                            0,
+                                                            "unfinished",
+                                                            {},
+                                                            {}});
     active_flow &target = *fresh;
     m_flows[arrived.flow] = std::move(fresh);
     carryOut(target, target.flow.begin(context(), boot_clock::now()));
@@ -156,7 +167,7 @@
     std::optional<std::string> handle;
     if (sent != target->sent.end()) {
         handle = readHandle(sent->second.duty, ended);
-        if (ended.end != attempt_end::whole || ended.response.status >= firstFailureStatus) {
+        if ((ended.end != attempt_end::whole || ended.response.status >= firstFailureStatus) && mayLog(false)) {
             m_log.write(log_line("dispatch", "attempt_failed")
                             .add("request", target->flow.request().facts.id)
                             .add("attempt", ended.number)
@@ -448,13 +459,15 @@
         const double cost = workspace_shares::costOf(*workspace, facts.promptTokens, facts.outputTokens);
         if (!m_shares.take(workspace->id, cost, now)) {
             const auto wait = std::chrono::ceil<milliseconds>(m_shares.waitFor(workspace->id, cost, now));
-            m_log.write(log_line("dispatch", "over_quota")
-                            .add("request", facts.id)
-                            .add("workspace", workspace->id)
-                            .add("cost", static_cast<std::int64_t>(cost))
-                            .add("rate_per_s", static_cast<std::int64_t>(workspace->ratePerSecond))
-                            .add("share_percent", static_cast<std::int64_t>(m_shares.shareOf(workspace->id) * 100.0))
-                            .add("instances", m_instanceCount));
+            if (mayLog(false)) {
+                m_log.write(log_line("dispatch", "over_quota")
+                                .add("request", facts.id)
+                                .add("workspace", workspace->id)
+                                .add("cost", static_cast<std::int64_t>(cost))
+                                .add("rate_per_s", static_cast<std::int64_t>(workspace->ratePerSecond))
+                                .add("share_percent", static_cast<std::int64_t>(m_shares.shareOf(workspace->id) * 100.0))
+                                .add("instances", m_instanceCount));
+            }
             return {std::nullopt, {refusal_cause::over_quota, std::min(wait, longestQuotaRetry)}};
         }
     }
@@ -464,13 +477,15 @@
 void dispatch_task::refuse(flow_id flow, const caller_refusal &refusal, const forward_facts &facts)
 {
     http_response response = m_dialects.callers.refusal(refusal, facts);
-    m_log.write(log_line("dispatch", "refused")
-                    .add("request", facts.id)
-                    .add("cause", refusalName(refusal.cause))
-                    .add("status", response.status)
-                    .add("path", facts.path)
-                    .add("plan", m_plan ? m_plan->plan().version.value() : 0)
-                    .add("retry_after_ms", refusal.retryAfter ? refusal.retryAfter->count() : -1));
+    if (mayLog(false)) {
+        m_log.write(log_line("dispatch", "refused")
+                        .add("request", facts.id)
+                        .add("cause", refusalName(refusal.cause))
+                        .add("status", response.status)
+                        .add("path", facts.path)
+                        .add("plan", m_plan ? m_plan->plan().version.value() : 0)
+                        .add("retry_after_ms", refusal.retryAfter ? refusal.retryAfter->count() : -1));
+    }
     count("burdockshelf_refusals_total", "cause", refusalName(refusal.cause));
     toCallers(answer_whole {flow, std::move(response)});
 }
@@ -495,23 +510,24 @@
     const bool isRun = action.duty == endpoint_duty::plain_call || action.duty == endpoint_duty::decode;
     order.needsProof = isRun;
     order.isRepeatable = request.route->kind == request_kind::idempotent || !isRun;
-    order.request = action.duty == endpoint_duty::reserve
-        ? m_dialects.endpoints.reserve(action)
-        : m_dialects.endpoints.forward(flow.original, request, action, boot_clock::now());
+    order.request = action.duty == endpoint_duty::reserve ? m_dialects.endpoints.reserve(action)
+                                                          : m_dialects.endpoints.forward(flow.original, request, action, boot_clock::now());
     const endpoint_state *endpoint = m_endpoints.find(action.endpoint);
-    m_log.write(log_line("dispatch", "attempt_sent")
-                    .add("request", request.facts.id)
-                    .add("attempt", action.number)
-                    .add("duty", dutyName(action.duty))
-                    .add("endpoint", action.endpoint)
-                    .add("tokens", action.tokens)
-                    .add("own_requests_there", endpoint == nullptr ? 0 : endpoint->outstanding)
-                    .add("own_tokens_there", endpoint == nullptr ? 0 : endpoint->outstandingTokens.value())
-                    .add("others_there", endpoint == nullptr ? 0 : static_cast<std::int64_t>(endpoint->foreignRequests))
-                    .add("others_seen_ms", endpoint == nullptr ? boot_clock::duration() : boot_clock::now() - endpoint->foreignSeen)
-                    .add("has_room", action.room.has_value())
-                    .add("has_prompt", action.source.has_value())
-                    .add("left_ms", action.until.remaining(boot_clock::now())));
+    if (mayLog(true)) {
+        m_log.write(log_line("dispatch", "attempt_sent")
+                        .add("request", request.facts.id)
+                        .add("attempt", action.number)
+                        .add("duty", dutyName(action.duty))
+                        .add("endpoint", action.endpoint)
+                        .add("tokens", action.tokens)
+                        .add("own_requests_there", endpoint == nullptr ? 0 : endpoint->outstanding)
+                        .add("own_tokens_there", endpoint == nullptr ? 0 : endpoint->outstandingTokens.value())
+                        .add("others_there", endpoint == nullptr ? 0 : static_cast<std::int64_t>(endpoint->foreignRequests))
+                        .add("others_seen_ms", endpoint == nullptr ? boot_clock::duration() : boot_clock::now() - endpoint->foreignSeen)
+                        .add("has_room", action.room.has_value())
+                        .add("has_prompt", action.source.has_value())
+                        .add("left_ms", action.until.remaining(boot_clock::now())));
+    }
     flow.sent[action.number] = std::move(action);
     toEndpoints(std::move(order));
 }
@@ -597,9 +613,7 @@
         count("burdockshelf_requests_total", "outcome", flow.outcome);
         m_metrics.latencies.push_back({{"burdockshelf_request_seconds", {{"kind", std::string(kindName(request.route->kind))}}},
                                        std::chrono::duration_cast<latency_sketch::duration>(took)});
-        if (isGood && ++m_successLines > mostSuccessLines) {
-            ++m_sampledOut;
-        } else {
+        if (mayLog(isGood)) {
             m_log.write(log_line("dispatch", "request_done")
                             .add("request", request.facts.id)
                             .add("route", request.route->id)
@@ -672,11 +686,10 @@
 {
     const instant now = boot_clock::now();
     m_report.start(deadline::after(now, reportPause));
-    if (m_sampledOut > 0) {
-        m_log.write(log_line("dispatch", "good_requests_not_logged").add("count", m_sampledOut));
+    if (m_linesLeftOut > 0) {
+        m_log.write(log_line("dispatch", "lines_left_out").add("count", std::exchange(m_linesLeftOut, 0)));
     }
-    m_successLines = 0;
-    m_sampledOut = 0;
+    m_lines = {};
     const std::int64_t instances = m_members.count(now);
     if (instances != m_instanceCount) {
         m_log.write(log_line("dispatch", "instances_changed").add("count", instances).add("before", m_instanceCount));
@@ -735,6 +748,16 @@
     }
 }
 
+bool dispatch_task::mayLog(bool isGood)
+{
+    std::int64_t &written = isGood ? m_lines.good : m_lines.failed;
+    if (++written <= (isGood ? mostSuccessLines : mostFailureLines)) {
+        return true;
+    }
+    ++m_linesLeftOut;
+    return false;
+}
+
 void dispatch_task::count(std::string_view metric, std::string_view label, std::string_view value)
 {
     m_metrics.counters.push_back({{std::string(metric), {{std::string(label), std::string(value)}}}, 1});
--- a/src/gateway/dispatch_task.h
+++ b/src/gateway/dispatch_task.h
@@ -63,6 +63,13 @@
         void (dispatch_task::*change)(const std::vector<store_record> &);
     };
 
+    /// Lines written since the last report.
+    struct log_volume
+    {
+        std::int64_t good = 0;
+        std::int64_t failed = 0;
+    };
+
     static const topic_handler &handlerOf(store_topic topic);
 
     void handle(dispatch_message &&message) override;
@@ -120,6 +127,8 @@
     flow_context context();
     void toCallers(front_message message);
     void toEndpoints(endpoint_link_message message);
+    /// Bounds the log under load; failures have their own, larger bound.
+    bool mayLog(bool isGood);
     void count(std::string_view metric, std::string_view label, std::string_view value);
 
     event_loop &m_loop;
@@ -142,8 +151,8 @@
     timer m_deadline;
     timer m_report;
     metric_batch m_metrics;
-    std::int64_t m_successLines = 0;
-    std::int64_t m_sampledOut = 0;
+    log_volume m_lines;
+    std::int64_t m_linesLeftOut = 0;
     bool m_isReady = false;
     deadline m_streamsUntil = deadline::never();
     deadline m_callsUntil = deadline::never();
--- a/src/gateway/endpoint_link_task.cpp
+++ b/src/gateway/endpoint_link_task.cpp
@@ -188,7 +188,9 @@
             target.facts.isEncoded = true;
         }
     };
-    handlers.onEnd = [this, &target](exchange_end end) { finishExchange(target, end); };
+    handlers.onEnd = [this, &target](exchange_end end) {
+        finishExchange(target, end);
+    };
     return handlers;
 }
 
--- a/src/gateway/gateway_tree.cpp
+++ b/src/gateway/gateway_tree.cpp
@@ -9,7 +9,6 @@
 #include <utility>
 
 #include <glog/logging.h>
-#include <unistd.h>
 
 namespace burdockshelf
 {
@@ -29,7 +28,8 @@
 
 } // namespace
 
-gateway_tree::gateway_tree(event_loop &loop, const gateway_settings &settings, const gateway_dialects &dialects, end_handler onEnd)
+gateway_tree::gateway_tree(
+    event_loop &loop, const gateway_settings &settings, const gateway_dialects &dialects, int logDescriptor, end_handler onEnd)
     : m_loop(loop)
     , m_onEnd(std::move(onEnd))
     , m_logBox(makeBox<log_line>(loop, logMailboxCapacity))
@@ -43,7 +43,9 @@
 {
     random_source random;
     const incarnation_id incarnation(random.hexId());
-    m_root->addChild({"log", [this] { return std::make_unique<log_writer_task>(m_loop, m_logBox, STDOUT_FILENO); }});
+    m_root->addChild({"log", [this, logDescriptor] {
+                          return std::make_unique<log_writer_task>(m_loop, m_logBox, logDescriptor);
+                      }});
     m_root->addChild({"monitor", [this, settings] {
                           const monitor_settings monitor = {settings.readinessAddress, settings.metricsAddress};
                           return std::make_unique<monitor_task>(m_loop, m_monitorBox, monitor);
@@ -52,7 +54,12 @@
                           return std::make_unique<endpoint_link_task>(m_loop, m_endpointBox, endpoints, address(m_dispatchBox), m_log);
                       }});
     m_root->addChild({"dispatcher", [this, settings, dialects, incarnation] {
-                          const dispatch_settings dispatch = {settings.instance, incarnation, settings.dataCentre, settings.repeats, static_cast<double>(settings.quotaSlack), settings.grace};
+                          const dispatch_settings dispatch = {settings.instance,
+                                                              incarnation,
+                                                              settings.dataCentre,
+                                                              settings.repeats,
+                                                              static_cast<double>(settings.quotaSlack),
+                                                              settings.grace};
                           dispatch_addresses to;
                           to.callers = address(m_frontBox);
                           to.endpoints = address(m_endpointBox);
@@ -63,11 +70,13 @@
                       }});
     m_root->addChild({"store", [this, settings, &store = dialects.store] {
                           const store_settings at = {settings.storeAddress, settings.instance};
-                          return std::make_unique<store_task>(m_loop, m_storeBox, at, store, address(m_dispatchBox), m_log, random_source());
+                          return std::make_unique<store_task>(
+                              m_loop, m_storeBox, at, store, address(m_dispatchBox), m_log, random_source());
                       }});
     m_root->addChild({"callers", [this, settings] {
                           const caller_front_settings front = {settings.callerAddress, settings.grace};
                           const sink<front_listening> listening([this](const front_listening &bound) {
+                              m_callerAddress = bound.address;
                               m_log.write(log_line("gateway", "listening").add("address", bound.address.toString()));
                               return post_result::delivered;
                           });
@@ -93,6 +102,11 @@
     return m_root->start();
 }
 
+const socket_address &gateway_tree::callerAddress() const
+{
+    return m_callerAddress;
+}
+
 void gateway_tree::beginShutdown()
 {
     if (m_isShuttingDown) {
--- a/src/gateway/gateway_tree.h
+++ b/src/gateway/gateway_tree.h
@@ -21,10 +21,14 @@
     /// Called once with the exit status.
     using end_handler = std::function<void(int)>;
 
-    gateway_tree(event_loop &loop, const gateway_settings &settings, const gateway_dialects &dialects, end_handler onEnd);
+    /// Log lines go to the given descriptor.
+    gateway_tree(
+        event_loop &loop, const gateway_settings &settings, const gateway_dialects &dialects, int logDescriptor, end_handler onEnd);
     ~gateway_tree();
 
     outcome<void> start();
+    /// Where callers are served, with the port that the kernel chose when the settings say 0.
+    const socket_address &callerAddress() const;
     /// Graceful: not ready first, then the children end.
     void beginShutdown();
     /// The settings file has changed. Only a restart takes over new addresses, so this is noted and cuts nothing.
@@ -40,6 +44,7 @@
     std::shared_ptr<mailbox<store_message>> m_storeBox;
     std::shared_ptr<mailbox<front_message>> m_frontBox;
     event_log m_log;
+    socket_address m_callerAddress;
     std::unique_ptr<supervisor> m_root;
     bool m_isShuttingDown = false;
 };
--- a/src/gateway/member_codec.cpp
+++ b/src/gateway/member_codec.cpp
@@ -22,7 +22,8 @@
 {
     const auto parsed = nlohmann::json::parse(text, nullptr, false);
     const bool isUsable = parsed.is_object() && parsed.contains("incarnation") && parsed["incarnation"].is_string()
-        && parsed.contains("sequence") && parsed["sequence"].is_number_integer() && parsed.contains("demand") && parsed["demand"].is_object();
+        && parsed.contains("sequence") && parsed["sequence"].is_number_integer() && parsed.contains("demand")
+        && parsed["demand"].is_object();
     if (!isUsable) {
         return failure(error_code::invalid_message, "not a member's report");
     }
--- a/src/gateway/store_call.cpp
+++ b/src/gateway/store_call.cpp
@@ -34,8 +34,12 @@
         m_connection = std::make_unique<client_connection>(m_loop, m_store, client_connection_settings {});
     }
     exchange_handlers handlers;
-    handlers.onHead = [this](http_response &&head, const message_framing & /*framing*/) { m_response = std::move(head); };
-    handlers.onBody = [this](std::string_view bytes) { m_response.body.append(bytes); };
+    handlers.onHead = [this](http_response &&head, const message_framing & /*framing*/) {
+        m_response = std::move(head);
+    };
+    handlers.onBody = [this](std::string_view bytes) {
+        m_response.body.append(bytes);
+    };
     handlers.onEnd = [this](exchange_end end) {
         if (end == exchange_end::complete) {
             finish(std::move(m_response));
--- a/src/gateway/store_call.h
+++ b/src/gateway/store_call.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "http1/client_connection.h"
 #include "core/outcome.h"
+#include "http1/client_connection.h"
 #include "runtime/timer.h"
 
 #include <functional>
--- a/src/gateway/topic_follower.cpp
+++ b/src/gateway/topic_follower.cpp
@@ -66,7 +66,8 @@
 void topic_follower::readNewest()
 {
     const deadline until = deadline::after(boot_clock::now(), m_settings.answerTime);
-    m_call.begin(m_dialect.readNewest(m_settings.topic, m_afterKey), until, [this](const outcome<http_response> &answer) { takePage(answer); });
+    m_call.begin(
+        m_dialect.readNewest(m_settings.topic, m_afterKey), until, [this](const outcome<http_response> &answer) { takePage(answer); });
 }
 
 void topic_follower::readOn()
--- a/src/http1/byte_stream.h
+++ b/src/http1/byte_stream.h
@@ -22,7 +22,8 @@
     failed,
 };
 
-/// A TCP connection over a libevent bufferevent, owned by one task. Handlers must not destroy the stream; its owner does that from the loop.
+/// A TCP connection over a libevent bufferevent, owned by one task. Handlers must not destroy the stream; its owner does that from the
+/// loop.
 class byte_stream
 {
 public:
--- a/src/http1/client_connection.cpp
+++ b/src/http1/client_connection.cpp
@@ -37,9 +37,15 @@
     , m_parser(message_parser::direction::responses, settings.maxHead, *this)
 {
     byte_stream::handlers handlers;
-    handlers.onConnected = [this] { onConnected(); };
-    handlers.onReadable = [this] { onReadable(); };
-    handlers.onEnded = [this](stream_end end) { onEnded(end); };
+    handlers.onConnected = [this] {
+        onConnected();
+    };
+    handlers.onReadable = [this] {
+        onReadable();
+    };
+    handlers.onEnded = [this](stream_end end) {
+        onEnded(end);
+    };
     m_stream = byte_stream::connect(loop, to, settings.userTimeout, std::move(handlers));
     m_isUsable = m_stream != nullptr;
 }
@@ -191,8 +197,8 @@
     m_isBusy = false;
     ++m_exchanges;
     m_idleSince = boot_clock::now();
-    m_idleUntil = m_keepAlive < std::chrono::milliseconds::zero() ? deadline::never()
-                                                                   : deadline::after(m_idleSince, m_keepAlive - idleMargin);
+    m_idleUntil =
+        m_keepAlive < std::chrono::milliseconds::zero() ? deadline::never() : deadline::after(m_idleSince, m_keepAlive - idleMargin);
     const exchange_handlers handlers = std::move(m_handlers);
     m_handlers = {};
     handlers.onEnd(end);
--- a/src/http1/message_parser.cpp
+++ b/src/http1/message_parser.cpp
@@ -33,16 +33,28 @@
         http_parser_init(&parser, readsRequests ? HTTP_REQUEST : HTTP_RESPONSE);
         parser.data = this;
         http_parser_settings_init(&callbacks);
-        callbacks.on_message_begin = [](http_parser *at) { return of(at).begin(); };
-        callbacks.on_url = [](http_parser *at, const char *text, std::size_t size) { return of(at).addTarget(text, size); };
-        callbacks.on_header_field = [](http_parser *at, const char *text, std::size_t size) { return of(at).addField(text, size); };
-        callbacks.on_header_value = [](http_parser *at, const char *text, std::size_t size) { return of(at).addValue(text, size); };
-        callbacks.on_headers_complete = [](http_parser *at) { return of(at).finishHead(); };
+        callbacks.on_message_begin = [](http_parser *at) {
+            return of(at).begin();
+        };
+        callbacks.on_url = [](http_parser *at, const char *text, std::size_t size) {
+            return of(at).addTarget(text, size);
+        };
+        callbacks.on_header_field = [](http_parser *at, const char *text, std::size_t size) {
+            return of(at).addField(text, size);
+        };
+        callbacks.on_header_value = [](http_parser *at, const char *text, std::size_t size) {
+            return of(at).addValue(text, size);
+        };
+        callbacks.on_headers_complete = [](http_parser *at) {
+            return of(at).finishHead();
+        };
         callbacks.on_body = [](http_parser *at, const char *text, std::size_t size) {
             of(at).handler.onBody({text, size});
             return 0;
         };
-        callbacks.on_message_complete = [](http_parser *at) { return of(at).finishMessage(); };
+        callbacks.on_message_complete = [](http_parser *at) {
+            return of(at).finishMessage();
+        };
     }
 
     static engine &of(http_parser *at)
--- a/src/logging/log_line.cpp
+++ b/src/logging/log_line.cpp
@@ -10,7 +10,8 @@
 
 bool isPlain(std::string_view value)
 {
-    return !value.empty() && std::all_of(value.begin(), value.end(), [](char letter) { return letter > ' ' && letter != '"' && letter != '='; });
+    return !value.empty()
+        && std::all_of(value.begin(), value.end(), [](char letter) { return letter > ' ' && letter != '"' && letter != '='; });
 }
 
 } // namespace
--- /dev/null
+++ b/tests/forwarding/endpoint_table_test.cpp
@@ -0,0 +1,103 @@
+#include "forwarding/plan_fixture.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace burdockshelf;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+const endpoint_state *choosePlain(plan_fixture &fixture, const std::vector<endpoint_id> &excluded = {})
+{
+    return fixture.endpoints.choose(service_id("plain"),
+                                    endpoint_duty::plain_call,
+                                    {},
+                                    excluded,
+                                    fixture.plan->findService(service_id("plain")),
+                                    fixture.now,
+                                    fixture.random);
+}
+
+} // namespace
+
+TEST_GROUP(endpoint_table)
+{
+    plan_fixture fixture;
+};
+
+// A record that is read again must not bring back an endpoint's earlier life, whose address may be another's by now.
+TEST(endpoint_table, ignoresAnEarlierLifeOfAnEndpoint)
+{
+    endpoint_entry later = plan_fixture::entry("p1", "plain", std::nullopt);
+    later.born = endpoint_birth(20);
+    later.address.port = 2000;
+    CHECK_TRUE(fixture.endpoints.put(later, nullptr, fixture.now));
+    CHECK_FALSE(fixture.endpoints.put(plan_fixture::entry("p1", "plain", std::nullopt), nullptr, fixture.now));
+    LONGS_EQUAL(2000, fixture.endpoints.find(endpoint_id("p1"))->entry.address.port);
+}
+
+TEST(endpoint_table, givesNothingToLeavingEndpointsAndEvacuatedDataCentres)
+{
+    endpoint_entry leaving = plan_fixture::entry("p1", "plain", std::nullopt);
+    leaving.isDraining = true;
+    fixture.endpoints.put(leaving, nullptr, fixture.now);
+    CHECK_FALSE(fixture.endpoints.mayReceive(endpoint_id("p1"), fixture.now));
+    for (int round = 0; round < 20; ++round) {
+        CHECK(choosePlain(fixture)->entry.id != endpoint_id("p1"));
+    }
+    fixture.endpoints.setEvacuated({data_centre_id("dc-a")});
+    CHECK(choosePlain(fixture) == nullptr);
+    fixture.endpoints.setEvacuated({});
+    CHECK(choosePlain(fixture) != nullptr);
+}
+
+// The address is another endpoint's; sending again would only be refused again.
+TEST(endpoint_table, givesNothingToAnEndpointThatIsNotAtItsAddress)
+{
+    fixture.endpoints.noteMisdirected(endpoint_id("p1"));
+    CHECK_FALSE(fixture.endpoints.mayReceive(endpoint_id("p1"), fixture.now));
+}
+
+// All instances together must not send more to a cold endpoint than it bears.
+TEST(endpoint_table, keepsToItsShareOfAColdEndpoint)
+{
+    traffic_service service = plan_fixture::service("cold", false);
+    service.coldPerSecond = 16.0;
+    fixture.endpoints.setInstanceCount(8, fixture.now);
+    endpoint_entry cold = plan_fixture::entry("c1", "cold", std::nullopt);
+    cold.coldLeft = 3s;
+    fixture.endpoints.put(cold, &service, fixture.now);
+    int taken = 0;
+    for (int step = 0; step < 100; ++step) {
+        taken += fixture.endpoints.takeColdShare(endpoint_id("c1"), fixture.now) ? 1 : 0;
+        fixture.now += 10ms;
+    }
+    CHECK(taken >= 2);
+    CHECK(taken <= 3);
+    fixture.now += 3s;
+    CHECK_TRUE(fixture.endpoints.takeColdShare(endpoint_id("c1"), fixture.now));
+}
+
+TEST(endpoint_table, avoidsEndpointsThatFailAndComesBackToThem)
+{
+    for (int failure = 0; failure < 2; ++failure) {
+        fixture.endpoints.noteSent(endpoint_id("p1"), {}, fixture.now);
+        fixture.endpoints.noteEnded(endpoint_id("p1"), {}, fixture.now, false, endpoint_verdict::failed, fixture.now);
+    }
+    for (int round = 0; round < 20; ++round) {
+        CHECK(choosePlain(fixture)->entry.id != endpoint_id("p1"));
+    }
+    // A failing endpoint is better than none: a refusal while endpoints are there costs the caller everything.
+    CHECK(choosePlain(fixture, {endpoint_id("p2"), endpoint_id("p3")})->entry.id == endpoint_id("p1"));
+}
+
+// An endpoint that has fallen silent says nothing; the missing answer has to count.
+TEST(endpoint_table, avoidsSilentEndpoints)
+{
+    fixture.endpoints.noteSent(endpoint_id("p1"), {}, fixture.now);
+    fixture.now += 1s;
+    for (int round = 0; round < 20; ++round) {
+        CHECK(choosePlain(fixture)->entry.id != endpoint_id("p1"));
+    }
+}
--- /dev/null
+++ b/tests/forwarding/forward_flow_test.cpp
@@ -0,0 +1,263 @@
+#include "forwarding/plan_fixture.h"
+
+#include <map>
+
+#include "support/property.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace burdockshelf;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+bool isRunDuty(endpoint_duty duty)
+{
+    return duty == endpoint_duty::plain_call || duty == endpoint_duty::decode;
+}
+
+bool saysNotRun(refusal_cause cause)
+{
+    return cause != refusal_cause::timed_out && cause != refusal_cause::endpoint_failed;
+}
+
+/// Plays endpoints that do anything an endpoint may do, and keeps count of what has really run.
+struct random_play
+{
+    plan_fixture fixture;
+    forward_flow flow;
+    std::map<attempt_number, endpoint_duty> open;
+    int runs = 0;
+    int runsAtOnce = 0;
+    int mostRunsAtOnce = 0;
+    int finalAnswers = 0;
+    bool wasRefusedAsNotRun = false;
+    bool ranAfterRefusal = false;
+
+    explicit random_play(const std::string &route)
+        : flow(fixture.flow(route))
+    {
+    }
+
+    void take(const flow_actions &actions)
+    {
+        for (const flow_action &action : actions) {
+            if (const auto *sent = std::get_if<start_attempt>(&action)) {
+                open[sent->number] = sent->duty;
+                ranAfterRefusal = ranAfterRefusal || (wasRefusedAsNotRun && isRunDuty(sent->duty));
+            } else if (const auto *withdrawn = std::get_if<withdraw_attempt>(&action)) {
+                open.erase(withdrawn->number);
+            } else if (const auto *refusal = std::get_if<refuse_request>(&action)) {
+                ++finalAnswers;
+                wasRefusedAsNotRun = saysNotRun(refusal->cause);
+            } else if (std::holds_alternative<relay_whole>(action) || std::holds_alternative<relay_end>(action)
+                       || std::holds_alternative<break_answer>(action)) {
+                ++finalAnswers;
+            }
+        }
+    }
+
+    // One event, chosen by the number: how the oldest open attempt goes on, or that time passes.
+    void step(std::uint8_t choice)
+    {
+        fixture.now += std::chrono::milliseconds(choice);
+        if (open.empty() || choice % 8 == 7) {
+            take(flow.onDeadline(fixture.context(), fixture.now));
+            return;
+        }
+        const auto [number, duty] = *open.begin();
+        const attempt_end ends[] = {
+            attempt_end::whole, attempt_end::rejected, attempt_end::misdirected, attempt_end::not_sent, attempt_end::lost};
+        const attempt_end end = ends[choice % 5];
+        // A lost attempt may have run; the play takes the worst.
+        const bool isRun = isRunDuty(duty) && (end == attempt_end::whole || end == attempt_end::lost);
+        runs += isRun ? 1 : 0;
+        open.erase(number);
+        const bool hasHandle = !isRunDuty(duty) && end == attempt_end::whole;
+        const answer_summary answer = {choice % 3 == 0 ? 500 : 200, true};
+        take(flow.onEnd(
+            number, end, answer, hasHandle ? std::optional<std::string>("handle") : std::nullopt, fixture.context(), fixture.now));
+    }
+};
+
+} // namespace
+
+TEST_GROUP(forward_flow) {};
+
+// A booking that runs twice promises one track to two wagons; one that was refused as "not run" and runs is booked again by its caller.
+TEST(forward_flow, runsNonIdempotentRequestsAtMostOnceAndRefusesTruly)
+{
+    for (const std::string route : {"unsafe", "stream"}) {
+        CHECK_PROPERTY("at most once", [route](const std::vector<std::uint8_t> &choices) {
+            random_play play(route);
+            play.take(play.flow.begin(play.fixture.context(), play.fixture.now));
+            for (const std::uint8_t choice : choices) {
+                play.step(choice);
+            }
+            RC_ASSERT(play.runs <= 1);
+            RC_ASSERT(!(play.wasRefusedAsNotRun && play.runs > 0));
+            RC_ASSERT(!play.ranAfterRefusal);
+        });
+    }
+}
+
+// Every request has exactly one final answer once its time is over, whatever the endpoints do.
+TEST(forward_flow, answersEveryRequestOnce)
+{
+    for (const std::string route : {"safe", "unsafe", "stream", "resumed"}) {
+        CHECK_PROPERTY("one final answer", [route](const std::vector<std::uint8_t> &choices) {
+            random_play play(route);
+            play.take(play.flow.begin(play.fixture.context(), play.fixture.now));
+            for (const std::uint8_t choice : choices) {
+                play.step(choice);
+            }
+            play.fixture.now += 10s;
+            play.take(play.flow.onDeadline(play.fixture.context(), play.fixture.now));
+            RC_ASSERT(play.finalAnswers == 1);
+        });
+    }
+}
+
+TEST(forward_flow, sendsRequestsToNoMoreEndpointsThanTheRouteAllows)
+{
+    CHECK_PROPERTY("attempts", [](const std::vector<std::uint8_t> &choices) {
+        random_play play("safe");
+        int sent = 0;
+        const auto count = [&](const flow_actions &actions) {
+            for (const flow_action &action : actions) {
+                sent += std::holds_alternative<start_attempt>(action) ? 1 : 0;
+            }
+            play.take(actions);
+        };
+        count(play.flow.begin(play.fixture.context(), play.fixture.now));
+        for (const std::uint8_t choice : choices) {
+            if (play.open.empty()) {
+                break;
+            }
+            const auto number = play.open.begin()->first;
+            play.open.erase(number);
+            const attempt_end end = choice % 2 == 0 ? attempt_end::lost : attempt_end::rejected;
+            count(play.flow.onEnd(number, end, {}, std::nullopt, play.fixture.context(), play.fixture.now));
+        }
+        RC_ASSERT(sent <= 2);
+    });
+}
+
+// 225 of 545 prompts of a day were read in vain before room was reserved first.
+TEST(forward_flow, reservesRoomBeforeThePromptIsRead)
+{
+    plan_fixture fixture;
+    forward_flow flow = fixture.flow("stream");
+    const flow_actions first = flow.begin(fixture.context(), fixture.now);
+    const auto *reservation = findAction<start_attempt>(first);
+    CHECK(reservation != nullptr && reservation->duty == endpoint_duty::reserve);
+    const endpoint_id chosen = reservation->endpoint;
+    const flow_actions second = flow.onEnd(reservation->number, attempt_end::whole, {200, false}, "room", fixture.context(), fixture.now);
+    const auto *prefill = findAction<start_attempt>(second);
+    CHECK(prefill != nullptr && prefill->duty == endpoint_duty::prefill);
+    const flow_actions third = flow.onEnd(prefill->number, attempt_end::whole, {200, false}, "handle", fixture.context(), fixture.now);
+    const auto *decode = findAction<start_attempt>(third);
+    CHECK(decode != nullptr && decode->duty == endpoint_duty::decode);
+    CHECK(decode->endpoint == chosen);
+    CHECK(decode->room.has_value());
+    CHECK(decode->source.has_value());
+}
+
+// Room that is set aside and not used is kept from others and paid for.
+TEST(forward_flow, releasesRoomWhenTheCallerLeaves)
+{
+    plan_fixture fixture;
+    forward_flow flow = fixture.flow("stream");
+    const flow_actions first = flow.begin(fixture.context(), fixture.now);
+    const attempt_number number = findAction<start_attempt>(first)->number;
+    flow.onEnd(number, attempt_end::whole, {200, false}, "room", fixture.context(), fixture.now);
+    const flow_actions last = flow.onCallerGone(fixture.context(), fixture.now);
+    CHECK(findAction<release_room>(last) != nullptr);
+    CHECK(findAction<withdraw_attempt>(last) != nullptr);
+    CHECK_TRUE(flow.isDone());
+}
+
+// A booking whose caller has left still lands once; nobody asks for it again.
+TEST(forward_flow, leavesANonIdempotentCallRunningWhenTheCallerLeaves)
+{
+    plan_fixture fixture;
+    forward_flow flow = fixture.flow("unsafe");
+    flow.begin(fixture.context(), fixture.now);
+    const flow_actions actions = flow.onCallerGone(fixture.context(), fixture.now);
+    CHECK(findAction<withdraw_attempt>(actions) == nullptr);
+    CHECK_FALSE(flow.isDone());
+}
+
+// The whole answer of a failed call must not reach the caller while another endpoint may serve it.
+TEST(forward_flow, repeatsAnIdempotentCallThatFailed)
+{
+    plan_fixture fixture;
+    forward_flow flow = fixture.flow("safe");
+    const flow_actions first = flow.begin(fixture.context(), fixture.now);
+    const auto *sent = findAction<start_attempt>(first);
+    const flow_actions second = flow.onEnd(sent->number, attempt_end::whole, {500, true}, std::nullopt, fixture.context(), fixture.now);
+    const auto *again = findAction<start_attempt>(second);
+    CHECK(again != nullptr);
+    CHECK(again->endpoint != sent->endpoint);
+}
+
+namespace
+{
+
+/// Brings a flow to the point at which its stream runs; returns the decode attempt.
+start_attempt beginStream(plan_fixture &fixture, forward_flow &flow)
+{
+    flow_actions actions = flow.begin(fixture.context(), fixture.now);
+    while (findAction<start_attempt>(actions)->duty != endpoint_duty::decode) {
+        const attempt_number number = findAction<start_attempt>(actions)->number;
+        actions = flow.onEnd(number, attempt_end::whole, {200, false}, "handle", fixture.context(), fixture.now);
+    }
+    const start_attempt decode = *findAction<start_attempt>(actions);
+    flow.onHead(decode.number, fixture.context(), fixture.now);
+    return decode;
+}
+
+} // namespace
+
+// A stream that breaks in the middle of an event goes on behind the last whole one, without half an event or a doubled one.
+TEST(forward_flow, resumesABrokenStreamBehindItsLastWholeEvent)
+{
+    plan_fixture fixture;
+    forward_flow flow = fixture.flow("resumed");
+    const start_attempt decode = beginStream(fixture, flow);
+    const flow_actions pieces = flow.onPiece(decode.number, "id: 1\ndata: a\n\nid: 2\nda", fixture.context(), fixture.now);
+    STRCMP_EQUAL("id: 1\ndata: a\n\n", findAction<relay_piece>(pieces)->bytes.c_str());
+    const flow_actions broken = flow.onEnd(decode.number, attempt_end::lost, {}, std::nullopt, fixture.context(), fixture.now);
+    const auto *again = findAction<start_attempt>(broken);
+    CHECK(again != nullptr);
+    CHECK(again->resumeAfter == std::optional<std::int64_t>(1));
+    flow.onHead(again->number, fixture.context(), fixture.now);
+    const flow_actions rest = flow.onPiece(again->number, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n", fixture.context(), fixture.now);
+    STRCMP_EQUAL("id: 2\ndata: b\n\n", findAction<relay_piece>(rest)->bytes.c_str());
+    CHECK(findAction<relay_head>(rest) == nullptr);
+}
+
+// A broken stream of a route that is not resumable must look broken.
+TEST(forward_flow, breaksOffAStreamThatCannotBeResumed)
+{
+    plan_fixture fixture;
+    forward_flow flow = fixture.flow("stream");
+    const start_attempt decode = beginStream(fixture, flow);
+    flow.onPiece(decode.number, "id: 1\ndata: a\n\n", fixture.context(), fixture.now);
+    const flow_actions broken = flow.onEnd(decode.number, attempt_end::lost, {}, std::nullopt, fixture.context(), fixture.now);
+    CHECK(findAction<break_answer>(broken) != nullptr);
+    CHECK(findAction<start_attempt>(broken) == nullptr);
+}
+
+// At the route's time limit the caller has its answer, and 504 because the call may have run.
+TEST(forward_flow, answersAtTheTimeLimit)
+{
+    plan_fixture fixture;
+    forward_flow flow = fixture.flow("unsafe");
+    flow.begin(fixture.context(), fixture.now);
+    CHECK(flow.nextDeadline() <= deadline::after(fixture.now, 4s));
+    fixture.now += 4s;
+    const flow_actions actions = flow.onDeadline(fixture.context(), fixture.now);
+    CHECK(findAction<refuse_request>(actions)->cause == refusal_cause::timed_out);
+}
--- /dev/null
+++ b/tests/forwarding/main.cpp
@@ -0,0 +1,1 @@
+#include "support/test_main.h"
--- /dev/null
+++ b/tests/forwarding/shares_test.cpp
@@ -0,0 +1,137 @@
+#include "forwarding/member_view.h"
+#include "forwarding/repeat_budget.h"
+#include "forwarding/workspace_shares.h"
+
+#include "support/property.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace burdockshelf;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+constexpr double rate = 1000.0;
+constexpr double burst = 1000.0;
+constexpr double slack = 4000.0;
+const workspace_id workspace("w");
+
+traffic_plan planWith(double ratePerSecond, double burstSize)
+{
+    traffic_plan plan;
+    workspace_plan one;
+    one.id = workspace;
+    one.ratePerSecond = ratePerSecond;
+    one.burst = burstSize;
+    one.countsTokens = true;
+    plan.workspaces = {one};
+    return plan;
+}
+
+} // namespace
+
+TEST_GROUP(shares) {};
+
+// All instances together must not give a workspace more than it bought, whatever demand each of them has published.
+TEST(shares, sumStaysWithinTheQuota)
+{
+    CHECK_PROPERTY("quota", [](const std::vector<std::uint8_t> &demands) {
+        RC_PRE(!demands.empty() && demands.size() <= 20);
+        const instant start(1000s);
+        const auto count = static_cast<std::int64_t>(demands.size());
+        std::vector<workspace_demand> published;
+        for (const std::uint8_t demand : demands) {
+            published.push_back({{workspace, static_cast<double>(demand)}});
+        }
+        std::vector<const workspace_demand *> all;
+        for (const workspace_demand &one : published) {
+            all.push_back(&one);
+        }
+        double taken = 0.0;
+        constexpr int seconds = 8;
+        for (const workspace_demand &own : published) {
+            workspace_shares shares(slack);
+            shares.setDemands(count, nullptr, {}, start);
+            shares.setPlan(planWith(rate, burst), start);
+            shares.setDemands(count, &own, all, start);
+            for (int step = 0; step < seconds * 100; ++step) {
+                const instant now = start + std::chrono::milliseconds(10 * step);
+                taken += shares.take(workspace, 10.0, now) ? 10.0 : 0.0;
+            }
+        }
+        RC_ASSERT(taken <= (rate * seconds + burst) * 1.1 + slack);
+    });
+}
+
+// An instance that nobody hears of keeps its even part, and no more.
+TEST(shares, keepsAnEvenPartWithoutContact)
+{
+    const instant start(1000s);
+    workspace_shares shares(0.0);
+    shares.setPlan(planWith(rate, burst), start);
+    shares.setDemands(4, nullptr, {}, start);
+    DOUBLES_EQUAL(0.1, shares.shareOf(workspace), 0.001);
+}
+
+// A change of the plan must not hand out a fresh burst each time.
+TEST(shares, givesNoNewBurstWithEachPlan)
+{
+    const instant start(1000s);
+    workspace_shares shares(0.0);
+    shares.setPlan(planWith(rate, burst), start);
+    int taken = 0;
+    for (int change = 0; change < 50; ++change) {
+        shares.setPlan(planWith(rate, burst + change % 2), start);
+        while (shares.take(workspace, 100.0, start)) {
+            ++taken;
+        }
+    }
+    CHECK(taken <= 10);
+}
+
+TEST(shares, repeatsStayWithinTheBudgetOfAllInstances)
+{
+    constexpr std::int64_t instances = 8;
+    constexpr std::int64_t fleetSlack = 56;
+    const instant now(1000s);
+    std::int64_t repeats = 0;
+    constexpr std::int64_t requests = 100;
+    for (std::int64_t instance = 0; instance < instances; ++instance) {
+        repeat_budget budget({20, fleetSlack});
+        budget.setInstanceCount(instances);
+        for (std::int64_t request = 0; request < requests; ++request) {
+            budget.earn(service_id("s"), now);
+            repeats += budget.spend(service_id("s"), now) ? 1 : 0;
+        }
+    }
+    CHECK(repeats <= instances * requests * 20 / 100 + fleetSlack);
+    CHECK(repeats > 0);
+}
+
+// Freshness is judged by changes, so that instances with wrong clocks count as well.
+TEST(shares, countsMembersThatReportAndForgetsThoseThatStop)
+{
+    instant now(1000s);
+    member_view members(instance_id("me"));
+    members.put(instance_id("other"), {incarnation_id("a"), 1, {}}, now);
+    LONGS_EQUAL(2, members.count(now));
+    now += 20s;
+    members.put(instance_id("other"), {incarnation_id("a"), 1, {}}, now);
+    LONGS_EQUAL(1, members.count(now));
+    members.put(instance_id("other"), {incarnation_id("b"), 1, {}}, now);
+    LONGS_EQUAL(2, members.count(now));
+}
+
+// An instance that is cut off must give up its part of the demand before the others take it over.
+TEST(shares, losesItsOwnDemandBeforeOthersForgetIt)
+{
+    const instant start(1000s);
+    member_view members(instance_id("me"));
+    members.put(instance_id("me"), {incarnation_id("a"), 1, {{workspace, 5.0}}}, start);
+    member_view others(instance_id("other"));
+    others.put(instance_id("me"), {incarnation_id("a"), 1, {{workspace, 5.0}}}, start);
+    CHECK(members.ownDemand(start + 1s) != nullptr);
+    CHECK(members.ownDemand(start + 7s) == nullptr);
+    LONGS_EQUAL(1, others.demands(start + 7s).size());
+}
--- /dev/null
+++ b/tests/gateway/gateway_test.cpp
@@ -0,0 +1,398 @@
+#include "gateway/gateway_tree.h"
+
+#include "gateway/endpoint_link_task.h"
+#include "gateway/member_codec.h"
+#include "http/http_client.h"
+#include "platform/platform.h"
+#include "standins/users_platform/standin_backend.h"
+#include "standins/users_platform/standin_store.h"
+
+#include <fcntl.h>
+#include <unistd.h>
+
+#include <nlohmann/json.hpp>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace burdockshelf;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+constexpr auto guardTime = 20s;
+
+std::string configText(int version, const std::string &keys = R"(["k1"])")
+{
+    return R"({"version":)" + std::to_string(version) + R"(,"routes":[
+ {"name":"safe","host":"127.0.0.1","path_prefix":"/safe/","kind":"safe","timeout_ms":5000,"service":"plain","max_attempts":2},
+ {"name":"unsafe","host":"127.0.0.1","path_prefix":"/unsafe/","kind":"unsafe","timeout_ms":5000,"service":"plain","max_attempts":1},
+ {"name":"text","host":"127.0.0.1","path_prefix":"/text/","kind":"streaming","timeout_ms":5000,"service":"engine","max_attempts":1}],
+ "services":[{"name":"plain","max_conns":100},{"name":"engine","max_conns":100,"engine":{"slots":8,"kv_capacity":40000}}],
+ "tenants":[{"name":"w","api_keys":)"
+        + keys + R"(,"unit":"tokens","plain_tokens":200,"rate_per_s":470000,"burst":470000}]})";
+}
+
+/// A gateway with the platform around it in one process and on one loop.
+struct deployment
+{
+    event_loop loop;
+    timer guard;
+    bool isTimedOut = false;
+    standin_store store;
+    standin_backend plain;
+    standin_backend prefill;
+    standin_backend decode;
+    platform_adapter adapter;
+    int log = ::open("/dev/null", O_WRONLY);
+    std::optional<int> ended;
+    std::unique_ptr<gateway_tree> gateway;
+    std::unique_ptr<http_client> client;
+
+    deployment()
+        : guard(loop,
+                [this] {
+                    isTimedOut = true;
+                    loop.stop();
+                })
+        , store(loop)
+        , plain(loop, "p")
+        , prefill(loop, "r")
+        , decode(loop, "d")
+    {
+        guard.start(deadline::after(boot_clock::now(), guardTime));
+        store.put("keyed.op", "config", configText(3));
+        store.put("keyed.servers", "p", plain.entry("plain", "z"));
+        store.put("keyed.servers", "r", prefill.entry("engine", "z", "prefill"));
+        store.put("keyed.servers", "d", decode.entry("engine", "z", "decode"));
+        gateway_settings settings;
+        settings.instance = instance_id("me");
+        settings.dataCentre = data_centre_id("z");
+        settings.callerAddress = settings.readinessAddress = settings.metricsAddress = {"127.0.0.1", 0};
+        settings.storeAddress = store.address();
+        settings.grace = 4000ms;
+        settings.quotaSlack = 190000;
+        gateway = std::make_unique<gateway_tree>(loop, settings, adapter.dialects(), log, [this](int status) {
+            ended = status;
+            loop.stop();
+        });
+        CHECK_TRUE(gateway->start().has_value());
+        client = std::make_unique<http_client>(loop, gateway->callerAddress());
+    }
+
+    ~deployment()
+    {
+        gateway.reset();
+        ::close(log);
+    }
+
+    http_request request(const std::string &method, const std::string &target) const
+    {
+        http_request made;
+        made.method = method;
+        made.target = target;
+        made.headers = {{"Host", "h"}, {"X-Attempt-Id", "a1"}, {"X-Deadline-Ms", "4000"}, {"Authorization", "Bearer k1"}};
+        return made;
+    }
+
+    http_response call(const http_request &made)
+    {
+        http_response response;
+        http_call_handlers handlers;
+        handlers.onDone = [&](http_call_result result) {
+            response = result ? std::move(result.value()) : http_response {0, {}, ""};
+            loop.stop();
+        };
+        client->send(made, std::move(handlers), deadline::after(boot_clock::now(), guardTime));
+        loop.run();
+        CHECK_FALSE(isTimedOut);
+        return response;
+    }
+
+    // Repeats a call until its status is the expected one; what has to spread does so without sleeps.
+    http_response callUntil(const http_request &made, int status)
+    {
+        http_response response = call(made);
+        while (response.status != status && !isTimedOut) {
+            response = call(made);
+        }
+        return response;
+    }
+};
+
+} // namespace
+
+TEST_GROUP(gateway) {};
+
+// The whole path for each kind of request, with the platform's words on both sides.
+TEST(gateway, servesACalmDay)
+{
+    deployment site;
+    const http_response safe = site.callUntil(site.request("GET", "/safe/x"), 200);
+    STRCMP_EQUAL("body of p", safe.body.c_str());
+    CHECK(safe.headers.value("X-Server-Seal") == "seal-of-p");
+    http_request unsafe = site.request("POST", "/unsafe/x");
+    unsafe.body = "order";
+    LONGS_EQUAL(200, site.call(unsafe).status);
+    STRCMP_EQUAL("order", site.plain.runs().back().body.c_str());
+    CHECK_FALSE(site.plain.runs().back().headers.has("Authorization"));
+    CHECK(site.plain.runs().back().headers.value("X-Tenant") == "w");
+
+    http_request text = site.request("POST", "/text/x");
+    text.headers.add("X-Token-Counts", "1000,50");
+    text.body = "prompt";
+    const http_response stream = site.call(text);
+    LONGS_EQUAL(200, stream.status);
+    STRCMP_EQUAL("id: 1\ndata: piece\n\nid: 2\ndata: piece\n\nid: 3\ndata: piece\n\n", stream.body.c_str());
+    CHECK(site.decode.calls().front().path() == "/hold-take");
+    LONGS_EQUAL(1, site.prefill.calls().size());
+    const http_request &run = site.decode.runs().front();
+    CHECK(run.headers.value("X-Kv-Source") == site.prefill.address().toString() + "/handle-1");
+    CHECK(run.headers.value("X-Kv-Hold") == "room-1");
+}
+
+// Before it has a configuration, an instance must not answer 401 or 404 for what the configuration allows.
+TEST(gateway, refusesAsNotRunUntilItHasAConfiguration)
+{
+    deployment site;
+    const http_response early = site.call(site.request("GET", "/safe/x"));
+    CHECK(early.status == 503 || early.status == 200);
+    site.callUntil(site.request("GET", "/safe/x"), 200);
+    LONGS_EQUAL(404, site.call(site.request("GET", "/nowhere/x")).status);
+    http_request unknown = site.request("GET", "/safe/x");
+    unknown.headers.remove("Authorization");
+    unknown.headers.add("Authorization", "Bearer other");
+    LONGS_EQUAL(401, site.call(unknown).status);
+}
+
+// A withdrawn key stops working, and an older configuration that is read again does not bring it back.
+TEST(gateway, followsTheNewestConfigurationOnly)
+{
+    deployment site;
+    site.callUntil(site.request("GET", "/safe/x"), 200);
+    site.store.put("keyed.op", "config", configText(5, R"(["k2"])"));
+    site.callUntil(site.request("GET", "/safe/x"), 401);
+    site.store.put("keyed.op", "config", configText(4));
+    http_request other = site.request("GET", "/safe/x");
+    other.headers.remove("Authorization");
+    other.headers.add("Authorization", "Bearer k2");
+    LONGS_EQUAL(200, site.call(other).status);
+    LONGS_EQUAL(401, site.call(site.request("GET", "/safe/x")).status);
+}
+
+TEST(gateway, sendsNothingToALeavingEndpoint)
+{
+    deployment site;
+    site.callUntil(site.request("GET", "/safe/x"), 200);
+    site.store.drop("keyed.servers", "p");
+    site.callUntil(site.request("GET", "/safe/x"), 503);
+}
+
+// The records between two reads may be gone; the newest then tell what has changed.
+TEST(gateway, readsTheNewestAgainWhenTheHistoryIsGone)
+{
+    deployment site;
+    site.callUntil(site.request("GET", "/safe/x"), 200);
+    site.store.setMood(standin_store::mood::refusing);
+    site.store.put("keyed.op", "config", configText(6, R"(["k2"])"));
+    site.store.forgetHistory("keyed.op");
+    site.store.setMood(standin_store::mood::serving);
+    site.callUntil(site.request("GET", "/safe/x"), 401);
+}
+
+// An instance that has lost the store goes on with what it last knew.
+TEST(gateway, servesWhileTheStoreIsSilent)
+{
+    deployment site;
+    site.callUntil(site.request("GET", "/safe/x"), 200);
+    site.store.setMood(standin_store::mood::silent);
+    for (int round = 0; round < 5; ++round) {
+        LONGS_EQUAL(200, site.call(site.request("GET", "/safe/x")).status);
+    }
+}
+
+// A success without the endpoint's proof may be anybody's bytes.
+TEST(gateway, passesOnNoSuccessWithoutProof)
+{
+    deployment site;
+    site.callUntil(site.request("GET", "/safe/x"), 200);
+    site.plain.setBehaviour([](const std::shared_ptr<http_exchange> &exchange) {
+        http_response response;
+        response.body = "somebody's";
+        exchange->respond(response);
+    });
+    LONGS_EQUAL(502, site.call(site.request("POST", "/unsafe/x")).status);
+}
+
+// Failures keep the endpoint's own status and proof.
+TEST(gateway, passesOnAnEndpointsFailureUnchanged)
+{
+    deployment site;
+    site.callUntil(site.request("GET", "/safe/x"), 200);
+    site.plain.setBehaviour([&site](const std::shared_ptr<http_exchange> &exchange) {
+        http_response response = site.plain.success(exchange->request());
+        response.status = 500;
+        exchange->respond(response);
+    });
+    const http_response failed = site.call(site.request("POST", "/unsafe/x"));
+    LONGS_EQUAL(500, failed.status);
+    CHECK(failed.headers.value("X-Server-Seal") == "seal-of-p");
+}
+
+// What an endpoint has not run may be tried again by the caller, and is told so.
+TEST(gateway, refusesWithATimeToComeBackWhatNoEndpointHasRun)
+{
+    deployment site;
+    site.callUntil(site.request("GET", "/safe/x"), 200);
+    site.plain.setBehaviour([](const std::shared_ptr<http_exchange> &exchange) {
+        http_response response;
+        response.status = 503;
+        response.headers.add("X-Not-Executed", "1");
+        exchange->respond(response);
+    });
+    const http_response refused = site.call(site.request("POST", "/unsafe/x"));
+    LONGS_EQUAL(503, refused.status);
+    CHECK_TRUE(refused.headers.has("Retry-After"));
+}
+
+// A stream that begins late in the shutdown would be cut at its end (hunt on rampa-hat, seed 747290897260: LOST).
+TEST(gateway, leavesLateStreamsOfAShutdownToOthers)
+{
+    deployment site;
+    site.callUntil(site.request("GET", "/safe/x"), 200);
+    site.gateway->beginShutdown();
+    http_request text = site.request("POST", "/text/x");
+    text.headers.add("X-Token-Counts", "1000,50");
+    const http_response first = site.call(text);
+    LONGS_EQUAL(200, first.status);
+    CHECK(first.headers.value("Connection") == "close");
+    const http_response late = site.callUntil(text, 503);
+    CHECK_TRUE(late.headers.has("Retry-After"));
+    site.loop.run();
+    CHECK(site.ended == std::optional<int>(0));
+}
+
+TEST_GROUP(endpoint_link) {};
+
+namespace
+{
+
+/// The endpoints' side alone, with a collector in the dispatcher's place.
+struct link_bench
+{
+    event_loop loop;
+    timer guard;
+    standin_backend backend;
+    platform_adapter adapter;
+    std::shared_ptr<mailbox<dispatch_message>> toDispatcher = std::make_shared<mailbox<dispatch_message>>(loop, 100);
+    std::shared_ptr<mailbox<endpoint_link_message>> toLink = std::make_shared<mailbox<endpoint_link_message>>(loop, 100);
+    endpoint_link_task link;
+    std::vector<dispatch_message> heard;
+    std::function<void()> onHeard;
+
+    link_bench()
+        : guard(loop, [this] { loop.stop(); })
+        , backend(loop, "b")
+        , link(loop, toLink, adapter.dialects().endpoints, address(toDispatcher), {})
+    {
+        guard.start(deadline::after(boot_clock::now(), guardTime));
+        toDispatcher->attach([this](dispatch_message &&message) {
+            heard.push_back(std::move(message));
+            if (onHeard) {
+                onHeard();
+            }
+        });
+    }
+
+    void open(std::int64_t number, bool isStreamed)
+    {
+        open_attempt order;
+        order.flow = flow_id(number);
+        order.number = attempt_number(1);
+        order.address = backend.address();
+        order.request.target = "/x";
+        order.request.headers = {{"Host", "h"}, {"X-Attempt-Id", "a"}};
+        order.expected = attempt_id("a");
+        order.isStreamed = isStreamed;
+        CHECK(toLink->post(std::move(order)) == post_result::delivered);
+    }
+};
+
+} // namespace
+
+// Answers of an attempt that was withdrawn may still arrive; they ended the process with a segmentation fault.
+TEST(endpoint_link, ignoresPiecesOfAWithdrawnAttempt)
+{
+    link_bench bench;
+    std::shared_ptr<http_exchange> running;
+    bench.backend.setBehaviour([&](const std::shared_ptr<http_exchange> &exchange) {
+        running = exchange;
+        exchange->startStream(200, bench.backend.success(exchange->request()).headers);
+        exchange->sendData("id: 1\ndata: a\n\n");
+    });
+    bench.open(1, true);
+    bench.onHeard = [&] {
+        if (bench.heard.size() != 2) {
+            return;
+        }
+        // The end of the answer is on its way when the attempt is withdrawn in the same round of the loop.
+        running->sendData("id: 2\ndata: b\n\n");
+        running->endStream();
+        CHECK(bench.toLink->post(close_attempt {flow_id(1), attempt_number(1)}) == post_result::delivered);
+        bench.loop.stop();
+    };
+    bench.loop.run();
+    bench.onHeard = nullptr;
+    for (int round = 0; round < 20; ++round) {
+        bench.loop.runReady();
+    }
+    CHECK(std::holds_alternative<attempt_head>(bench.heard[0]));
+}
+
+TEST(endpoint_link, reusesConnectionsAndReportsWholeAnswers)
+{
+    link_bench bench;
+    for (std::int64_t number = 1; number <= 3; ++number) {
+        bench.onHeard = [&] {
+            bench.loop.stop();
+        };
+        bench.open(number, false);
+        bench.loop.run();
+    }
+    LONGS_EQUAL(3, bench.heard.size());
+    const auto &ended = std::get<attempt_ended>(bench.heard.back());
+    CHECK(ended.end == attempt_end::whole);
+    STRCMP_EQUAL("body of b", ended.response.body.c_str());
+}
+
+TEST_GROUP(gateway_codecs) {};
+
+TEST(gateway_codecs, memberReportsSurviveTheStore)
+{
+    const member_report report = {incarnation_id("i"), 4, {{workspace_id("w"), 12.0}}};
+    const auto decoded = decodeMemberReport(encodeMemberReport(report));
+    CHECK_TRUE(decoded.has_value());
+    CHECK(decoded.value().incarnation == report.incarnation);
+    DOUBLES_EQUAL(12.0, decoded.value().demand.at(workspace_id("w")), 0.1);
+    CHECK_FALSE(decodeMemberReport("{}").has_value());
+    CHECK_FALSE(decodeMemberReport("\xff").has_value());
+}
+
+// A missing or wrong setting must stop the start with a line that names it.
+TEST(gateway_codecs, settingsNameWhatIsWrong)
+{
+    const std::string good = R"({"instance":"a","dataCentre":"z","callerAddress":"127.0.0.1:1","readinessAddress":"127.0.0.1:2",
+ "metricsAddress":"127.0.0.1:3","storeAddress":"127.0.0.1:4","graceMs":8000,"repeatsPerHundred":20,"repeatSlack":56,"quotaSlack":190000})";
+    CHECK_TRUE(parseGatewaySettings(good).has_value());
+    nlohmann::json document = nlohmann::json::parse(good);
+    for (const auto &[name, value] : document.items()) {
+        nlohmann::json without = document;
+        without.erase(name);
+        const auto result = parseGatewaySettings(without.dump());
+        CHECK_FALSE(result.has_value());
+        CHECK(result.error().message.find(name) != std::string::npos);
+    }
+    nlohmann::json surplus = document;
+    surplus["other"] = 1;
+    CHECK_FALSE(parseGatewaySettings(surplus.dump()).has_value());
+}
--- /dev/null
+++ b/tests/http1/client_connection_test.cpp
@@ -0,0 +1,204 @@
+#include "http1/client_connection.h"
+
+#include "http/http_client.h"
+#include "runtime/timer.h"
+
+#include <optional>
+
+#include <arpa/inet.h>
+#include <event2/listener.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace burdockshelf;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+constexpr auto guardTime = 20s;
+
+/// A server that answers each arrival of bytes with fixed text, and a loop with a guard.
+struct scripted_server
+{
+    event_loop loop;
+    timer guard;
+    evconnlistener *listener = nullptr;
+    socket_address address;
+    std::vector<std::unique_ptr<byte_stream>> streams;
+    std::vector<std::string> answers;
+    std::size_t next = 0;
+    bool closesAfterAnswer = false;
+    bool isTimedOut = false;
+
+    scripted_server()
+        : guard(loop, [this] {
+            isTimedOut = true;
+            loop.stop();
+        })
+    {
+        sockaddr_in at = {};
+        at.sin_family = AF_INET;
+        at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        listener =
+            evconnlistener_new_bind(loop.base(), &accept, this, LEV_OPT_CLOSE_ON_FREE, 16, reinterpret_cast<sockaddr *>(&at), sizeof(at));
+        socklen_t size = sizeof(at);
+        getsockname(evconnlistener_get_fd(listener), reinterpret_cast<sockaddr *>(&at), &size);
+        address = {"127.0.0.1", ntohs(at.sin_port)};
+        guard.start(deadline::after(boot_clock::now(), guardTime));
+    }
+
+    ~scripted_server()
+    {
+        streams.clear();
+        evconnlistener_free(listener);
+    }
+
+    static void accept(evconnlistener * /*listener*/, int socket, sockaddr * /*from*/, int /*size*/, void *self)
+    {
+        auto *server = static_cast<scripted_server *>(self);
+        const std::size_t index = server->streams.size();
+        byte_stream::handlers handlers;
+        handlers.onReadable = [server, index] {
+            byte_stream &stream = *server->streams[index];
+            stream.drop(stream.peek().size());
+            if (server->next < server->answers.size()) {
+                stream.write(server->answers[server->next++]);
+                if (server->closesAfterAnswer) {
+                    stream.finishWriting();
+                }
+            }
+        };
+        handlers.onEnded = [](stream_end) {
+        };
+        server->streams.push_back(byte_stream::adopt(server->loop, socket, std::move(handlers)));
+    }
+};
+
+struct exchange_result
+{
+    std::optional<exchange_end> end;
+    std::string body;
+};
+
+exchange_result runExchange(scripted_server &server, client_connection &connection, const std::string &expected = {})
+{
+    exchange_result result;
+    exchange_handlers handlers;
+    if (!expected.empty()) {
+        handlers.isMine = [expected](const http_response &head) {
+            return head.headers.value("Id") == expected;
+        };
+    }
+    handlers.onHead = [](http_response &&, const message_framing &) {
+    };
+    handlers.onBody = [&](std::string_view bytes) {
+        result.body.append(bytes);
+    };
+    handlers.onEnd = [&](exchange_end end) {
+        result.end = end;
+        server.loop.stop();
+    };
+    connection.send({"GET", "/", {}, ""}, std::move(handlers));
+    server.loop.run();
+    CHECK_FALSE(server.isTimedOut);
+    return result;
+}
+
+} // namespace
+
+TEST_GROUP(client_connection) {};
+
+// Bytes behind an answer would be taken for the answer to the next request.
+TEST(client_connection, isNotReusedAfterSurplusBytes)
+{
+    scripted_server server;
+    server.answers = {"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nokHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nextra"};
+    client_connection connection(server.loop, server.address, {});
+    const exchange_result result = runExchange(server, connection);
+    CHECK(result.end == exchange_end::complete);
+    STRCMP_EQUAL("ok", result.body.c_str());
+    CHECK_FALSE(connection.isReusable(boot_clock::now()));
+}
+
+// Shows why endpoints are not called through evhttp: its client keeps surplus bytes and answers the next request with them.
+TEST(client_connection, evhttpGivesSurplusBytesToTheNextRequest)
+{
+    scripted_server server;
+    const std::string surplus = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nextra";
+    server.answers = {"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok" + surplus, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nnext"};
+    http_client client(server.loop, server.address);
+    std::vector<std::string> bodies;
+    const auto call = [&] {
+        http_call_handlers handlers;
+        handlers.onDone = [&](const http_call_result &result) {
+            bodies.push_back(result ? result.value().body : "failed");
+            server.loop.stop();
+        };
+        client.send({"GET", "/", {{"Host", "h"}}, ""}, std::move(handlers), deadline::after(boot_clock::now(), guardTime));
+        server.loop.run();
+    };
+    call();
+    call();
+    STRCMP_EQUAL("ok", bodies[0].c_str());
+    CHECK(bodies[1] != "next");
+}
+
+// An endpoint's late second answer to another request stands where the answer to this one is expected.
+TEST(client_connection, skipsAnAnswerToAnotherRequest)
+{
+    scripted_server server;
+    server.answers = {
+        "HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 5\r\n\r\nwrongHTTP/1.1 200 OK\r\nId: mine\r\nContent-Length: 5\r\n\r\nright"};
+    client_connection connection(server.loop, server.address, {});
+    const exchange_result result = runExchange(server, connection, "mine");
+    CHECK(result.end == exchange_end::complete);
+    STRCMP_EQUAL("right", result.body.c_str());
+}
+
+TEST(client_connection, callsACutAnswerLost)
+{
+    scripted_server server;
+    server.answers = {"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok"};
+    server.closesAfterAnswer = true;
+    client_connection connection(server.loop, server.address, {});
+    CHECK(runExchange(server, connection).end == exchange_end::lost);
+}
+
+TEST(client_connection, callsBytesThatAreNoAnswerBroken)
+{
+    scripted_server server;
+    server.answers = {"hello there\r\n\r\n"};
+    client_connection connection(server.loop, server.address, {});
+    CHECK(runExchange(server, connection).end == exchange_end::broken);
+}
+
+// Only a connection that was never made may count as not sent.
+TEST(client_connection, tellsThatNothingWasSentWhenNobodyListens)
+{
+    scripted_server server;
+    const int socket = ::socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in at = {};
+    at.sin_family = AF_INET;
+    at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    bind(socket, reinterpret_cast<sockaddr *>(&at), sizeof(at));
+    socklen_t size = sizeof(at);
+    getsockname(socket, reinterpret_cast<sockaddr *>(&at), &size);
+    client_connection connection(server.loop, {"127.0.0.1", ntohs(at.sin_port)}, {});
+    CHECK(runExchange(server, connection).end == exchange_end::not_sent);
+    ::close(socket);
+}
+
+// The server closes the idle connection after the time that it has stated; a request must not cross that close.
+TEST(client_connection, isNotReusedCloseToTheStatedIdleTimeout)
+{
+    scripted_server server;
+    server.answers = {"HTTP/1.1 200 OK\r\nKeep-Alive: timeout=5\r\nContent-Length: 2\r\n\r\nok"};
+    client_connection connection(server.loop, server.address, {});
+    runExchange(server, connection);
+    const instant now = boot_clock::now();
+    CHECK_TRUE(connection.isReusable(now + 4s));
+    CHECK_FALSE(connection.isReusable(now + 5s));
+}
--- /dev/null
+++ b/tests/http1/message_parser_test.cpp
@@ -0,0 +1,148 @@
+#include "http1/message_parser.h"
+
+#include "http1/message_writer.h"
+
+#include <vector>
+
+#include "support/property.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace burdockshelf;
+
+namespace
+{
+
+struct recorder : public message_handler
+{
+    std::vector<http_request> requests;
+    std::vector<http_response> responses;
+    std::string body;
+    message_framing framing;
+    int completed = 0;
+
+    void onRequestHead(http_request &&head, const message_framing &found) override
+    {
+        requests.push_back(std::move(head));
+        framing = found;
+    }
+
+    void onResponseHead(http_response &&head, const message_framing &found) override
+    {
+        responses.push_back(std::move(head));
+        framing = found;
+    }
+
+    void onBody(std::string_view bytes) override
+    {
+        body.append(bytes);
+    }
+
+    void onComplete() override
+    {
+        ++completed;
+    }
+};
+
+parse_state parseRequest(const std::string &text)
+{
+    recorder seen;
+    message_parser parser(message_parser::direction::requests, byte_count(1024), seen);
+    parser.take(text);
+    return parser.state();
+}
+
+} // namespace
+
+TEST_GROUP(message_parser) {};
+
+// Bytes behind a message must stay with the caller: they belong to no request that was sent.
+TEST(message_parser, stopsBehindACompleteMessage)
+{
+    recorder seen;
+    message_parser parser(message_parser::direction::responses, byte_count(1024), seen);
+    const std::string first = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+    LONGS_EQUAL(first.size(), parser.take(first + "HTTP/1.1 200 OK\r\n"));
+    CHECK(parser.state() == parse_state::complete);
+    LONGS_EQUAL(1, seen.completed);
+    STRCMP_EQUAL("ok", seen.body.c_str());
+}
+
+// Two lengths, or a length beside chunks, let one request hide in another.
+TEST(message_parser, refusesConflictingLengths)
+{
+    CHECK(parse_state::broken == parseRequest("POST / HTTP/1.1\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"));
+    CHECK(parse_state::broken == parseRequest("POST / HTTP/1.1\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nabcd"));
+    CHECK(parse_state::broken == parseRequest("POST / HTTP/1.1\r\nTransfer-Encoding: identity, gzip\r\n\r\n"));
+}
+
+TEST(message_parser, refusesHeadsOverTheLimit)
+{
+    CHECK(parse_state::head_too_large == parseRequest("GET / HTTP/1.1\r\nX: " + std::string(2000, 'a') + "\r\n\r\n"));
+}
+
+// A response without a length that is reset must not look complete.
+TEST(message_parser, completesAResponseWithoutLengthOnlyAtItsEnd)
+{
+    recorder seen;
+    message_parser parser(message_parser::direction::responses, byte_count(1024), seen);
+    parser.take("HTTP/1.1 200 OK\r\n\r\nsome");
+    CHECK(seen.framing.endsWithConnection);
+    CHECK(parser.state() == parse_state::reading);
+    LONGS_EQUAL(0, seen.completed);
+    parser.takeEnd();
+    LONGS_EQUAL(1, seen.completed);
+}
+
+TEST(message_parser, callsACutBodyBroken)
+{
+    recorder seen;
+    message_parser parser(message_parser::direction::responses, byte_count(1024), seen);
+    parser.take("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nsome");
+    parser.takeEnd();
+    CHECK(parser.state() == parse_state::broken);
+    LONGS_EQUAL(0, seen.completed);
+}
+
+// The same bytes cut anywhere must give the same message.
+TEST(message_parser, givesTheSameMessageForEveryCut)
+{
+    CHECK_PROPERTY("cuts do not matter", [](const std::vector<std::uint8_t> &lengths) {
+        http_request sent;
+        sent.method = "POST";
+        sent.target = "/a/b?c=d";
+        sent.headers.add("Host", "h");
+        sent.body = "0123456789";
+        const std::string bytes = requestBytes(sent, body_framing::length);
+        recorder seen;
+        message_parser parser(message_parser::direction::requests, byte_count(1024), seen);
+        std::size_t at = 0;
+        for (const std::uint8_t length : lengths) {
+            at += parser.take(std::string_view(bytes).substr(at, length));
+        }
+        parser.take(std::string_view(bytes).substr(at));
+        RC_ASSERT(seen.completed == 1);
+        RC_ASSERT(seen.requests.front().target == sent.target);
+        RC_ASSERT(seen.body == sent.body);
+    });
+}
+
+// Framing fields of one connection beside our own made answers unreadable.
+TEST(message_parser, dropsFieldsOfOneConnection)
+{
+    http_headers headers;
+    headers.add("Transfer-Encoding", "chunked");
+    headers.add("Content-Length", "5");
+    headers.add("Connection", "close, X-Private");
+    headers.add("X-Private", "1");
+    headers.add("X-Kept", "1");
+    const http_headers kept = endToEnd(headers);
+    LONGS_EQUAL(1, kept.fields().size());
+    CHECK(kept.has("X-Kept"));
+}
+
+TEST(message_parser, writesNoEmptyChunk)
+{
+    STRCMP_EQUAL("", chunkBytes("").c_str());
+    STRCMP_EQUAL("2\r\nab\r\n", chunkBytes("ab").c_str());
+}
--- /dev/null
+++ b/tests/platform/platform_test.cpp
@@ -0,0 +1,183 @@
+#include "platform/platform.h"
+
+#include <nlohmann/json.hpp>
+
+#include "support/property.h"
+
+using namespace burdockshelf;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+constexpr const char *configText = R"({"version":7,"routes":[
+ {"name":"r1","host":"h","path_prefix":"/a/","kind":"streaming","timeout_ms":14000,"target_latency_ms":900,"priority":1,
+  "split":[{"service":"s","weight":90},{"service":"t","weight":10}],"max_attempts":2,"public":false,"resumable":true},
+ {"name":"r2","host":"h","path_prefix":"/b/","kind":"unsafe","timeout_ms":1000,"service":"t","max_attempts":1}],
+ "services":[{"name":"s","max_conns":370,"cold_start_s":3.0,"cold_per_s":22.0,"engine":{"slots":64,"kv_capacity":40510}},{"name":"t"}],
+ "limits":{"max_header_bytes":16384,"idle_timeout_ms":15000},"unknown":{"field":1},
+ "tenants":[{"name":"w","api_keys":["k1","k2"],"priority":1,"unit":"tokens","plain_tokens":200,"rate_per_s":47000,"burst":47000}]})";
+
+constexpr const char *entryText = R"({"service":"s","address":"10.0.0.1:80","zone":"z","version":"v1","slots":64,"state":"ready",
+ "cold_left_ms":0,"stage":"decode","sequence":4,"born":17})";
+
+http_request clientRequest()
+{
+    http_request request;
+    request.method = "POST";
+    request.target = "/a/x?y=1";
+    request.headers = {
+        {"Host", "h"},
+        {"X-Attempt-Id", "a1"},
+        {"X-Deadline-Ms", "1000"},
+        {"Authorization", "Bearer k1"},
+        {"X-Token-Counts", "1460,80"},
+        {"X-Tenant", "forged"},
+        {"X-Kv-Source", "forged"},
+        {"x-kv-hold", "forged"},
+        {"X-Stage", "prefill"},
+        {"Connection", "X-Hop"},
+        {"X-Hop", "1"},
+        {"X-Other", "kept"},
+    };
+    request.body = "body";
+    return request;
+}
+
+} // namespace
+
+TEST_GROUP(platform)
+{
+    platform_adapter adapter;
+};
+
+TEST(platform, readsAConfigurationAndIgnoresWhatItDoesNotKnow)
+{
+    const auto record = adapter.dialects().records.decodeOperator("config", configText);
+    CHECK_TRUE(record.has_value());
+    const auto &plan = std::get<traffic_plan>(*record.value());
+    LONGS_EQUAL(7, plan.version.value());
+    LONGS_EQUAL(2, plan.routes.size());
+    CHECK(plan.routes[0].kind == request_kind::streaming);
+    CHECK_TRUE(plan.routes[0].isResumable);
+    LONGS_EQUAL(90, plan.routes[0].targets[0].weight);
+    LONGS_EQUAL(40510, plan.services[0].engine->memory.value());
+    CHECK_FALSE(plan.services[1].engine.has_value());
+    LONGS_EQUAL(200, plan.workspaces[0].plainCost);
+    CHECK_TRUE(plan.workspaces[0].countsTokens);
+}
+
+TEST(platform, refusesAMalformedConfiguration)
+{
+    CHECK_FALSE(adapter.dialects().records.decodeOperator("config", "{\"version\":\"x\"}").has_value());
+    CHECK_FALSE(adapter.dialects().records.decodeOperator("config", "\xff").has_value());
+}
+
+// An entry of another writer names no endpoint and must harm no other.
+TEST(platform, refusesEntriesThatMissFieldsOrHaveWrongTypes)
+{
+    const record_dialect &records = adapter.dialects().records;
+    CHECK_TRUE(records.decodeEndpoint("i-1", entryText).has_value());
+    const nlohmann::json whole = nlohmann::json::parse(entryText);
+    for (const std::string name : {"service", "address", "zone", "slots", "state"}) {
+        nlohmann::json without = whole;
+        without.erase(name);
+        CHECK_FALSE(records.decodeEndpoint("i-1", without.dump()).has_value());
+        nlohmann::json wrong = whole;
+        wrong[name] = nlohmann::json::array();
+        CHECK_FALSE(records.decodeEndpoint("i-1", wrong.dump()).has_value());
+    }
+    nlohmann::json odd = whole;
+    odd["state"] = "resting";
+    CHECK_FALSE(records.decodeEndpoint("i-1", odd.dump()).has_value());
+}
+
+TEST(platform, decodersBearAnyBytes)
+{
+    CHECK_PROPERTY("any bytes", [this](const std::string &bytes) {
+        RC_ASSERT(!adapter.dialects().records.decodeEndpoint("i", bytes).has_value());
+        RC_ASSERT(!adapter.dialects().records.decodeOperator("config", bytes).has_value());
+        RC_ASSERT(!adapter.dialects().endpoints.readPromptHandle(bytes).has_value());
+        RC_ASSERT(!adapter.dialects().store.decodeNewest({200, {}, bytes}).has_value());
+        static_cast<void>(adapter.dialects().store.decodeBatch({200, {}, bytes}));
+    });
+}
+
+// No endpoint may see the key, and what is the router's to say must not come from a client.
+TEST(platform, forwardsNothingThatIsTheRoutersToSet)
+{
+    const http_request original = clientRequest();
+    const instant now(1000s);
+    admitted_request admitted;
+    admitted.facts = adapter.dialects().callers.readRequest(original, now);
+    admitted.workspace = workspace_id("w");
+    start_attempt attempt;
+    attempt.endpoint = endpoint_id("i-1");
+    attempt.until = deadline::after(now, 700ms);
+    const http_request sent = adapter.dialects().endpoints.forward(original, admitted, attempt, now);
+    CHECK_FALSE(sent.headers.has("Authorization"));
+    CHECK_FALSE(sent.headers.has("X-Kv-Source"));
+    CHECK_FALSE(sent.headers.has("X-Kv-Hold"));
+    CHECK_FALSE(sent.headers.has("X-Stage"));
+    CHECK_FALSE(sent.headers.has("X-Hop"));
+    CHECK(sent.headers.value("X-Tenant") == "w");
+    CHECK(sent.headers.value("X-Deadline-Ms") == "700");
+    CHECK(sent.headers.value("X-Expect-Instance") == "i-1");
+    CHECK(sent.headers.value("X-Attempt-Id") == "a1");
+    CHECK(sent.headers.value("X-Other") == "kept");
+    STRCMP_EQUAL("/a/x?y=1", sent.target.c_str());
+    STRCMP_EQUAL("body", sent.body.c_str());
+}
+
+TEST(platform, readsWhatDecisionsNeedFromARequest)
+{
+    const instant now(1000s);
+    const forward_facts facts = adapter.dialects().callers.readRequest(clientRequest(), now);
+    STRCMP_EQUAL("k1", facts.key.c_str());
+    LONGS_EQUAL(1460, facts.promptTokens->value());
+    LONGS_EQUAL(80, facts.outputTokens.value());
+    CHECK(facts.callerUntil == deadline::after(now, 1s));
+}
+
+// 429 and 503 promise that the request was not run; a request that may have run must never get them.
+TEST(platform, promisesNotRunOnlyWhereItIsTrue)
+{
+    const caller_dialect &callers = adapter.dialects().callers;
+    for (const refusal_cause cause : {refusal_cause::timed_out, refusal_cause::endpoint_failed}) {
+        const int status = callers.refusal({cause, std::nullopt}, {}).status;
+        CHECK(status == 502 || status == 504);
+    }
+    const http_response busy = callers.refusal({refusal_cause::overloaded, 120ms}, {});
+    LONGS_EQUAL(503, busy.status);
+    CHECK(busy.headers.value("Retry-After") == "0.120");
+    LONGS_EQUAL(429, callers.refusal({refusal_cause::over_quota, 1s}, {}).status);
+}
+
+TEST(platform, readsRecordsOfAKeyedTopic)
+{
+    const store_dialect &store = adapter.dialects().store;
+    const http_request written = store.write(store_topic::members, "me", "value");
+    http_response response;
+    response.body = std::string(7, '\0') + '\x05' + std::string(8, '\0') + written.body;
+    const auto batch = store.decodeBatch(response);
+    CHECK_TRUE(batch.has_value());
+    LONGS_EQUAL(5, batch.value().end.value());
+    STRCMP_EQUAL("me", batch.value().records[0].key.c_str());
+    STRCMP_EQUAL("value", batch.value().records[0].value->c_str());
+    CHECK(store.decodeBatch({410, {}, ""}).error().code == error_code::not_found);
+    CHECK_FALSE(store.decodeBatch({503, {}, ""}).has_value());
+}
+
+// An answer that does not prove whose it is must not pass as a success.
+TEST(platform, readsWhatAnAnswerSaysOfItself)
+{
+    const endpoint_dialect &endpoints = adapter.dialects().endpoints;
+    const answer_facts good = endpoints.readAnswer({200, {{"X-Attempt-Id", "a"}, {"X-Server-Seal", "s"}, {"X-Server-Load", "3,1,8"}}, ""});
+    CHECK_TRUE(good.hasProof);
+    CHECK_FALSE(good.isNotRun);
+    LONGS_EQUAL(1, good.load->waiting);
+    CHECK_TRUE(endpoints.readAnswer({503, {{"X-Not-Executed", "1"}}, ""}).isNotRun);
+    CHECK_FALSE(endpoints.readAnswer({503, {}, ""}).isNotRun);
+    CHECK_TRUE(endpoints.readAnswer({421, {}, ""}).isMisdirected);
+    CHECK_FALSE(endpoints.readAnswer({200, {{"X-Server-Load", "broken"}}, ""}).load.has_value());
+}
--- /dev/null
+++ b/tests/standins/users_platform/standin_backend.cpp
@@ -0,0 +1,118 @@
+#include "standins/users_platform/standin_backend.h"
+
+#include <utility>
+
+#include <nlohmann/json.hpp>
+
+namespace burdockshelf
+{
+
+namespace
+{
+
+constexpr int eventCount = 3;
+
+http_response json(const nlohmann::json &body)
+{
+    http_response response;
+    response.headers.add("Content-Type", "application/json");
+    response.body = body.dump();
+    return response;
+}
+
+} // namespace
+
+standin_backend::standin_backend(event_loop &loop, std::string id)
+    : m_id(std::move(id))
+    , m_server(loop, {}, [this](const std::shared_ptr<http_exchange> &exchange) { answer(exchange); })
+    , m_address(m_server.listen({"127.0.0.1", 0}).value())
+{
+}
+
+const socket_address &standin_backend::address() const
+{
+    return m_address;
+}
+
+std::string standin_backend::entry(const std::string &service, const std::string &zone, const std::string &stage) const
+{
+    nlohmann::json value = {
+        {"service", service},
+        {"address", m_address.toString()},
+        {"zone", zone},
+        {"version", "v1"},
+        {"slots", 8},
+        {"state", "ready"},
+        {"cold_left_ms", 0},
+        {"sequence", 1},
+        {"born", 1000},
+    };
+    if (!stage.empty()) {
+        value["stage"] = stage;
+    }
+    return value.dump();
+}
+
+void standin_backend::setBehaviour(behaviour answer)
+{
+    m_behaviour = std::move(answer);
+}
+
+const std::vector<http_request> &standin_backend::runs() const
+{
+    return m_runs;
+}
+
+const std::vector<http_request> &standin_backend::calls() const
+{
+    return m_calls;
+}
+
+http_response standin_backend::success(const http_request &request) const
+{
+    http_response response;
+    response.headers.add("X-Attempt-Id", std::string(request.headers.value("X-Attempt-Id")));
+    response.headers.add("X-Server-Seal", "seal-of-" + m_id);
+    return response;
+}
+
+void standin_backend::answer(const std::shared_ptr<http_exchange> &exchange)
+{
+    const http_request &request = exchange->request();
+    m_calls.push_back(request);
+    if (request.path() == "/hold-take") {
+        exchange->respond(json({{"hold", "room-1"}}));
+        return;
+    }
+    if (request.headers.value("X-Stage") == "prefill") {
+        http_response response = json({{"kv_handle", "handle-1"}, {"tokens", 10}, {"version", 1}});
+        response.headers.add("X-Attempt-Id", std::string(request.headers.value("X-Attempt-Id")));
+        exchange->respond(response);
+        return;
+    }
+    m_runs.push_back(request);
+    if (m_behaviour) {
+        m_behaviour(exchange);
+        return;
+    }
+    if (request.headers.has("X-Token-Counts")) {
+        answerStream(*exchange);
+        return;
+    }
+    http_response response = success(request);
+    response.body = "body of " + m_id;
+    exchange->respond(response);
+}
+
+void standin_backend::answerStream(http_exchange &exchange)
+{
+    http_headers headers = success(exchange.request()).headers;
+    headers.add("Content-Type", "text/event-stream");
+    exchange.startStream(200, headers);
+    for (int id = 1; id <= eventCount; ++id) {
+        exchange.sendData("id: " + std::to_string(id) + "\ndata: piece\n\n");
+    }
+    exchange.endStream();
+}
+
+} // namespace burdockshelf
--- /dev/null
+++ b/tests/standins/users_platform/standin_store.h
@@ -0,0 +1,78 @@
+#pragma once
+
+#include "http/http_server.h"
+#include "runtime/timer.h"
+
+#include <cstdint>
+#include <list>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace burdockshelf
+{
+
+/// The platform's store with keyed topics, on a port that the kernel chooses. Can refuse, be silent and forget its history.
+class standin_store
+{
+public:
+    enum class mood
+    {
+        serving,
+        /// Answers 503; nothing was done.
+        refusing,
+        /// Takes calls and never answers them.
+        silent,
+    };
+
+    explicit standin_store(event_loop &loop);
+
+    const socket_address &address() const;
+    void put(const std::string &topic, const std::string &key, const std::string &value);
+    void drop(const std::string &topic, const std::string &key);
+    /// Removes all records; the newest of each key stay readable as such.
+    void forgetHistory(const std::string &topic);
+    void setMood(mood now);
+    std::size_t callCount() const;
+
+private:
+    struct record
+    {
+        std::string key;
+        std::string value;
+    };
+
+    struct topic
+    {
+        std::vector<record> records;
+        std::size_t firstKept = 0;
+        std::map<std::string, std::size_t> newest;
+    };
+
+    struct waiting_read
+    {
+        std::shared_ptr<http_exchange> exchange;
+        std::string topicName;
+        std::size_t from = 0;
+        std::unique_ptr<timer> timeout;
+    };
+
+    void answer(const std::shared_ptr<http_exchange> &exchange);
+    void answerNewest(http_exchange &exchange);
+    void answerRead(const std::shared_ptr<http_exchange> &exchange);
+    void answerAppend(http_exchange &exchange);
+    void append(const std::string &topicName, record fresh);
+    bool tryRead(http_exchange &exchange, const std::string &topicName, std::size_t from, bool mayBeEmpty);
+
+    event_loop &m_loop;
+    http_server m_server;
+    socket_address m_address;
+    std::map<std::string, topic> m_topics;
+    std::list<waiting_read> m_waiting;
+    std::vector<std::shared_ptr<http_exchange>> m_unanswered;
+    mood m_mood = mood::serving;
+    std::size_t m_calls = 0;
+};
+
+} // namespace burdockshelf
