Order engines into the ratio of stages that requests need

Cause: four of nine engines read prompts at a quarter of their speed while the decode engines were full. Change: the store's group deals the duty to one instance; it orders one engine at a time, with the group's generation as fence and the engine's own count of orders as condition; the lease counts from the sending of the call and a new holder waits for the old one.

--- a/src/gateway/dialects.h
+++ b/src/gateway/dialects.h
@@ -45,6 +45,25 @@
     std::optional<endpoint_load> load;
 };
 
+/// What an engine reports about its orders.
+struct engine_report
+{
+    engine_stage stage = engine_stage::decode;
+    /// An order is being carried out.
+    bool isBusy = false;
+    std::int64_t ordersAccepted = 0;
+};
+
+/// An order to an engine, valid only while the engine has accepted as many orders as are expected.
+struct stage_order
+{
+    endpoint_id endpoint;
+    engine_stage stage = engine_stage::decode;
+    instance_id holder;
+    fencing_token fence;
+    std::int64_t expectedOrders = 0;
+};
+
 /// How endpoints are called.
 class endpoint_dialect
 {
@@ -63,6 +82,9 @@
     /// The handle in the answer to a prompt that was read; nothing when the answer is not usable.
     virtual std::optional<std::string> readPromptHandle(std::string_view body) const = 0;
     virtual http_request releaseHandle(const std::string &handle) const = 0;
+    virtual http_request readReport(const endpoint_id &endpoint) const = 0;
+    virtual outcome<engine_report> decodeReport(const http_response &response) const = 0;
+    virtual http_request orderStage(const stage_order &order) const = 0;
 };
 
 /// A topic of the platform's store in which the newest record of each key is kept.
@@ -101,6 +123,14 @@
     store_offset end;
 };
 
+/// What the store says to a member of the group that shares the duty.
+struct duty_answer
+{
+    /// Rises with each change of the group.
+    fencing_token generation;
+    bool holdsDuty = false;
+};
+
 /// How the platform's store is called.
 class store_dialect
 {
@@ -114,6 +144,10 @@
     virtual outcome<store_page> decodeNewest(const http_response &response) const = 0;
     /// An error with error_code::not_found means that the records are gone and the newest have to be read.
     virtual outcome<store_batch> decodeBatch(const http_response &response) const = 0;
+    /// Joins the group of the duty or stays in it, with the last generation that was received.
+    virtual http_request joinDuty(const instance_id &member, fencing_token generation) const = 0;
+    virtual http_request leaveDuty(const instance_id &member) const = 0;
+    virtual outcome<duty_answer> decodeJoined(const http_response &response) const = 0;
     virtual outcome<void> decodeWritten(const http_response &response) const = 0;
 };
 
--- a/src/gateway/dispatch_task.cpp
+++ b/src/gateway/dispatch_task.cpp
@@ -73,12 +73,11 @@
                              event_log log,
                              random_source random)
     : task(std::move(box))
-    , m_loop(loop)
     , m_settings(std::move(settings))
     , m_dialects(dialects)
     , m_to(std::move(to))
     , m_log(std::move(log))
-    , m_random(std::move(random))
+    , m_random(random)
     , m_endpoints(endpoint_table_settings {m_settings.dataCentre})
     , m_repeats(m_settings.repeats)
     , m_shares(m_settings.quotaSlack)
@@ -704,6 +703,7 @@
             m_log.write(log_line("dispatch", "message_dropped").add("receiver", "store"));
         }
     }
+    listEngines();
     m_metrics.gauges.push_back({{"burdockshelf_endpoints", {}}, static_cast<double>(m_endpoints.size())});
     m_metrics.gauges.push_back({{"burdockshelf_instances", {}}, static_cast<double>(instances)});
     m_metrics.gauges.push_back({{"burdockshelf_active_requests", {}}, static_cast<double>(m_flows.size())});
@@ -712,6 +712,20 @@
     }
 }
 
+void dispatch_task::listEngines()
+{
+    engines_listed listed;
+    m_endpoints.forEach([&](const endpoint_state &known) {
+        if (known.entry.stage) {
+            const bool isUsable = m_endpoints.mayReceive(known.entry.id, boot_clock::now());
+            listed.engines.push_back({known.entry.id, known.entry.service, known.entry.address, *known.entry.stage, isUsable});
+        }
+    });
+    if (m_to.duty.post(std::move(listed)) != post_result::delivered) {
+        m_log.write(log_line("dispatch", "message_dropped").add("receiver", "duty"));
+    }
+}
+
 void dispatch_task::updateReadiness()
 {
     const bool isReady = m_plan && m_endpoints.size() > 0 && !m_isShuttingDown;
--- a/src/gateway/dispatch_task.h
+++ b/src/gateway/dispatch_task.h
@@ -2,6 +2,7 @@
 
 #include "forwarding/member_view.h"
 #include "forwarding/workspace_shares.h"
+#include "gateway/duty_messages.h"
 #include "gateway/gateway_messages.h"
 #include "gateway/monitor_messages.h"
 #include "logging/log_writer_task.h"
@@ -32,6 +33,7 @@
     address<front_message> callers;
     address<endpoint_link_message> endpoints;
     address<store_message> store;
+    address<duty_message> duty;
     sink<readiness_report> readiness;
     sink<metric_batch> metrics;
 };
@@ -123,6 +125,7 @@
     void armDeadline();
     void checkDeadlines();
     void reportState();
+    void listEngines();
     void updateReadiness();
     flow_context context();
     void toCallers(front_message message);
@@ -131,7 +134,6 @@
     bool mayLog(bool isGood);
     void count(std::string_view metric, std::string_view label, std::string_view value);
 
-    event_loop &m_loop;
     dispatch_settings m_settings;
     gateway_dialects m_dialects;
     dispatch_addresses m_to;
--- /dev/null
+++ b/src/gateway/duty_task.cpp
@@ -0,0 +1,152 @@
+#include "gateway/duty_task.h"
+
+#include <utility>
+
+namespace burdockshelf
+{
+
+namespace
+{
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds joinPause {700};
+constexpr milliseconds joinTime {500};
+constexpr milliseconds engineCallTime {600};
+
+std::string_view stageName(engine_stage stage)
+{
+    return stage == engine_stage::prefill ? "prefill" : "decode";
+}
+
+} // namespace
+
+duty_task::duty_task(event_loop &loop,
+                     std::shared_ptr<mailbox<duty_message>> box,
+                     duty_settings settings,
+                     const store_dialect &store,
+                     const endpoint_dialect &endpoints,
+                     event_log log)
+    : task(std::move(box))
+    , m_loop(loop)
+    , m_settings(std::move(settings))
+    , m_store(store)
+    , m_dialect(endpoints)
+    , m_log(std::move(log))
+    , m_lease(m_settings.turnTime)
+    , m_balance(m_settings.prefillPercent)
+    , m_storeCall(loop, m_settings.store)
+    , m_next(loop, [this] { join(); })
+{
+}
+
+outcome<void> duty_task::start()
+{
+    join();
+    return success();
+}
+
+void duty_task::beginShutdown()
+{
+    m_next.stop();
+    m_lease.drop();
+    // The next holder need not wait for the store to notice. No answer is awaited; the store would notice by itself.
+    m_storeCall.abandon();
+    m_storeCall.begin(m_store.leaveDuty(m_settings.instance), deadline::after(boot_clock::now(), joinTime), [this](const outcome<http_response> &) {
+        finish();
+    });
+}
+
+void duty_task::handle(duty_message &&message)
+{
+    std::visit([this](auto &&typed) { apply(std::forward<decltype(typed)>(typed)); }, std::move(message));
+}
+
+void duty_task::apply(engines_listed &&listed)
+{
+    m_engines = std::move(listed.engines);
+    considerOrder();
+}
+
+void duty_task::join()
+{
+    const instant now = boot_clock::now();
+    m_next.start(deadline::after(now, joinPause));
+    if (m_storeCall.isBusy()) {
+        return;
+    }
+    const http_request request = m_store.joinDuty(m_settings.instance, m_lease.generation());
+    m_storeCall.begin(request, deadline::after(now, joinTime), [this, now](const outcome<http_response> &answer) { takeJoined(answer, now); });
+}
+
+void duty_task::takeJoined(const outcome<http_response> &answer, instant sentAt)
+{
+    const auto joined = answer ? m_store.decodeJoined(answer.value()) : outcome<duty_answer>(answer.error());
+    if (!joined) {
+        if (m_lease.isHeld()) {
+            m_log.write(log_line("duty", "not_confirmed").add("cause", joined.error().message).add("generation", m_lease.generation()));
+        }
+        return;
+    }
+    const bool wasHeld = m_lease.isHeld();
+    m_lease.noteAnswer(joined.value().holdsDuty, joined.value().generation, sentAt);
+    if (m_lease.isHeld() != wasHeld) {
+        m_log.write(log_line("duty", m_lease.isHeld() ? "held" : "lost").add("generation", m_lease.generation()));
+    }
+}
+
+void duty_task::considerOrder()
+{
+    const instant now = boot_clock::now();
+    if (!m_lease.mayAct(now) || (m_order && m_order->isBusy())) {
+        return;
+    }
+    const auto change = m_balance.next(m_engines, now);
+    if (!change) {
+        return;
+    }
+    m_order = std::make_unique<timed_call>(m_loop, change->endpoint.address);
+    m_order->begin(m_dialect.readReport(change->endpoint.id),
+                   deadline::after(now, engineCallTime),
+                   [this, change = *change](const outcome<http_response> &answer) { takeReport(change, answer); });
+}
+
+void duty_task::takeReport(const stage_change &change, const outcome<http_response> &answer)
+{
+    const auto report = answer ? m_dialect.decodeReport(answer.value()) : outcome<engine_report>(answer.error());
+    const instant now = boot_clock::now();
+    const bool isOrderable = report && !report.value().isBusy && report.value().stage != change.to;
+    if (!isOrderable || !m_lease.mayAct(now)) {
+        m_log.write(log_line("duty", "order_not_sent")
+                        .add("endpoint", change.endpoint.id)
+                        .add("stage", stageName(change.to))
+                        .add("cause", report ? (isOrderable ? "the duty is no longer confirmed" : "the engine is busy or done") : report.error().message));
+        // The engine is left alone for as long as if it had been ordered.
+        m_balance.noteOrdered(change, now);
+        return;
+    }
+    m_balance.noteOrdered(change, now);
+    m_log.write(log_line("duty", "order_sent")
+                    .add("endpoint", change.endpoint.id)
+                    .add("stage", stageName(change.to))
+                    .add("generation", m_lease.generation())
+                    .add("orders_before", report.value().ordersAccepted));
+    const stage_order order = {change.endpoint.id, change.to, m_settings.instance, m_lease.generation(), report.value().ordersAccepted};
+    m_order->begin(m_dialect.orderStage(order), deadline::after(now, engineCallTime), [this, change](const outcome<http_response> &ordered) {
+        takeOrdered(change, ordered);
+    });
+}
+
+void duty_task::takeOrdered(const stage_change &change, const outcome<http_response> &answer)
+{
+    log_line line("duty", "order_answered");
+    line.add("endpoint", change.endpoint.id);
+    if (answer) {
+        line.add("status", answer.value().status);
+    } else {
+        line.add("cause", answer.error().message);
+    }
+    m_log.write(std::move(line));
+}
+
+} // namespace burdockshelf
--- a/src/gateway/gateway_settings.cpp
+++ b/src/gateway/gateway_settings.cpp
@@ -14,6 +14,7 @@
 constexpr number_range percentRange = {0, 1000};
 constexpr number_range slackRange = {0, 1'000'000};
 constexpr number_range quotaSlackRange = {0, 1'000'000'000};
+constexpr number_range shareRange = {0, 100};
 constexpr number_range graceRange = {1, 600'000};
 
 socket_address addressOf(json_reader &reader, std::string_view key)
@@ -42,6 +43,8 @@
     settings.repeats.perHundred = reader.integer("repeatsPerHundred", percentRange);
     settings.repeats.slack = reader.integer("repeatSlack", slackRange);
     settings.quotaSlack = reader.integer("quotaSlack", quotaSlackRange);
+    settings.dutyTurn = std::chrono::milliseconds(reader.integer("dutyTurnMs", graceRange));
+    settings.prefillPercent = reader.integer("prefillPercent", shareRange);
     BOOST_OUTCOME_TRYV(reader.finish());
     return settings;
 }
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -25,6 +25,10 @@
     repeat_limits repeats;
     /// Imprecision of quotas that the fleet may have in a window, in cost units.
     std::int64_t quotaSlack = 0;
+    /// Two holders of the duty to order engines must not take turns within this time.
+    std::chrono::milliseconds dutyTurn {3000};
+    /// The part of a service's engines that should read prompts, in percent; 0 leaves the engines as they are.
+    std::int64_t prefillPercent = 0;
 };
 
 /// Reads and checks a settings file. The error names the file, the JSON pointer, what was found and what is allowed.
--- a/src/gateway/gateway_tree.cpp
+++ b/src/gateway/gateway_tree.cpp
@@ -1,6 +1,7 @@
 #include "gateway/gateway_tree.h"
 
 #include "gateway/dispatch_task.h"
+#include "gateway/duty_task.h"
 #include "gateway/endpoint_link_task.h"
 #include "gateway/monitor_task.h"
 #include "gateway/store_task.h"
@@ -37,6 +38,7 @@
     , m_endpointBox(makeBox<endpoint_link_message>(loop))
     , m_dispatchBox(makeBox<dispatch_message>(loop))
     , m_storeBox(makeBox<store_message>(loop))
+    , m_dutyBox(makeBox<duty_message>(loop))
     , m_frontBox(makeBox<front_message>(loop))
     , m_log(sink<log_line>([to = address(m_logBox)](log_line &&line) { return to.post(std::move(line)); }))
     , m_root(std::make_unique<supervisor>(loop, "gateway", std::make_unique<rest_for_one>()))
@@ -64,6 +66,7 @@
                           to.callers = address(m_frontBox);
                           to.endpoints = address(m_endpointBox);
                           to.store = address(m_storeBox);
+                          to.duty = address(m_dutyBox);
                           to.readiness = makeSink<readiness_report>(address(m_monitorBox));
                           to.metrics = makeSink<metric_batch>(address(m_monitorBox));
                           return std::make_unique<dispatch_task>(m_loop, m_dispatchBox, dispatch, dialects, to, m_log, random_source());
@@ -73,6 +76,10 @@
                           return std::make_unique<store_task>(
                               m_loop, m_storeBox, at, store, address(m_dispatchBox), m_log, random_source());
                       }});
+    m_root->addChild({"duty", [this, settings, &store = dialects.store, &endpoints = dialects.endpoints] {
+                          const duty_settings duty = {settings.instance, settings.storeAddress, settings.dutyTurn, settings.prefillPercent};
+                          return std::make_unique<duty_task>(m_loop, m_dutyBox, duty, store, endpoints, m_log);
+                      }});
     m_root->addChild({"callers", [this, settings] {
                           const caller_front_settings front = {settings.callerAddress, settings.grace};
                           const sink<front_listening> listening([this](const front_listening &bound) {
--- a/src/gateway/gateway_tree.h
+++ b/src/gateway/gateway_tree.h
@@ -2,6 +2,7 @@
 
 #include "gateway/caller_front_task.h"
 #include "gateway/dialects.h"
+#include "gateway/duty_messages.h"
 #include "gateway/gateway_settings.h"
 #include "gateway/monitor_messages.h"
 #include "logging/log_writer_task.h"
@@ -13,7 +14,7 @@
 namespace burdockshelf
 {
 
-/// The supervisor tree of a gateway. Children in start order: log, monitor, endpoints, dispatcher, store, callers; they end in the reverse
+/// The supervisor tree of a gateway. Children in start order: log, monitor, endpoints, dispatcher, store, duty, callers; they end in the reverse
 /// order, so that what was taken from callers is answered first.
 class gateway_tree
 {
@@ -42,6 +43,7 @@
     std::shared_ptr<mailbox<endpoint_link_message>> m_endpointBox;
     std::shared_ptr<mailbox<dispatch_message>> m_dispatchBox;
     std::shared_ptr<mailbox<store_message>> m_storeBox;
+    std::shared_ptr<mailbox<duty_message>> m_dutyBox;
     std::shared_ptr<mailbox<front_message>> m_frontBox;
     event_log m_log;
     socket_address m_callerAddress;
--- a/src/gateway/store_task.cpp
+++ b/src/gateway/store_task.cpp
@@ -35,7 +35,7 @@
     , m_dialect(dialect)
     , m_dispatcher(std::move(dispatcher))
     , m_log(std::move(log))
-    , m_random(std::move(random))
+    , m_random(random)
     , m_writer(loop, m_settings.address)
 {
     for (const follow_settings &topic : followed) {
--- a/src/gateway/store_task.h
+++ b/src/gateway/store_task.h
@@ -40,7 +40,7 @@
     address<dispatch_message> m_dispatcher;
     event_log m_log;
     random_source m_random;
-    store_call m_writer;
+    timed_call m_writer;
     std::vector<std::unique_ptr<topic_follower>> m_followers;
     bool m_isReachable = false;
 };
--- a/src/gateway/store_call.cpp
+++ b/src/gateway/timed_call.cpp
@@ -1,13 +1,13 @@
-#include "gateway/store_call.h"
+#include "gateway/timed_call.h"
 
 #include <utility>
 
 namespace burdockshelf
 {
 
-store_call::store_call(event_loop &loop, const socket_address &store)
+timed_call::timed_call(event_loop &loop, const socket_address &server)
     : m_loop(loop)
-    , m_store(store)
+    , m_server(server)
     , m_timeout(loop,
                 [this] {
                     discardConnection();
@@ -17,21 +17,28 @@
 {
 }
 
-store_call::~store_call() = default;
+timed_call::~timed_call() = default;
 
-bool store_call::isBusy() const
+bool timed_call::isBusy() const
 {
     return m_onDone != nullptr;
 }
 
-void store_call::begin(const http_request &request, deadline until, handler onDone)
+void timed_call::abandon()
+{
+    m_timeout.stop();
+    m_onDone = nullptr;
+    discardConnection();
+}
+
+void timed_call::begin(const http_request &request, deadline until, handler onDone)
 {
     m_onDone = std::move(onDone);
     m_response = {};
     m_timeout.start(until);
     if (!m_connection || !m_connection->isReusable(boot_clock::now())) {
         discardConnection();
-        m_connection = std::make_unique<client_connection>(m_loop, m_store, client_connection_settings {});
+        m_connection = std::make_unique<client_connection>(m_loop, m_server, client_connection_settings {});
     }
     exchange_handlers handlers;
     handlers.onHead = [this](http_response &&head, const message_framing & /*framing*/) {
@@ -52,7 +59,7 @@
     m_connection->send(request, std::move(handlers));
 }
 
-void store_call::finish(outcome<http_response> result)
+void timed_call::finish(outcome<http_response> result)
 {
     m_timeout.stop();
     const handler onDone = std::exchange(m_onDone, nullptr);
@@ -62,7 +69,7 @@
 }
 
 // The connection may be the caller of this function and is destroyed from the loop.
-void store_call::discardConnection()
+void timed_call::discardConnection()
 {
     if (m_connection) {
         m_connection->abandon();
--- a/src/gateway/store_call.h
+++ b/src/gateway/timed_call.h
@@ -10,19 +10,21 @@
 namespace burdockshelf
 {
 
-/// Calls to the store on one connection, one at a time, each with a deadline. A connection on which a call failed is not used again,
-/// because it may be silent for good. Owned by store_task.
-class store_call
+/// Calls to one server on one connection, one at a time, each with a deadline. A connection on which a call failed is not used again,
+/// because it may be silent for good. Owned by one task.
+class timed_call
 {
 public:
     using handler = std::function<void(outcome<http_response>)>;
 
-    store_call(event_loop &loop, const socket_address &store);
-    ~store_call();
-    store_call(const store_call &) = delete;
-    store_call &operator=(const store_call &) = delete;
+    timed_call(event_loop &loop, const socket_address &server);
+    ~timed_call();
+    timed_call(const timed_call &) = delete;
+    timed_call &operator=(const timed_call &) = delete;
 
     bool isBusy() const;
+    /// Ends the running call without a word to its handler.
+    void abandon();
     void begin(const http_request &request, deadline until, handler onDone);
 
 private:
@@ -30,7 +32,7 @@
     void discardConnection();
 
     event_loop &m_loop;
-    socket_address m_store;
+    socket_address m_server;
     std::unique_ptr<client_connection> m_connection;
     std::unique_ptr<client_connection> m_discarded;
     http_response m_response;
--- a/src/gateway/topic_follower.h
+++ b/src/gateway/topic_follower.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "gateway/gateway_messages.h"
-#include "gateway/store_call.h"
+#include "gateway/timed_call.h"
 #include "logging/log_writer_task.h"
 #include "runtime/backoff.h"
 
@@ -60,7 +60,7 @@
     contact_handler m_onContact;
     event_log m_log;
     random_source &m_random;
-    store_call m_call;
+    timed_call m_call;
     timer m_next;
     backoff m_backoff;
     bool m_readsNewest = true;
--- a/tests/forwarding/forward_flow_test.cpp
+++ b/tests/forwarding/forward_flow_test.cpp
@@ -213,7 +213,7 @@
         const attempt_number number = findAction<start_attempt>(actions)->number;
         actions = flow.onEnd(number, attempt_end::whole, {200, false}, "handle", fixture.context(), fixture.now);
     }
-    const start_attempt decode = *findAction<start_attempt>(actions);
+    start_attempt decode = *findAction<start_attempt>(actions);
     flow.onHead(decode.number, fixture.context(), fixture.now);
     return decode;
 }
--- a/tests/forwarding/shares_test.cpp
+++ b/tests/forwarding/shares_test.cpp
@@ -41,10 +41,12 @@
         const instant start(1000s);
         const auto count = static_cast<std::int64_t>(demands.size());
         std::vector<workspace_demand> published;
+        published.reserve(demands.size());
         for (const std::uint8_t demand : demands) {
             published.push_back({{workspace, static_cast<double>(demand)}});
         }
         std::vector<const workspace_demand *> all;
+        all.reserve(published.size());
         for (const workspace_demand &one : published) {
             all.push_back(&one);
         }
--- a/tests/gateway/gateway_test.cpp
+++ b/tests/gateway/gateway_test.cpp
@@ -382,7 +382,7 @@
 TEST(gateway_codecs, settingsNameWhatIsWrong)
 {
     const std::string good = R"({"instance":"a","dataCentre":"z","callerAddress":"127.0.0.1:1","readinessAddress":"127.0.0.1:2",
- "metricsAddress":"127.0.0.1:3","storeAddress":"127.0.0.1:4","graceMs":8000,"repeatsPerHundred":20,"repeatSlack":56,"quotaSlack":190000})";
+ "metricsAddress":"127.0.0.1:3","storeAddress":"127.0.0.1:4","graceMs":8000,"repeatsPerHundred":20,"repeatSlack":56,"quotaSlack":190000,"dutyTurnMs":3000,"prefillPercent":25})";
     CHECK_TRUE(parseGatewaySettings(good).has_value());
     nlohmann::json document = nlohmann::json::parse(good);
     for (const auto &[name, value] : document.items()) {
--- a/tests/http1/client_connection_test.cpp
+++ b/tests/http1/client_connection_test.cpp
@@ -183,7 +183,7 @@
     sockaddr_in at = {};
     at.sin_family = AF_INET;
     at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    bind(socket, reinterpret_cast<sockaddr *>(&at), sizeof(at));
+    LONGS_EQUAL(0, bind(socket, reinterpret_cast<sockaddr *>(&at), sizeof(at)));
     socklen_t size = sizeof(at);
     getsockname(socket, reinterpret_cast<sockaddr *>(&at), &size);
     client_connection connection(server.loop, {"127.0.0.1", ntohs(at.sin_port)}, {});
