Avoid data centres whose endpoints cannot be reached

Cause: while a data centre is cut off, each of its endpoints costs a request its connection timeout or its silence. Change: two failures in a row without any answer mark the way to a data centre as cut for 700 ms; connections are given up after 150 ms.

--- a/src/forwarding/endpoint_table.cpp
+++ b/src/forwarding/endpoint_table.cpp
@@ -21,6 +21,10 @@
 // An answer that is missing for this long marks the endpoint as suspect.
 constexpr milliseconds plainSilence {250};
 constexpr milliseconds engineSilence {1200};
+// Endpoints of one data centre that cannot be reached one after the other mean that the way there is cut. One request after this time tries
+// again.
+constexpr std::int64_t failuresToCutOff = 2;
+constexpr milliseconds cutOffTime {700};
 // Reports of other instances' work fade out, because the endpoint does not speak again while nothing is sent to it.
 constexpr milliseconds foreignLifetime {4000};
 // Score terms, in units of a fully used endpoint.
@@ -28,6 +32,7 @@
 constexpr double suspectPenalty = 6.0;
 constexpr double blockedPenalty = 20.0;
 constexpr double fullPenalty = 4.0;
+constexpr double cutOffPenalty = 10.0;
 constexpr double coldPenalty = 0.6;
 constexpr double remotePenalty = 0.12;
 constexpr double tieBreak = 0.02;
@@ -234,6 +239,10 @@
     if (!wasAnswered) {
         noteAnswer(endpoint, sentAt);
     }
+    const bool isUnreachable = verdict == endpoint_verdict::unreachable || (verdict == endpoint_verdict::failed && !wasAnswered);
+    if (isUnreachable || wasAnswered || verdict == endpoint_verdict::good || verdict == endpoint_verdict::refused) {
+        noteWay(known->entry.dataCentre, !isUnreachable, now);
+    }
     switch (verdict) {
     case endpoint_verdict::good: {
         const std::chrono::duration<double> took = now - sentAt;
@@ -303,6 +312,7 @@
         total += std::min(candidate.latencySeconds / latencyScaleSeconds, 1.0) * used;
     }
     total += candidate.blockedUntil.hasPassed(now) ? 0.0 : blockedPenalty;
+    total += isCutOff(candidate.entry.dataCentre, now) ? cutOffPenalty : 0.0;
     total += isSuspect(candidate, now) ? suspectPenalty : 0.0;
     total += candidate.fullUntil.hasPassed(now) ? 0.0 : fullPenalty;
     total += candidate.coldUntil.hasPassed(now) ? 0.0 : coldPenalty;
@@ -324,6 +334,19 @@
     return used;
 }
 
+bool endpoint_table::isCutOff(const data_centre_id &dataCentre, instant now) const
+{
+    const auto found = m_ways.find(dataCentre);
+    return found != m_ways.end() && found->second.failuresInRow >= failuresToCutOff && now - found->second.lastFailure < cutOffTime;
+}
+
+void endpoint_table::noteWay(const data_centre_id &dataCentre, bool isOpen, instant now)
+{
+    way_state &way = m_ways[dataCentre];
+    way.failuresInRow = isOpen ? 0 : way.failuresInRow + 1;
+    way.lastFailure = isOpen ? way.lastFailure : now;
+}
+
 void endpoint_table::setColdShare(endpoint_state &endpoint, const traffic_service *service, instant now) const
 {
     const double rate = service == nullptr ? 0.0 : service->coldPerSecond / static_cast<double>(m_instanceCount);
--- a/src/forwarding/endpoint_table.h
+++ b/src/forwarding/endpoint_table.h
@@ -123,6 +123,16 @@
 private:
     using service_endpoints = std::vector<endpoint_state *>;
 
+    /// What attempts tell about the way to a data centre.
+    struct way_state
+    {
+        std::int64_t failuresInRow = 0;
+        instant lastFailure;
+    };
+
+    bool isCutOff(const data_centre_id &dataCentre, instant now) const;
+    void noteWay(const data_centre_id &dataCentre, bool isOpen, instant now);
+
     endpoint_state *state(const endpoint_id &endpoint);
     double
     score(const endpoint_state &candidate, endpoint_duty duty, token_count tokens, const traffic_service *profile, instant now) const;
@@ -134,6 +144,7 @@
     std::map<endpoint_id, std::unique_ptr<endpoint_state>> m_endpoints;
     std::map<service_id, service_endpoints> m_byService;
     std::set<data_centre_id> m_evacuated;
+    std::map<data_centre_id, way_state> m_ways;
     std::int64_t m_instanceCount = 1;
 };
 
--- a/src/gateway/endpoint_link_task.cpp
+++ b/src/gateway/endpoint_link_task.cpp
@@ -12,9 +12,9 @@
 
 using std::chrono::milliseconds;
 
-constexpr milliseconds sweepPause {100};
+constexpr milliseconds sweepPause {50};
 // A connection takes a few milliseconds; one that takes this long has lost its opening packet or has no host behind it.
-constexpr milliseconds connectTimeout {350};
+constexpr milliseconds connectTimeout {150};
 // Bytes that an endpoint does not acknowledge for this long mean that it or the way to it is gone.
 constexpr milliseconds userTimeout {2500};
 // Endpoints that do not state their idle timeout may have one below a second.
--- a/tests/forwarding/endpoint_table_test.cpp
+++ b/tests/forwarding/endpoint_table_test.cpp
@@ -92,6 +92,30 @@
     CHECK(choosePlain(fixture, {endpoint_id("p2"), endpoint_id("p3")})->entry.id == endpoint_id("p1"));
 }
 
+// While a data centre is cut off, each of its endpoints would cost a request its connection timeout.
+TEST(endpoint_table, avoidsADataCentreWhoseEndpointsCannotBeReached)
+{
+    for (const char *name : {"q1", "q2", "q3", "q4"}) {
+        endpoint_entry other = plan_fixture::entry(name, "plain", std::nullopt);
+        other.dataCentre = data_centre_id("dc-b");
+        fixture.endpoints.put(other, nullptr, fixture.now);
+    }
+    const std::vector<endpoint_id> own = {endpoint_id("p1"), endpoint_id("p2")};
+    for (const char *name : {"q1", "q2"}) {
+        fixture.endpoints.noteSent(endpoint_id(name), {}, fixture.now);
+        fixture.endpoints.noteEnded(endpoint_id(name), {}, fixture.now, false, endpoint_verdict::unreachable, fixture.now);
+    }
+    // The last endpoint of the own data centre is loaded far above its slots, and still better than one that cannot be reached.
+    for (int request = 0; request < 30; ++request) {
+        fixture.endpoints.noteSent(endpoint_id("p3"), {}, fixture.now);
+    }
+    CHECK(choosePlain(fixture, own)->entry.id == endpoint_id("p3"));
+    fixture.now += 200ms;
+    fixture.endpoints.noteSent(endpoint_id("q3"), {}, fixture.now);
+    fixture.endpoints.noteEnded(endpoint_id("q3"), {}, fixture.now, true, endpoint_verdict::good, fixture.now);
+    CHECK(choosePlain(fixture, own)->entry.id != endpoint_id("p3"));
+}
+
 // An endpoint that has fallen silent says nothing; the missing answer has to count.
 TEST(endpoint_table, avoidsSilentEndpoints)
 {
