Wait for busy prompt readers, reserve room for repeats, and call back after bursts

Change: silence counts only if the engine answers nobody; a lost prompt is read again by another engine where the route allows it; repeats look for room first; a request that found none is told to come back after 3 s.

--- a/src/forwarding/endpoint_table.cpp
+++ b/src/forwarding/endpoint_table.cpp
@@ -216,13 +216,19 @@
     }
 }
 
-void endpoint_table::noteAnswer(const endpoint_id &endpoint, instant sentAt)
+void endpoint_table::noteAnswer(const endpoint_id &endpoint, instant sentAt, instant now)
 {
     if (endpoint_state *known = state(endpoint)) {
-        const auto found = known->unanswered.find(sentAt);
-        if (found != known->unanswered.end()) {
-            known->unanswered.erase(found);
-        }
+        forgetUnanswered(*known, sentAt);
+        known->lastAnswer = now;
+    }
+}
+
+void endpoint_table::forgetUnanswered(endpoint_state &endpoint, instant sentAt)
+{
+    const auto found = endpoint.unanswered.find(sentAt);
+    if (found != endpoint.unanswered.end()) {
+        endpoint.unanswered.erase(found);
     }
 }
 
@@ -237,7 +243,10 @@
     known->outstanding = std::max<std::int64_t>(known->outstanding - 1, 0);
     known->outstandingTokens = std::max(known->outstandingTokens - tokens, token_count());
     if (!wasAnswered) {
-        noteAnswer(endpoint, sentAt);
+        forgetUnanswered(*known, sentAt);
+    }
+    if (verdict == endpoint_verdict::good || verdict == endpoint_verdict::refused) {
+        known->lastAnswer = now;
     }
     const bool isUnreachable = verdict == endpoint_verdict::unreachable || (verdict == endpoint_verdict::failed && !wasAnswered);
     if (isUnreachable || wasAnswered || verdict == endpoint_verdict::good || verdict == endpoint_verdict::refused) {
@@ -284,12 +293,6 @@
     }
 }
 
-double endpoint_table::loadOf(const endpoint_id &endpoint, const traffic_service *profile, instant now) const
-{
-    const endpoint_state *known = find(endpoint);
-    return known == nullptr ? 1.0 : load(*known, endpoint_duty::decode, token_count(), profile, now);
-}
-
 void endpoint_table::noteMisdirected(const endpoint_id &endpoint)
 {
     if (endpoint_state *known = state(endpoint)) {
--- a/src/forwarding/endpoint_table.h
+++ b/src/forwarding/endpoint_table.h
@@ -64,6 +64,8 @@
     deadline fullUntil;
     /// When the oldest attempt without an answer was sent; unset while there is none.
     std::multiset<instant> unanswered;
+    /// When the endpoint last answered anything.
+    instant lastAnswer;
     bool isListed = true;
 };
 
@@ -109,14 +111,12 @@
     bool takeColdShare(const endpoint_id &endpoint, instant now);
     void noteSent(const endpoint_id &endpoint, token_count tokens, instant now);
     /// First byte of an answer for an attempt that was sent at the given time.
-    void noteAnswer(const endpoint_id &endpoint, instant sentAt);
+    void noteAnswer(const endpoint_id &endpoint, instant sentAt, instant now);
     void
     noteEnded(const endpoint_id &endpoint, token_count tokens, instant sentAt, bool wasAnswered, endpoint_verdict verdict, instant now);
     void noteLoad(const endpoint_id &endpoint, const endpoint_load &load, instant now);
     /// The endpoint has no room now.
     void noteFull(const endpoint_id &endpoint, instant now);
-    /// Estimated use of an endpoint, 1 when it is full.
-    double loadOf(const endpoint_id &endpoint, const traffic_service *profile, instant now) const;
     /// The address belongs to another endpoint by now.
     void noteMisdirected(const endpoint_id &endpoint);
 
@@ -134,6 +134,7 @@
     void noteWay(const data_centre_id &dataCentre, bool isOpen, instant now);
 
     endpoint_state *state(const endpoint_id &endpoint);
+    static void forgetUnanswered(endpoint_state &endpoint, instant sentAt);
     double
     score(const endpoint_state &candidate, endpoint_duty duty, token_count tokens, const traffic_service *profile, instant now) const;
     static double
--- a/src/forwarding/forward_flow.cpp
+++ b/src/forwarding/forward_flow.cpp
@@ -17,10 +17,10 @@
 // An endpoint that has said nothing for this long is given up where the request may go elsewhere.
 constexpr milliseconds plainSilenceLeast {120};
 constexpr milliseconds prefillSilence {700};
+// An engine that answers others meanwhile is busy, not gone, and its prompt is waited for up to this time.
+constexpr milliseconds prefillLongest {2500};
 constexpr milliseconds decodeSilence {1100};
 constexpr milliseconds reserveSilence {250};
-// From this use on, an endpoint may be filled by other instances between the choice and the sending, and room is reserved first.
-constexpr double loadToReserve = 0.0;
 // Endpoints that are asked for room before the request waits.
 constexpr std::size_t mostFullPerRound = 3;
 constexpr milliseconds roomRetryPause {70};
@@ -30,7 +30,8 @@
 // own deadline.
 constexpr milliseconds retryAfterOverload {120};
 constexpr milliseconds retryAfterNoEndpoint {300};
-constexpr milliseconds retryAfterNoRoom {1200};
+// Bursts last for seconds. An answer that comes back for room is late anyway, so it comes back when the burst is likely to be over.
+constexpr milliseconds retryAfterNoRoom {3000};
 constexpr int firstServerErrorStatus = 500;
 
 // Reading a prompt and setting aside room are no runs of the request.
@@ -77,7 +78,7 @@
         }
         answered->isAnswered = true;
         answered->silentAt = deadline::after(m_now, decodeSilence);
-        m_context->endpoints.noteAnswer(answered->endpoint, answered->sentAt);
+        m_context->endpoints.noteAnswer(answered->endpoint, answered->sentAt, m_now);
     });
 }
 
@@ -153,7 +154,7 @@
         }
         if (m_roomRetryAt.hasPassed(m_now) && !m_isFinal) {
             m_roomRetryAt = deadline::never();
-            m_full.clear();
+            m_full = m_tried;
             findRoom();
         }
         const std::vector<attempt> current = m_attempts;
@@ -249,7 +250,7 @@
     const endpoint_state *endpoint = m_context->endpoints.find(ended.endpoint);
     if (end == attempt_end::whole && handle && endpoint != nullptr) {
         m_room = reserved_room {ended.endpoint, endpoint->entry.address, *handle};
-        sendPrefill();
+        continueWithRoom();
         return;
     }
     if (end == attempt_end::whole || end == attempt_end::rejected) {
@@ -275,6 +276,10 @@
         sendPrefill();
         return;
     }
+    if (end == attempt_end::lost) {
+        repeatPrefill();
+        return;
+    }
     if (end == attempt_end::rejected || end == attempt_end::misdirected) {
         // Unlike the first call that an endpoint takes, a refused one counts against the route's bound.
         ++m_attemptsUsed;
@@ -329,11 +334,8 @@
     const bool mayGoOn = (!m_mayHaveRun || mayRepeat()) && hasAttemptsLeft() && m_unsentTries < mostUnsentTries;
     const bool isFree = m_unsentTries > 0 && ended.number == m_lastNumber && m_attemptsUsed == 0;
     if (mayGoOn && (isFree || spendRepeat())) {
-        // A handle that no endpoint has taken yet can still be fetched.
-        const bool isHandleUnused = isFree && m_handle.has_value();
-        if (send(endpoint_duty::decode, isHandleUnused ? m_handle : std::nullopt)) {
-            return;
-        }
+        beginRoomSearch();
+        return;
     }
     if (m_mayHaveRun) {
         answerFailure(refusal_cause::endpoint_failed);
@@ -359,7 +361,26 @@
 
 void forward_flow::passPrefillSilence(const attempt &silent)
 {
+    const endpoint_state *reader = m_context->endpoints.find(silent.endpoint);
+    const bool isBusy = reader != nullptr && reader->lastAnswer > silent.sentAt && m_now - silent.sentAt < prefillLongest;
+    if (isBusy) {
+        if (attempt *waiting = find(silent.number)) {
+            waiting->silentAt = deadline::after(m_now, prefillSilence);
+        }
+        return;
+    }
     cancel(silent);
+    repeatPrefill();
+}
+
+void forward_flow::repeatPrefill()
+{
+    // A further prompt counts as an attempt, and another one must be left for the answer.
+    const bool mayRead = m_attemptsUsed + 1 < m_request.route->maxAttempts && spendRepeat();
+    if (mayRead && send(endpoint_duty::prefill, std::nullopt)) {
+        ++m_attemptsUsed;
+        return;
+    }
     sendDecode(std::nullopt);
 }
 
@@ -373,9 +394,7 @@
     m_mayHaveRun = true;
     m_handle.reset();
     m_events.dropPartial();
-    if (!send(endpoint_duty::decode, std::nullopt)) {
-        answerFailure(refusal_cause::endpoint_failed);
-    }
+    beginRoomSearch();
 }
 
 bool forward_flow::mayRepeat() const
@@ -421,7 +440,7 @@
     if (m_until.hasPassed(m_now)) {
         refuse(refusal_cause::expired, std::nullopt);
     } else if (usesEngine()) {
-        findRoom();
+        beginRoomSearch();
     } else {
         sendPlain();
     }
@@ -434,22 +453,26 @@
     }
 }
 
+void forward_flow::beginRoomSearch()
+{
+    m_roomUntil = deadline::after(m_now, std::chrono::duration_cast<milliseconds>(m_request.route->target * waitPartOfTarget));
+    m_full = m_tried;
+    findRoom();
+}
+
 void forward_flow::findRoom()
 {
     const endpoint_state *chosen = m_context->endpoints.choose(
         m_service, endpoint_duty::reserve, tokensFor(endpoint_duty::reserve), m_full, m_profile, m_now, m_context->random);
-    if (chosen == nullptr && m_full.empty()) {
-        refuseNotRun(refusal_cause::no_endpoint);
+    if (chosen == nullptr && m_full.size() == m_tried.size()) {
+        // No endpoint generates at all.
+        continueWithRoom();
         return;
     }
-    if (chosen == nullptr || m_full.size() >= mostFullPerRound) {
+    if (chosen == nullptr || m_full.size() >= m_tried.size() + mostFullPerRound) {
         waitForRoom();
         return;
     }
-    if (m_full.empty() && m_context->endpoints.loadOf(chosen->entry.id, m_profile, m_now) < loadToReserve) {
-        sendPrefill();
-        return;
-    }
     if (!sendTo(*chosen, endpoint_duty::reserve, std::nullopt)) {
         waitForRoom();
     }
@@ -457,12 +480,38 @@
 
 void forward_flow::waitForRoom()
 {
-    const auto longest = std::chrono::duration_cast<milliseconds>(m_request.route->target * waitPartOfTarget);
-    if (m_now - m_request.arrived > longest) {
-        refuse(refusal_cause::overloaded, retryAfterNoRoom);
+    if (!m_roomUntil.hasPassed(m_now)) {
+        m_roomRetryAt = deadline::after(m_now, roomRetryPause);
         return;
     }
-    m_roomRetryAt = deadline::after(m_now, roomRetryPause);
+    if (m_mayHaveRun) {
+        // A stream that has begun waits at an endpoint rather than being given up.
+        continueWithRoom();
+        return;
+    }
+    refuse(refusal_cause::overloaded, retryAfterNoRoom);
+}
+
+void forward_flow::continueWithRoom()
+{
+    if (m_prefillsSent == 0) {
+        if (m_room) {
+            sendPrefill();
+        } else {
+            // A prompt is not read while nobody could generate from it.
+            refuseNotRun(refusal_cause::no_endpoint);
+        }
+        return;
+    }
+    const std::optional<prompt_handle> read = m_handle;
+    if (send(endpoint_duty::decode, read)) {
+        return;
+    }
+    if (m_mayHaveRun) {
+        answerFailure(refusal_cause::endpoint_failed);
+    } else {
+        refuseNotRun(refusal_cause::no_endpoint);
+    }
 }
 
 void forward_flow::sendPrefill()
--- a/src/forwarding/forward_flow.h
+++ b/src/forwarding/forward_flow.h
@@ -101,8 +101,11 @@
     void chooseService();
     void sendFirst();
     /// Finds room for the whole request before its prompt is read.
+    void beginRoomSearch();
     void findRoom();
     void waitForRoom();
+    /// The room is there, or none is needed or to be had: reads the prompt, or goes on with what has been read.
+    void continueWithRoom();
     void sendPrefill();
     bool sendTo(const endpoint_state &chosen, endpoint_duty duty, std::optional<prompt_handle> source);
     void sendDecode(std::optional<prompt_handle> source);
@@ -110,6 +113,8 @@
     /// False when no endpoint can be had.
     bool send(endpoint_duty duty, std::optional<prompt_handle> source);
     bool spendRepeat();
+    /// Reads the prompt once more if the route allows it, or lets the decode endpoint read it.
+    void repeatPrefill();
     void repeatDecode(const attempt &ended);
     void refuseNotRun(refusal_cause cause);
     void answerFailure(refusal_cause cause);
@@ -147,6 +152,8 @@
     /// Endpoints that had no room in the current round.
     std::vector<endpoint_id> m_full;
     deadline m_roomRetryAt = deadline::never();
+    /// Until when room is looked for.
+    deadline m_roomUntil;
     // Valid while an event is handled.
     const flow_context *m_context = nullptr;
     instant m_now;
