Poll the store less often

Change: long polls of 1150 ms instead of 800, which with an answer time of 450 ms still notices a silent connection within the 2 s in which a change must be in force; member reports every 3 s.

--- a/src/gateway/dispatch_task.cpp
+++ b/src/gateway/dispatch_task.cpp
@@ -16,8 +16,8 @@
 
 // How often metrics are handed on and shares are worked out anew.
 constexpr milliseconds reportPause {1000};
-// Every second report goes to the other instances by way of the store.
-constexpr std::int64_t reportsPerMemberReport = 2;
+// Every third report goes to the other instances by way of the store.
+constexpr std::int64_t reportsPerMemberReport = 3;
 // Lines per report for requests that went well, and for those that failed or were refused. What is left out is counted.
 constexpr std::int64_t mostSuccessLines = 150;
 constexpr std::int64_t mostFailureLines = 300;
--- a/src/gateway/store_task.cpp
+++ b/src/gateway/store_task.cpp
@@ -16,9 +16,9 @@
 // Changes of the operator must be in force within two seconds of the store's acknowledgement, also when the connection on which they were
 // awaited has gone silent; a silent one is noticed after wait and answer time.
 constexpr std::array<follow_settings, 3> followed = {
-    follow_settings {store_topic::operators, milliseconds(800), milliseconds(0), milliseconds(450), milliseconds(8000)},
-    follow_settings {store_topic::endpoints, milliseconds(800), milliseconds(0), milliseconds(450), milliseconds(8000)},
-    follow_settings {store_topic::members, milliseconds(0), milliseconds(2000), milliseconds(1000), milliseconds(60000)},
+    follow_settings {store_topic::operators, milliseconds(1150), milliseconds(0), milliseconds(450), milliseconds(10000)},
+    follow_settings {store_topic::endpoints, milliseconds(1150), milliseconds(0), milliseconds(450), milliseconds(10000)},
+    follow_settings {store_topic::members, milliseconds(0), milliseconds(3000), milliseconds(1000), milliseconds(60000)},
 };
 
 } // namespace
