--- a/src/forwarding/member_view.cpp
+++ b/src/forwarding/member_view.cpp
@@ -9,7 +9,8 @@
 namespace
 {
 
-// Reports come every three seconds and are read as often. An instance that has been cut off goes back to its even part before the others give that part away.
+// Reports come every three seconds and are read as often. An instance that has been cut off goes back to its even part before the others
+// give that part away.
 constexpr std::chrono::seconds ownLifetime {8};
 constexpr std::chrono::seconds memberLifetime {16};
 
--- a/src/forwarding/stage_balance.h
+++ b/src/forwarding/stage_balance.h
@@ -27,8 +27,8 @@
     engine_stage to = engine_stage::decode;
 };
 
-/// Decides which engine should change its stage, so that the pools match what requests need: reading a prompt takes a tenth of a second of a
-/// whole engine, generating holds a tenth of an engine's memory for seconds. A pure value, used by the holder of the duty only.
+/// Decides which engine should change its stage, so that the pools match what requests need: reading a prompt takes a tenth of a second of
+/// a whole engine, generating holds a tenth of an engine's memory for seconds. A pure value, used by the holder of the duty only.
 class stage_balance
 {
 public:
--- a/src/gateway/duty_task.cpp
+++ b/src/gateway/duty_task.cpp
@@ -52,9 +52,9 @@
     m_lease.drop();
     // The next holder need not wait for the store to notice. No answer is awaited; the store would notice by itself.
     m_storeCall.abandon();
-    m_storeCall.begin(m_store.leaveDuty(m_settings.instance), deadline::after(boot_clock::now(), joinTime), [this](const outcome<http_response> &) {
-        finish();
-    });
+    m_storeCall.begin(m_store.leaveDuty(m_settings.instance),
+                      deadline::after(boot_clock::now(), joinTime),
+                      [this](const outcome<http_response> &) { finish(); });
 }
 
 void duty_task::handle(duty_message &&message)
@@ -76,7 +76,8 @@
         return;
     }
     const http_request request = m_store.joinDuty(m_settings.instance, m_lease.generation());
-    m_storeCall.begin(request, deadline::after(now, joinTime), [this, now](const outcome<http_response> &answer) { takeJoined(answer, now); });
+    m_storeCall.begin(
+        request, deadline::after(now, joinTime), [this, now](const outcome<http_response> &answer) { takeJoined(answer, now); });
 }
 
 void duty_task::takeJoined(const outcome<http_response> &answer, instant sentAt)
@@ -117,10 +118,12 @@
     const instant now = boot_clock::now();
     const bool isOrderable = report && !report.value().isBusy && report.value().stage != change.to;
     if (!isOrderable || !m_lease.mayAct(now)) {
-        m_log.write(log_line("duty", "order_not_sent")
-                        .add("endpoint", change.endpoint.id)
-                        .add("stage", stageName(change.to))
-                        .add("cause", report ? (isOrderable ? "the duty is no longer confirmed" : "the engine is busy or done") : report.error().message));
+        m_log.write(
+            log_line("duty", "order_not_sent")
+                .add("endpoint", change.endpoint.id)
+                .add("stage", stageName(change.to))
+                .add("cause",
+                     report ? (isOrderable ? "the duty is no longer confirmed" : "the engine is busy or done") : report.error().message));
         // The engine is left alone for as long as if it had been ordered.
         m_balance.noteOrdered(change, now);
         return;
@@ -132,9 +135,9 @@
                     .add("generation", m_lease.generation())
                     .add("orders_before", report.value().ordersAccepted));
     const stage_order order = {change.endpoint.id, change.to, m_settings.instance, m_lease.generation(), report.value().ordersAccepted};
-    m_order->begin(m_dialect.orderStage(order), deadline::after(now, engineCallTime), [this, change](const outcome<http_response> &ordered) {
-        takeOrdered(change, ordered);
-    });
+    m_order->begin(m_dialect.orderStage(order),
+                   deadline::after(now, engineCallTime),
+                   [this, change](const outcome<http_response> &ordered) { takeOrdered(change, ordered); });
 }
 
 void duty_task::takeOrdered(const stage_change &change, const outcome<http_response> &answer)
--- a/src/gateway/gateway_tree.h
+++ b/src/gateway/gateway_tree.h
@@ -14,8 +14,8 @@
 namespace burdockshelf
 {
 
-/// The supervisor tree of a gateway. Children in start order: log, monitor, endpoints, dispatcher, store, duty, callers; they end in the reverse
-/// order, so that what was taken from callers is answered first.
+/// The supervisor tree of a gateway. Children in start order: log, monitor, endpoints, dispatcher, store, duty, callers; they end in the
+/// reverse order, so that what was taken from callers is answered first.
 class gateway_tree
 {
 public:
