--- a/src/gateway/endpoint_link_task.cpp
+++ b/src/gateway/endpoint_link_task.cpp
@@ -78,6 +78,8 @@
     const call_key key = {order.flow, order.number};
     auto fresh = std::make_unique<call>();
     fresh->order = std::move(order);
+    // No status until a head has come.
+    fresh->response.status = 0;
     fresh->connectUntil = deadline::after(boot_clock::now(), connectTimeout);
     call &target = *fresh;
     m_calls[key] = std::move(fresh);
