--- a/src/forwarding/endpoint_table.cpp
+++ b/src/forwarding/endpoint_table.cpp
@@ -130,7 +130,7 @@
     m_evacuated = std::move(dataCentres);
 }
 
-void endpoint_table::setInstanceCount(std::int64_t count, instant /*now*/)
+void endpoint_table::setInstanceCount(std::int64_t count)
 {
     m_instanceCount = std::max<std::int64_t>(count, 1);
 }
@@ -151,7 +151,7 @@
     double bestScore = 0.0;
     for (endpoint_state *candidate : found->second) {
         const bool isExcluded = std::find(excluded.begin(), excluded.end(), candidate->entry.id) != excluded.end();
-        if (isExcluded || !fitsDuty(*candidate, duty) || !mayReceive(candidate->entry.id, now)) {
+        if (isExcluded || !fitsDuty(*candidate, duty) || !mayReceive(candidate->entry.id)) {
             continue;
         }
         if (!candidate->coldUntil.hasPassed(now) && candidate->coldShare.level(now) < 1.0) {
@@ -166,12 +166,6 @@
     return best;
 }
 
-bool endpoint_table::serves(const service_id &service) const
-{
-    const auto found = m_byService.find(service);
-    return found != m_byService.end() && !found->second.empty();
-}
-
 const endpoint_state *endpoint_table::find(const endpoint_id &endpoint) const
 {
     const auto found = m_endpoints.find(endpoint);
@@ -195,7 +189,7 @@
     return m_evacuated;
 }
 
-bool endpoint_table::mayReceive(const endpoint_id &endpoint, instant /*now*/) const
+bool endpoint_table::mayReceive(const endpoint_id &endpoint) const
 {
     const endpoint_state *known = find(endpoint);
     return known != nullptr && !known->entry.isDraining && known->isListed && m_evacuated.count(known->entry.dataCentre) == 0;
--- a/src/forwarding/endpoint_table.h
+++ b/src/forwarding/endpoint_table.h
@@ -88,7 +88,7 @@
     bool remove(const endpoint_id &endpoint);
     void setEvacuated(std::set<data_centre_id> dataCentres);
     /// Number of instances that share the cold rates.
-    void setInstanceCount(std::int64_t count, instant now);
+    void setInstanceCount(std::int64_t count);
 
     /// The best endpoint for a duty, excluding some. Nothing when none may get requests.
     const endpoint_state *choose(const service_id &service,
@@ -98,15 +98,13 @@
                                  const traffic_service *profile,
                                  instant now,
                                  random_source &random);
-    /// True when an endpoint of the service could run requests at all, now or soon.
-    bool serves(const service_id &service) const;
     const endpoint_state *find(const endpoint_id &endpoint) const;
     std::size_t size() const;
     void forEach(const std::function<void(const endpoint_state &)> &visit) const;
     const std::set<data_centre_id> &evacuated() const;
 
     /// True while the endpoint may still be sent to; checked once more before each send.
-    bool mayReceive(const endpoint_id &endpoint, instant now) const;
+    bool mayReceive(const endpoint_id &endpoint) const;
     /// Takes one request out of the cold share of a cold endpoint.
     bool takeColdShare(const endpoint_id &endpoint, instant now);
     void noteSent(const endpoint_id &endpoint, token_count tokens, instant now);
--- a/src/forwarding/forward_flow.cpp
+++ b/src/forwarding/forward_flow.cpp
@@ -532,7 +532,7 @@
 bool forward_flow::send(endpoint_duty duty, std::optional<prompt_handle> source)
 {
     const endpoint_state *chosen = nullptr;
-    if (duty == endpoint_duty::decode && m_room && m_context->endpoints.mayReceive(m_room->endpoint, m_now)) {
+    if (duty == endpoint_duty::decode && m_room && m_context->endpoints.mayReceive(m_room->endpoint)) {
         chosen = m_context->endpoints.find(m_room->endpoint);
     } else {
         chosen = m_context->endpoints.choose(m_service, duty, tokensFor(duty), m_tried, m_profile, m_now, m_context->random);
--- a/src/gateway/caller_front_task.cpp
+++ b/src/gateway/caller_front_task.cpp
@@ -141,11 +141,6 @@
         return false;
     }
 
-    byte_stream &stream()
-    {
-        return *m_stream;
-    }
-
 private:
     void onRequestHead(http_request &&head, const message_framing &framing) override
     {
--- a/src/gateway/dispatch_task.cpp
+++ b/src/gateway/dispatch_task.cpp
@@ -694,7 +694,7 @@
         m_log.write(log_line("dispatch", "instances_changed").add("count", instances).add("before", m_instanceCount));
         m_instanceCount = instances;
         m_repeats.setInstanceCount(instances);
-        m_endpoints.setInstanceCount(instances, now);
+        m_endpoints.setInstanceCount(instances);
     }
     m_shares.setDemands(instances, m_members.ownDemand(now), m_members.demands(now), now);
     if (m_reportSequence++ % reportsPerMemberReport == 0) {
@@ -717,7 +717,7 @@
     engines_listed listed;
     m_endpoints.forEach([&](const endpoint_state &known) {
         if (known.entry.stage) {
-            const bool isUsable = m_endpoints.mayReceive(known.entry.id, boot_clock::now());
+            const bool isUsable = m_endpoints.mayReceive(known.entry.id);
             listed.engines.push_back({known.entry.id, known.entry.service, known.entry.address, *known.entry.stage, isUsable});
         }
     });
--- a/src/http1/byte_stream.cpp
+++ b/src/http1/byte_stream.cpp
@@ -118,11 +118,6 @@
     ::shutdown(bufferevent_getfd(m_handle), SHUT_WR);
 }
 
-void byte_stream::setOnFlushed(std::function<void()> handler)
-{
-    m_onFlushed = std::move(handler);
-}
-
 void byte_stream::onRead(bufferevent * /*handle*/, void *self)
 {
     static_cast<byte_stream *>(self)->m_handlers.onReadable();
@@ -134,9 +129,6 @@
     if (stream->m_isFinishing) {
         stream->shutDownWriting();
     }
-    if (stream->m_onFlushed) {
-        stream->m_onFlushed();
-    }
 }
 
 void byte_stream::onEvent(bufferevent * /*handle*/, short what, void *self)
--- a/src/http1/byte_stream.h
+++ b/src/http1/byte_stream.h
@@ -55,8 +55,6 @@
     void setReading(bool isReading);
     /// Ends this side's direction once all written bytes are with the kernel; the other side may still send.
     void finishWriting();
-    /// Calls back once all written bytes are with the kernel.
-    void setOnFlushed(std::function<void()> handler);
 
 private:
     byte_stream(bufferevent *handle, handlers handlers);
@@ -69,7 +67,6 @@
 
     bufferevent *m_handle;
     handlers m_handlers;
-    std::function<void()> m_onFlushed;
     bool m_isFinishing = false;
 };
 
--- a/src/http1/client_connection.cpp
+++ b/src/http1/client_connection.cpp
@@ -107,11 +107,6 @@
     return m_idleSince;
 }
 
-std::size_t client_connection::exchangeCount() const
-{
-    return m_exchanges;
-}
-
 const socket_address &client_connection::server() const
 {
     return m_server;
@@ -195,7 +190,6 @@
     const bool isClean = end == exchange_end::complete && m_stream->peek().empty() && m_stream->unsentBytes() == 0;
     m_isUsable = m_isUsable && isClean;
     m_isBusy = false;
-    ++m_exchanges;
     m_idleSince = boot_clock::now();
     m_idleUntil =
         m_keepAlive < std::chrono::milliseconds::zero() ? deadline::never() : deadline::after(m_idleSince, m_keepAlive - idleMargin);
--- a/src/http1/client_connection.h
+++ b/src/http1/client_connection.h
@@ -62,8 +62,6 @@
     /// When the other side will have closed the idle connection; never when it does not say.
     deadline idleUntil() const;
     instant idleSince() const;
-    /// Number of exchanges that have ended well here.
-    std::size_t exchangeCount() const;
     const socket_address &server() const;
 
 private:
@@ -90,7 +88,6 @@
     deadline m_idleUntil = deadline::never();
     instant m_idleSince;
     std::chrono::milliseconds m_keepAlive {-1};
-    std::size_t m_exchanges = 0;
 };
 
 } // namespace burdockshelf
--- a/tests/forwarding/endpoint_table_test.cpp
+++ b/tests/forwarding/endpoint_table_test.cpp
@@ -42,7 +42,7 @@
     endpoint_entry leaving = plan_fixture::entry("p1", "plain", std::nullopt);
     leaving.isDraining = true;
     fixture.endpoints.put(leaving, nullptr, fixture.now);
-    CHECK_FALSE(fixture.endpoints.mayReceive(endpoint_id("p1"), fixture.now));
+    CHECK_FALSE(fixture.endpoints.mayReceive(endpoint_id("p1")));
     for (int round = 0; round < 20; ++round) {
         CHECK(choosePlain(fixture)->entry.id != endpoint_id("p1"));
     }
@@ -56,7 +56,7 @@
 TEST(endpoint_table, givesNothingToAnEndpointThatIsNotAtItsAddress)
 {
     fixture.endpoints.noteMisdirected(endpoint_id("p1"));
-    CHECK_FALSE(fixture.endpoints.mayReceive(endpoint_id("p1"), fixture.now));
+    CHECK_FALSE(fixture.endpoints.mayReceive(endpoint_id("p1")));
 }
 
 // All instances together must not send more to a cold endpoint than it bears.
@@ -64,7 +64,7 @@
 {
     traffic_service service = plan_fixture::service("cold", false);
     service.coldPerSecond = 16.0;
-    fixture.endpoints.setInstanceCount(8, fixture.now);
+    fixture.endpoints.setInstanceCount(8);
     endpoint_entry cold = plan_fixture::entry("c1", "cold", std::nullopt);
     cold.coldLeft = 3s;
     fixture.endpoints.put(cold, &service, fixture.now);
