--- a/src/burdockshelfd/instance_tree.cpp
+++ b/src/burdockshelfd/instance_tree.cpp
@@ -2,9 +2,9 @@
 
 #include "callers/callers_supervisor.h"
 #include "endpoints/endpoints_supervisor.h"
+#include "log_service/log_service_supervisor.h"
 #include "mesh/mesh_supervisor.h"
 #include "operators/operators_supervisor.h"
-#include "log_service/log_service_supervisor.h"
 #include "routing/routing_supervisor.h"
 #include "wire/record_codec.h"
 #include "wire/snapshot_codec.h"
--- a/src/log_service/log_service_supervisor.cpp
+++ b/src/log_service/log_service_supervisor.cpp
@@ -12,9 +12,9 @@
 } // namespace
 
 log_service_supervisor::log_service_supervisor(event_loop &loop,
-                                         const log_service_settings &settings,
-                                         const log_service_sinks &sinks,
-                                         random_source random)
+                                               const log_service_settings &settings,
+                                               const log_service_sinks &sinks,
+                                               random_source random)
     : supervisor(loop, "platform", std::make_unique<one_for_one>())
     , m_logBox(std::make_shared<mailbox<log_task_message>>(loop, logMailboxCapacity))
     , m_instancesBox(std::make_shared<mailbox<instance_list_task_message>>(loop, instancesMailboxCapacity))
--- a/src/operators/operations_messages.h
+++ b/src/operators/operations_messages.h
@@ -4,9 +4,9 @@
 #include "core/ids.h"
 #include "core/socket_address.h"
 #include "core/units.h"
+#include "log_service/log_service_messages.h"
 #include "mesh/mesh_messages.h"
 #include "metrics/metric_batch.h"
-#include "log_service/log_service_messages.h"
 #include "state/log_record.h"
 
 #include <cstdint>
