--- a/src/burdockshelfctl/command.h
+++ b/src/burdockshelfctl/command.h
@@ -21,6 +21,8 @@
     std::string_view help;
     std::span<const std::string_view> examples;
     exit_status (*run)(command_context &);
+    /// The last argument may be repeated or left out.
+    bool isOpenEnded = false;
 };
 
 /// Every command, in the order in which the help lists them.
--- a/src/burdockshelfctl/command_line.cpp
+++ b/src/burdockshelfctl/command_line.cpp
@@ -135,7 +135,9 @@
         return failure(error_code::invalid_argument, "'" + words.front() + "' is not a command; see burdockshelfctl --help");
     }
     line.options.arguments.assign(words.begin() + static_cast<std::ptrdiff_t>(wordCount(*line.chosen)), words.end());
-    const bool isComplete = line.options.arguments.size() == line.chosen->argumentCount;
+    const std::size_t given = line.options.arguments.size();
+    const std::size_t needed = line.chosen->argumentCount;
+    const bool isComplete = line.chosen->isOpenEnded ? given + 1 >= needed : given == needed;
     if (!isComplete && !line.options.isHelpWanted) {
         return failure(error_code::invalid_argument,
                        "usage: burdockshelfctl " + std::string(line.chosen->name) + " " + std::string(line.chosen->arguments));
--- a/src/burdockshelfctl/command_table.cpp
+++ b/src/burdockshelfctl/command_table.cpp
@@ -34,6 +34,9 @@
 constexpr example reportBurnExamples[] = {
     "burdockshelfctl report burn --instance 10.0.0.11:9100 --instance 10.0.0.12:9100 --html burn.html"};
 
+constexpr example explainExamples[] = {"burdockshelfctl explain fa7b084fa78d5028 edge-1.log edge-2.log",
+                                       "burdockshelfctl explain fa7b084fa78d5028 --output json < all.log"};
+
 constexpr command commands[] = {
     {"questionnaire",
      "",
@@ -82,6 +85,14 @@
      "Shows how fast each workspace and urgency class uses up its error budget, summed over the given instances.",
      reportBurnExamples,
      &runReportBurn},
+    {"explain",
+     "REQUEST_ID [LOG...]",
+     2,
+     "Shows what the instances decided on a request, in order, what each of them believed then and how old that was, and why the request "
+     "ended as it did. Reads the logs named, or standard input. Damaged lines are named and skipped.",
+     explainExamples,
+     &runExplain,
+     true},
 };
 
 bool isNamedBy(const command &candidate, std::span<const std::string> words)
--- a/src/burdockshelfctl/commands.h
+++ b/src/burdockshelfctl/commands.h
@@ -21,5 +21,6 @@
 exit_status runReturn(command_context &context);
 exit_status runRosterReset(command_context &context);
 exit_status runReportBurn(command_context &context);
+exit_status runExplain(command_context &context);
 
 } // namespace burdockshelf
--- a/src/burdockshelfctl/exit_status.h
+++ b/src/burdockshelfctl/exit_status.h
@@ -10,6 +10,8 @@
 {
     done = 0,
     usage = 64,
+    /// A file cannot be read, or holds nothing of what was asked for.
+    no_input = 66,
     platform_unavailable = 69,
     /// Another operator's change came first.
     lost_race = 73,
--- /dev/null
+++ b/src/forwarding/admission.cpp
@@ -0,0 +1,69 @@
+#include "forwarding/admission.h"
+
+#include <algorithm>
+
+namespace burdockshelf
+{
+
+namespace
+{
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds retryAfterStart {250};
+constexpr milliseconds retryAfterShutdown {50};
+constexpr milliseconds longestQuotaRetry {2000};
+
+admission_decision refusal(refusal_cause cause, std::optional<milliseconds> retryAfter)
+{
+    admission_decision refused;
+    refused.cause = cause;
+    refused.retryAfter = retryAfter;
+    return refused;
+}
+
+} // namespace
+
+admission_decision decideAdmission(const forward_facts &facts, instant arrived, const admission_inputs &inputs, instant now)
+{
+    if (!inputs.plan || !inputs.hasEndpoints) {
+        return refusal(refusal_cause::not_ready, retryAfterStart);
+    }
+    const traffic_route *route = inputs.plan->findRoute(facts.host, facts.path);
+    if (route == nullptr) {
+        return refusal(refusal_cause::unknown_route, std::nullopt);
+    }
+    const workspace_plan *workspace = facts.key.empty() ? nullptr : inputs.plan->findWorkspaceOfKey(facts.key);
+    if (workspace == nullptr && inputs.plan->requiresKeys() && !route->isOpen) {
+        return refusal(refusal_cause::unknown_key, std::nullopt);
+    }
+    // What could not be finished within the grace is left to other instances.
+    const deadline taken = route->kind == request_kind::streaming ? inputs.streamsUntil : inputs.callsUntil;
+    if (taken.hasPassed(now)) {
+        return refusal(refusal_cause::shutting_down, retryAfterShutdown);
+    }
+    admission_decision decision;
+    admitted_request admitted;
+    admitted.facts = facts;
+    admitted.plan = inputs.plan;
+    admitted.route = route;
+    admitted.arrived = arrived;
+    admitted.priority = route->priority;
+    if (workspace != nullptr) {
+        decision.workspace = workspace;
+        decision.cost = workspace_shares::costOf(*workspace, facts.promptTokens, facts.outputTokens);
+        if (!inputs.shares.take(workspace->id, decision.cost, now)) {
+            const auto wait = std::chrono::ceil<milliseconds>(inputs.shares.waitFor(workspace->id, decision.cost, now));
+            decision.cause = refusal_cause::over_quota;
+            decision.retryAfter = std::min(wait, longestQuotaRetry);
+            return decision;
+        }
+        admitted.workspace = workspace->id;
+        admitted.priority = workspace->priority.value_or(route->priority);
+        admitted.charged = decision.cost;
+    }
+    decision.request = std::move(admitted);
+    return decision;
+}
+
+} // namespace burdockshelf
--- a/src/forwarding/flow_messages.h
+++ b/src/forwarding/flow_messages.h
@@ -134,6 +134,16 @@
     reserved_room room;
 };
 
+/// A round of asking for room has ended without any. The request asks again, goes on without room, or is refused.
+struct note_no_room
+{
+    std::int64_t round = 0;
+    token_count tokens;
+    std::vector<endpoint_id> asked;
+    /// Until when room is looked for.
+    deadline until;
+};
+
 /// Hands on the head of an attempt's answer; pieces follow.
 struct relay_head
 {
@@ -160,6 +170,8 @@
     refusal_cause cause = refusal_cause::not_ready;
     /// When a further try makes sense; not set where none does.
     std::optional<std::chrono::milliseconds> retryAfter;
+    /// No endpoint has run any part of the request.
+    bool isNotRun = false;
 };
 
 /// Ends an answer that has begun so that the caller sees that it is cut.
@@ -171,6 +183,7 @@
                                  withdraw_attempt,
                                  release_handle,
                                  release_room,
+                                 note_no_room,
                                  relay_head,
                                  relay_piece,
                                  relay_end,
--- a/src/forwarding/forward_flow.cpp
+++ b/src/forwarding/forward_flow.cpp
@@ -480,6 +480,8 @@
 
 void forward_flow::waitForRoom()
 {
+    const auto asked = m_full.begin() + static_cast<std::ptrdiff_t>(std::min(m_tried.size(), m_full.size()));
+    m_actions.emplace_back(note_no_room {++m_roomRounds, tokensFor(endpoint_duty::reserve), {asked, m_full.end()}, m_roomUntil});
     if (!m_roomUntil.hasPassed(m_now)) {
         m_roomRetryAt = deadline::after(m_now, roomRetryPause);
         return;
@@ -620,7 +622,8 @@
 void forward_flow::refuse(refusal_cause cause, std::optional<milliseconds> retryAfter)
 {
     releaseUnused();
-    m_actions.emplace_back(refuse_request {cause, retryAfter});
+    m_actions.emplace_back(
+        refuse_request {cause, retryAfter, !m_mayHaveRun && cause != refusal_cause::timed_out && cause != refusal_cause::endpoint_failed});
     m_isFinal = true;
 }
 
--- a/src/forwarding/forward_flow.h
+++ b/src/forwarding/forward_flow.h
@@ -26,6 +26,8 @@
     std::shared_ptr<const plan_index> plan;
     const traffic_route *route = nullptr;
     workspace_id workspace;
+    /// Taken from the workspace's share, in the unit of its quota.
+    double charged = 0.0;
     std::int64_t priority = 0;
     instant arrived;
 };
@@ -154,6 +156,7 @@
     deadline m_roomRetryAt = deadline::never();
     /// Until when room is looked for.
     deadline m_roomUntil;
+    std::int64_t m_roomRounds = 0;
     // Valid while an event is handled.
     const flow_context *m_context = nullptr;
     instant m_now;
--- a/src/forwarding/workspace_shares.cpp
+++ b/src/forwarding/workspace_shares.cpp
@@ -93,6 +93,14 @@
     return true;
 }
 
+void workspace_shares::giveBack(const workspace_id &workspace, double cost)
+{
+    const auto found = m_accounts.find(workspace);
+    if (found != m_accounts.end() && found->second.rate > 0.0) {
+        found->second.window.giveBack(cost);
+    }
+}
+
 boot_clock::duration workspace_shares::waitFor(const workspace_id &workspace, double cost, instant now)
 {
     const auto found = m_accounts.find(workspace);
--- a/src/forwarding/workspace_shares.h
+++ b/src/forwarding/workspace_shares.h
@@ -30,6 +30,8 @@
     /// Cost of a request under the plan of its workspace.
     static double costOf(const workspace_plan &workspace, std::optional<token_count> prompt, token_count output);
     bool take(const workspace_id &workspace, double cost, instant now);
+    /// Puts back the cost of a request that was taken and did not run.
+    void giveBack(const workspace_id &workspace, double cost);
     /// Time until a request of that cost would be taken.
     boot_clock::duration waitFor(const workspace_id &workspace, double cost, instant now);
     /// What was asked for here lately.
--- a/src/gateway/dispatch_task.cpp
+++ b/src/gateway/dispatch_task.cpp
@@ -18,38 +18,27 @@
 constexpr milliseconds reportPause {1000};
 // Every third report goes to the other instances by way of the store.
 constexpr std::int64_t reportsPerMemberReport = 3;
-// Lines per report for requests that went well, and for those that failed or were refused. What is left out is counted.
-constexpr std::int64_t mostSuccessLines = 150;
-constexpr std::int64_t mostFailureLines = 300;
 // A part of each endpoint's connections stays free for instances that are about to come.
 constexpr std::int64_t spareConnectionShares = 1;
 constexpr std::size_t leastConnectionsPerEndpoint = 4;
-constexpr milliseconds retryAfterStart {250};
-constexpr milliseconds retryAfterShutdown {50};
 // Parts of the grace, in percent, in which new streams and new calls are still taken. Streams last for seconds; the balancer sends new
 // connections elsewhere after two.
 constexpr std::int64_t streamPartOfGrace = 34;
 constexpr std::int64_t callPartOfGrace = 75;
-constexpr milliseconds longestQuotaRetry {2000};
 constexpr int firstFailureStatus = 400;
 
-std::string_view kindName(request_kind kind)
-{
-    static constexpr std::array<std::string_view, 3> names = {"idempotent", "non_idempotent", "streaming"};
-    return names.at(static_cast<std::size_t>(kind));
-}
-
-std::string_view dutyName(endpoint_duty duty)
-{
-    static constexpr std::array<std::string_view, 4> names = {"plain_call", "reserve", "prefill", "decode"};
-    return names.at(static_cast<std::size_t>(duty));
-}
-
 } // namespace
 
 /// A request with what only this task needs of it.
 struct dispatch_task::active_flow
 {
+    active_flow(flow_id number, http_request request, admitted_request admitted)
+        : id(number)
+        , original(std::move(request))
+        , flow(std::move(admitted))
+    {
+    }
+
     flow_id id;
     http_request original;
     forward_flow flow;
@@ -59,10 +48,8 @@
     instant armedFor;
     bool isArmed = false;
     bool isCallerGone = false;
-    int status = 0;
-    std::string_view outcome = "unfinished";
-    instant answeredAt;
-    endpoint_id answeredBy;
+    instant lastPieceAt;
+    request_end end = {"unfinished"};
 };
 
 dispatch_task::dispatch_task(event_loop &loop,
@@ -78,10 +65,9 @@
     , m_to(std::move(to))
     , m_log(std::move(log))
     , m_random(random)
-    , m_endpoints(endpoint_table_settings {m_settings.dataCentre})
+    , m_requests(m_log)
+    , m_fleet(m_settings.instance, m_settings.dataCentre, m_settings.quotaSlack, dialects.records, m_log)
     , m_repeats(m_settings.repeats)
-    , m_shares(m_settings.quotaSlack)
-    , m_members(m_settings.instance)
     , m_deadline(loop, [this] { checkDeadlines(); })
     , m_report(loop, [this] { reportState(); })
 {
@@ -102,24 +88,14 @@
 
 void dispatch_task::apply(request_arrived &&arrived)
 {
-    forward_facts facts = m_dialects.callers.readRequest(arrived.request, arrived.arrived);
-    admission decided = admit(facts, arrived.arrived);
+    const forward_facts facts = m_dialects.callers.readRequest(arrived.request, arrived.arrived);
+    const admission_inputs inputs = {m_fleet.plan(), m_fleet.endpoints().size() > 0, m_fleet.shares(), m_streamsUntil, m_callsUntil};
+    admission_decision decided = decideAdmission(facts, arrived.arrived, inputs, boot_clock::now());
     if (!decided.request) {
-        refuse(arrived.flow, decided.refusal, facts);
+        refuse(arrived.flow, decided, facts);
         return;
     }
-    auto fresh = std::make_unique<active_flow>(active_flow {arrived.flow,
-                                                            std::move(arrived.request),
-                                                            forward_flow(std::move(*decided.request)),
-                                                            {},
-                                                            {},
-                                                            {},
-                                                            false,
-                                                            false,
-                                                            0,
-                                                            "unfinished",
-                                                            {},
-                                                            {}});
+    auto fresh = std::make_unique<active_flow>(arrived.flow, std::move(arrived.request), std::move(*decided.request));
     active_flow &target = *fresh;
     m_flows[arrived.flow] = std::move(fresh);
     carryOut(target, target.flow.begin(context(), boot_clock::now()));
@@ -129,7 +105,7 @@
 {
     if (active_flow *target = find(gone.flow)) {
         if (!target->flow.hasFinalAnswer()) {
-            target->outcome = "caller_gone";
+            target->end.outcome = "caller_gone";
         }
         target->isCallerGone = true;
         carryOut(*target, target->flow.onCallerGone(context(), boot_clock::now()));
@@ -141,7 +117,7 @@
     if (active_flow *target = find(head.flow)) {
         const auto sent = target->sent.find(head.number);
         if (head.facts.load && sent != target->sent.end()) {
-            m_endpoints.noteLoad(sent->second.endpoint, *head.facts.load, boot_clock::now());
+            m_fleet.endpoints().noteLoad(sent->second.endpoint, *head.facts.load, boot_clock::now());
         }
         target->answers[head.number] = std::move(head.head);
         carryOut(*target, target->flow.onHead(head.number, context(), boot_clock::now()));
@@ -166,22 +142,12 @@
     std::optional<std::string> handle;
     if (sent != target->sent.end()) {
         handle = readHandle(sent->second.duty, ended);
-        if ((ended.end != attempt_end::whole || ended.response.status >= firstFailureStatus) && mayLog(false)) {
-            m_log.write(log_line("dispatch", "attempt_failed")
-                            .add("request", target->flow.request().facts.id)
-                            .add("attempt", ended.number)
-                            .add("duty", dutyName(sent->second.duty))
-                            .add("endpoint", sent->second.endpoint)
-                            .add("end", attemptEndName(ended.end))
-                            .add("status", ended.response.status)
-                            .add("endpoint_running", ended.facts.load ? ended.facts.load->running : -1)
-                            .add("endpoint_waiting", ended.facts.load ? ended.facts.load->waiting : -1)
-                            .add("own_tokens_there", ownTokensAt(sent->second.endpoint))
-                            .add("detail", ended.detail));
+        if (ended.end != attempt_end::whole || ended.response.status >= firstFailureStatus) {
+            noteFailure(*target, sent->second, ended);
         }
         count("burdockshelf_attempts_total", "end", attemptEndName(ended.end));
         if (ended.facts.load) {
-            m_endpoints.noteLoad(sent->second.endpoint, *ended.facts.load, now);
+            m_fleet.endpoints().noteLoad(sent->second.endpoint, *ended.facts.load, now);
         }
     }
     const answer_summary summary = {ended.response.status, ended.facts.hasProof};
@@ -191,6 +157,20 @@
     carryOut(*target, target->flow.onEnd(ended.number, ended.end, summary, handle, context(), now));
 }
 
+void dispatch_task::noteFailure(active_flow &flow, const start_attempt &sent, const attempt_ended &ended)
+{
+    m_requests.writeFailed(flow.flow.request(), sent, ended, ownTokensAt(sent.endpoint));
+    flow.end.lastFailedDuty = sent.duty;
+    flow.end.lastFailedEndpoint = sent.endpoint;
+    flow.end.lastFailure = attemptEndName(ended.end);
+    if (ended.response.status != 0) {
+        flow.end.lastFailure += ", status " + std::to_string(ended.response.status);
+    }
+    if (!ended.detail.empty()) {
+        flow.end.lastFailure += ", " + ended.detail;
+    }
+}
+
 std::optional<std::string> dispatch_task::readHandle(endpoint_duty duty, const attempt_ended &ended) const
 {
     if (ended.end != attempt_end::whole || ended.response.status >= firstFailureStatus) {
@@ -210,27 +190,31 @@
 
 token_count dispatch_task::ownTokensAt(const endpoint_id &endpoint) const
 {
-    const endpoint_state *known = m_endpoints.find(endpoint);
+    const endpoint_state *known = m_fleet.endpoints().find(endpoint);
     return known == nullptr ? token_count() : known->outstandingTokens;
 }
 
 void dispatch_task::apply(const topic_reset &reset)
 {
-    (this->*handlerOf(reset.topic).reset)(reset.records);
+    const plan_version before = m_fleet.planVersion();
+    m_fleet.reset(reset.topic, reset.records, boot_clock::now());
+    announcePlan(before);
     updateReadiness();
 }
 
 void dispatch_task::apply(const topic_changed &change)
 {
-    (this->*handlerOf(change.topic).change)(change.records);
+    const plan_version before = m_fleet.planVersion();
+    m_fleet.change(change.topic, change.records, boot_clock::now());
+    announcePlan(before);
     updateReadiness();
 }
 
 void dispatch_task::apply(const store_reachability &change)
 {
     m_log.write(log_line("dispatch", change.isReachable ? "store_regained" : "store_lost")
-                    .add("plan", m_plan ? m_plan->plan().version.value() : 0)
-                    .add("endpoints", m_endpoints.size()));
+                    .add("plan", m_fleet.planVersion())
+                    .add("endpoints", m_fleet.endpoints().size()));
 }
 
 void dispatch_task::apply(const shutdown_begun & /*begun*/)
@@ -243,249 +227,38 @@
     updateReadiness();
 }
 
-const dispatch_task::topic_handler &dispatch_task::handlerOf(store_topic topic)
-{
-    static constexpr std::array<topic_handler, 3> handlers = {
-        topic_handler {&dispatch_task::resetOperators, &dispatch_task::changeOperators},
-        topic_handler {&dispatch_task::resetEndpoints, &dispatch_task::changeEndpoints},
-        topic_handler {&dispatch_task::changeMembers, &dispatch_task::changeMembers},
-    };
-    return handlers.at(static_cast<std::size_t>(topic));
-}
-
-void dispatch_task::resetOperators(const std::vector<store_record> &records)
-{
-    std::set<data_centre_id> evacuated;
-    for (const store_record &record : records) {
-        takeOperatorRecord(record, evacuated);
-    }
-    setEvacuated(std::move(evacuated));
-}
-
-void dispatch_task::changeOperators(const std::vector<store_record> &records)
-{
-    std::set<data_centre_id> evacuated = m_endpoints.evacuated();
-    for (const store_record &record : records) {
-        takeOperatorRecord(record, evacuated);
-    }
-    setEvacuated(std::move(evacuated));
-}
-
-void dispatch_task::takeOperatorRecord(const store_record &record, std::set<data_centre_id> &evacuated)
+void dispatch_task::announcePlan(plan_version before)
 {
-    if (const auto dataCentre = m_dialects.records.evacuationOfKey(record.key)) {
-        if (record.value) {
-            evacuated.insert(*dataCentre);
-        } else {
-            evacuated.erase(*dataCentre);
-        }
-        return;
-    }
-    if (!record.value) {
-        return;
-    }
-    auto decoded = m_dialects.records.decodeOperator(record.key, *record.value);
-    if (!decoded) {
-        m_log.write(log_line("dispatch", "record_unreadable")
-                        .add("key", record.key)
-                        .add("offset", record.offset)
-                        .add("cause", decoded.error().message));
+    if (m_fleet.planVersion() == before) {
         return;
     }
-    if (decoded.value()) {
-        if (auto *plan = std::get_if<traffic_plan>(&*decoded.value())) {
-            takePlan(std::move(*plan));
-        }
-    }
+    toCallers(limits_changed {m_fleet.plan()->plan().limits});
+    announceConnectionBounds();
 }
 
-void dispatch_task::takePlan(traffic_plan plan)
+void dispatch_task::announceConnectionBounds()
 {
-    const plan_version known = m_plan ? m_plan->plan().version : plan_version();
-    if (m_plan && plan.version <= known) {
-        if (plan.version < known) {
-            m_log.write(log_line("dispatch", "older_plan_ignored").add("plan", plan.version).add("in_force", known));
-        }
+    if (!m_fleet.plan()) {
         return;
     }
-    const instant now = boot_clock::now();
-    m_plan = std::make_shared<const plan_index>(std::move(plan));
-    m_shares.setPlan(m_plan->plan(), now);
-    m_log.write(log_line("dispatch", "plan_in_force")
-                    .add("plan", m_plan->plan().version)
-                    .add("before", known)
-                    .add("routes", m_plan->plan().routes.size())
-                    .add("workspaces", m_plan->plan().workspaces.size()));
-    toCallers(limits_changed {m_plan->plan().limits});
-    for (const auto &[id, entry] : std::exchange(m_early, {})) {
-        putEndpoint(entry);
-    }
     std::int64_t mostConnections = 0;
-    for (const traffic_service &service : m_plan->plan().services) {
+    for (const traffic_service &service : m_fleet.plan()->plan().services) {
         mostConnections = std::max(mostConnections, service.maxConnections);
     }
     if (mostConnections > 0) {
-        const auto share = static_cast<std::size_t>(mostConnections / (m_instanceCount + spareConnectionShares));
+        const auto share = static_cast<std::size_t>(mostConnections / (m_fleet.instanceCount() + spareConnectionShares));
         toEndpoints(connection_bounds {std::max(share, leastConnectionsPerEndpoint)});
     }
 }
 
-void dispatch_task::setEvacuated(std::set<data_centre_id> evacuated)
-{
-    if (evacuated == m_endpoints.evacuated()) {
-        return;
-    }
-    log_line line("dispatch", "evacuations_changed");
-    line.add("count", evacuated.size());
-    for (const data_centre_id &dataCentre : evacuated) {
-        line.add("data_centre", dataCentre);
-    }
-    m_log.write(std::move(line));
-    m_endpoints.setEvacuated(std::move(evacuated));
-}
-
-void dispatch_task::resetEndpoints(const std::vector<store_record> &records)
-{
-    std::set<endpoint_id> listed;
-    for (const store_record &record : records) {
-        if (record.value) {
-            listed.insert(endpoint_id(record.key));
-        }
-    }
-    std::vector<endpoint_id> gone;
-    m_endpoints.forEach([&](const endpoint_state &known) {
-        if (listed.count(known.entry.id) == 0) {
-            gone.push_back(known.entry.id);
-        }
-    });
-    std::erase_if(m_early, [&](const auto &entry) { return listed.count(entry.first) == 0; });
-    for (const endpoint_id &endpoint : gone) {
-        removeEndpoint(endpoint, "not among the newest entries");
-    }
-    changeEndpoints(records);
-}
-
-void dispatch_task::changeEndpoints(const std::vector<store_record> &records)
-{
-    for (const store_record &record : records) {
-        if (!record.value) {
-            removeEndpoint(endpoint_id(record.key), "its entry was dropped");
-            continue;
-        }
-        const auto decoded = m_dialects.records.decodeEndpoint(record.key, *record.value);
-        if (!decoded) {
-            m_log.write(log_line("dispatch", "record_unreadable")
-                            .add("key", record.key)
-                            .add("offset", record.offset)
-                            .add("cause", decoded.error().message));
-            continue;
-        }
-        if (m_plan) {
-            putEndpoint(decoded.value());
-        } else {
-            m_early[decoded.value().id] = decoded.value();
-        }
-    }
-}
-
-void dispatch_task::changeMembers(const std::vector<store_record> &records)
-{
-    const instant now = boot_clock::now();
-    for (const store_record &record : records) {
-        const instance_id instance(record.key);
-        if (!record.value) {
-            m_members.remove(instance);
-            continue;
-        }
-        const auto report = decodeMemberReport(*record.value);
-        if (report) {
-            m_members.put(instance, report.value(), now);
-        } else {
-            m_log.write(log_line("dispatch", "record_unreadable").add("key", record.key).add("cause", report.error().message));
-        }
-    }
-}
-
-void dispatch_task::putEndpoint(const endpoint_entry &entry)
-{
-    if (m_endpoints.put(entry, m_plan->findService(entry.service), boot_clock::now())) {
-        m_log.write(log_line("dispatch", "endpoint_changed")
-                        .add("endpoint", entry.id)
-                        .add("service", entry.service)
-                        .add("address", entry.address.toString())
-                        .add("data_centre", entry.dataCentre)
-                        .add("draining", entry.isDraining)
-                        .add("cold_ms", entry.coldLeft));
-    }
-}
-
-void dispatch_task::removeEndpoint(const endpoint_id &endpoint, std::string_view cause)
-{
-    m_early.erase(endpoint);
-    if (m_endpoints.remove(endpoint)) {
-        m_log.write(log_line("dispatch", "endpoint_gone").add("endpoint", endpoint).add("cause", cause));
-    }
-}
-
-dispatch_task::admission dispatch_task::admit(const forward_facts &facts, instant arrived)
-{
-    const instant now = boot_clock::now();
-    if (!m_plan || m_endpoints.size() == 0) {
-        return {std::nullopt, {refusal_cause::not_ready, retryAfterStart}};
-    }
-    const traffic_route *route = m_plan->findRoute(facts.host, facts.path);
-    if (route == nullptr) {
-        return {std::nullopt, {refusal_cause::unknown_route, std::nullopt}};
-    }
-    const workspace_plan *workspace = facts.key.empty() ? nullptr : m_plan->findWorkspaceOfKey(facts.key);
-    if (workspace == nullptr && m_plan->requiresKeys() && !route->isOpen) {
-        return {std::nullopt, {refusal_cause::unknown_key, std::nullopt}};
-    }
-    // What could not be finished within the grace is left to other instances.
-    const deadline taken = route->kind == request_kind::streaming ? m_streamsUntil : m_callsUntil;
-    if (taken.hasPassed(now)) {
-        return {std::nullopt, {refusal_cause::shutting_down, retryAfterShutdown}};
-    }
-    admitted_request admitted;
-    admitted.facts = facts;
-    admitted.plan = m_plan;
-    admitted.route = route;
-    admitted.arrived = arrived;
-    admitted.priority = route->priority;
-    if (workspace != nullptr) {
-        admitted.workspace = workspace->id;
-        admitted.priority = workspace->priority.value_or(route->priority);
-        const double cost = workspace_shares::costOf(*workspace, facts.promptTokens, facts.outputTokens);
-        if (!m_shares.take(workspace->id, cost, now)) {
-            const auto wait = std::chrono::ceil<milliseconds>(m_shares.waitFor(workspace->id, cost, now));
-            if (mayLog(false)) {
-                m_log.write(log_line("dispatch", "over_quota")
-                                .add("request", facts.id)
-                                .add("workspace", workspace->id)
-                                .add("cost", static_cast<std::int64_t>(cost))
-                                .add("rate_per_s", static_cast<std::int64_t>(workspace->ratePerSecond))
-                                .add("share_percent", static_cast<std::int64_t>(m_shares.shareOf(workspace->id) * 100.0))
-                                .add("instances", m_instanceCount));
-            }
-            return {std::nullopt, {refusal_cause::over_quota, std::min(wait, longestQuotaRetry)}};
-        }
-    }
-    return {std::move(admitted), {}};
-}
-
-void dispatch_task::refuse(flow_id flow, const caller_refusal &refusal, const forward_facts &facts)
+void dispatch_task::refuse(flow_id flow, const admission_decision &decision, const forward_facts &facts)
 {
-    http_response response = m_dialects.callers.refusal(refusal, facts);
-    if (mayLog(false)) {
-        m_log.write(log_line("dispatch", "refused")
-                        .add("request", facts.id)
-                        .add("cause", refusalName(refusal.cause))
-                        .add("status", response.status)
-                        .add("path", facts.path)
-                        .add("plan", m_plan ? m_plan->plan().version.value() : 0)
-                        .add("retry_after_ms", refusal.retryAfter ? refusal.retryAfter->count() : -1));
+    if (decision.cause == refusal_cause::over_quota) {
+        m_requests.writeOverQuota(facts, decision, m_fleet.shares().shareOf(decision.workspace->id), m_fleet.instanceCount());
     }
-    count("burdockshelf_refusals_total", "cause", refusalName(refusal.cause));
+    http_response response = m_dialects.callers.refusal({decision.cause, decision.retryAfter}, facts);
+    m_requests.writeRefused(facts, decision, response.status, m_fleet.planVersion());
+    count("burdockshelf_refusals_total", "cause", refusalName(decision.cause));
     toCallers(answer_whole {flow, std::move(response)});
 }
 
@@ -511,22 +284,7 @@
     order.isRepeatable = request.route->kind == request_kind::idempotent || !isRun;
     order.request = action.duty == endpoint_duty::reserve ? m_dialects.endpoints.reserve(action)
                                                           : m_dialects.endpoints.forward(flow.original, request, action, boot_clock::now());
-    const endpoint_state *endpoint = m_endpoints.find(action.endpoint);
-    if (mayLog(true)) {
-        m_log.write(log_line("dispatch", "attempt_sent")
-                        .add("request", request.facts.id)
-                        .add("attempt", action.number)
-                        .add("duty", dutyName(action.duty))
-                        .add("endpoint", action.endpoint)
-                        .add("tokens", action.tokens)
-                        .add("own_requests_there", endpoint == nullptr ? 0 : endpoint->outstanding)
-                        .add("own_tokens_there", endpoint == nullptr ? 0 : endpoint->outstandingTokens.value())
-                        .add("others_there", endpoint == nullptr ? 0 : static_cast<std::int64_t>(endpoint->foreignRequests))
-                        .add("others_seen_ms", endpoint == nullptr ? boot_clock::duration() : boot_clock::now() - endpoint->foreignSeen)
-                        .add("has_room", action.room.has_value())
-                        .add("has_prompt", action.source.has_value())
-                        .add("left_ms", action.until.remaining(boot_clock::now())));
-    }
+    m_requests.writeSent(request, action, m_fleet.endpoints().find(action.endpoint), boot_clock::now());
     flow.sent[action.number] = std::move(action);
     toEndpoints(std::move(order));
 }
@@ -534,11 +292,8 @@
 void dispatch_task::perform(active_flow &flow, const withdraw_attempt &action)
 {
     const auto sent = flow.sent.find(action.number);
-    m_log.write(log_line("dispatch", "attempt_cancelled")
-                    .add("request", flow.flow.request().facts.id)
-                    .add("attempt", action.number)
-                    .add("endpoint", sent == flow.sent.end() ? endpoint_id() : sent->second.endpoint)
-                    .add("caller_gone", flow.isCallerGone));
+    const endpoint_id endpoint = sent == flow.sent.end() ? endpoint_id() : sent->second.endpoint;
+    m_requests.writeCancelled(flow.flow.request(), action.number, endpoint, flow.isCallerGone);
     toEndpoints(close_attempt {flow.id, action.number});
 }
 
@@ -552,29 +307,41 @@
     toEndpoints(call_and_forget {action.room.address, m_dialects.endpoints.releaseRoom(action.room.reservation)});
 }
 
+void dispatch_task::perform(active_flow &flow, const note_no_room &action)
+{
+    m_requests.writeNoRoom(flow.flow.request(), action, boot_clock::now());
+}
+
 void dispatch_task::perform(active_flow &flow, const relay_head &action)
 {
-    flow.answeredAt = boot_clock::now();
-    flow.answeredBy = flow.sent[action.number].endpoint;
-    flow.status = flow.answers[action.number].status;
+    noteFirstByte(flow, action.number);
+    flow.end.status = flow.answers[action.number].status;
     toCallers(answer_head {flow.id, flow.answers[action.number]});
 }
 
+void dispatch_task::noteFirstByte(active_flow &flow, attempt_number number)
+{
+    flow.lastPieceAt = boot_clock::now();
+    flow.end.firstByteAfter = flow.lastPieceAt - flow.flow.request().arrived;
+    flow.end.answeredBy = flow.sent[number].endpoint;
+}
+
 void dispatch_task::perform(active_flow &flow, relay_piece &&action)
 {
+    const instant before = std::exchange(flow.lastPieceAt, boot_clock::now());
+    flow.end.longestPause = std::max(flow.end.longestPause, flow.lastPieceAt - before);
     toCallers(answer_piece {flow.id, std::move(action.bytes)});
 }
 
 void dispatch_task::perform(active_flow &flow, const relay_end & /*action*/)
 {
     toCallers(answer_end {flow.id});
-    noteOutcome(flow, "answered", flow.status);
+    noteOutcome(flow, "answered", flow.end.status);
 }
 
 void dispatch_task::perform(active_flow &flow, const relay_whole &action)
 {
-    flow.answeredAt = boot_clock::now();
-    flow.answeredBy = flow.sent[action.number].endpoint;
+    noteFirstByte(flow, action.number);
     http_response response = std::move(flow.answers[action.number]);
     const int status = response.status;
     toCallers(answer_whole {flow.id, std::move(response)});
@@ -583,8 +350,11 @@
 
 void dispatch_task::perform(active_flow &flow, const refuse_request &action)
 {
-    const forward_facts &facts = flow.flow.request().facts;
-    http_response response = m_dialects.callers.refusal({action.cause, action.retryAfter}, facts);
+    const admitted_request &request = flow.flow.request();
+    if (action.isNotRun) {
+        m_fleet.shares().giveBack(request.workspace, request.charged);
+    }
+    http_response response = m_dialects.callers.refusal({action.cause, action.retryAfter}, request.facts);
     const int status = response.status;
     toCallers(answer_whole {flow.id, std::move(response)});
     count("burdockshelf_refusals_total", "cause", refusalName(action.cause));
@@ -594,38 +364,24 @@
 void dispatch_task::perform(active_flow &flow, const break_answer & /*action*/)
 {
     toCallers(answer_broken {flow.id});
-    noteOutcome(flow, "broken_off", flow.status);
+    noteOutcome(flow, "broken_off", flow.end.status);
 }
 
 void dispatch_task::noteOutcome(active_flow &flow, std::string_view outcome, int status)
 {
-    flow.outcome = outcome;
-    flow.status = status;
+    flow.end.outcome = outcome;
+    flow.end.status = status;
 }
 
 void dispatch_task::settle(active_flow &flow)
 {
     if (flow.flow.isDone()) {
         const admitted_request &request = flow.flow.request();
-        const auto took = boot_clock::now() - request.arrived;
-        const bool isGood = flow.outcome == "answered" && flow.status < firstFailureStatus;
-        count("burdockshelf_requests_total", "outcome", flow.outcome);
-        m_metrics.latencies.push_back({{"burdockshelf_request_seconds", {{"kind", std::string(kindName(request.route->kind))}}},
-                                       std::chrono::duration_cast<latency_sketch::duration>(took)});
-        if (mayLog(isGood)) {
-            m_log.write(log_line("dispatch", "request_done")
-                            .add("request", request.facts.id)
-                            .add("route", request.route->id)
-                            .add("kind", kindName(request.route->kind))
-                            .add("workspace", request.workspace)
-                            .add("outcome", flow.outcome)
-                            .add("status", flow.status)
-                            .add("endpoint", flow.answeredBy)
-                            .add("attempts", flow.flow.attemptCount())
-                            .add("plan", request.plan->plan().version)
-                            .add("first_ms", flow.answeredAt == instant() ? boot_clock::duration() : flow.answeredAt - request.arrived)
-                            .add("took_ms", took));
-        }
+        flow.end.took = boot_clock::now() - request.arrived;
+        count("burdockshelf_requests_total", "outcome", flow.end.outcome);
+        m_metrics.latencies.push_back({{"burdockshelf_request_seconds", {{"kind", std::string(requestKindName(request.route->kind))}}},
+                                       std::chrono::duration_cast<latency_sketch::duration>(flow.end.took)});
+        m_requests.writeDone(request, flow.flow.attemptCount(), flow.end);
         if (flow.isArmed) {
             m_deadlines.erase({flow.armedFor, flow.id});
         }
@@ -685,27 +441,20 @@
 {
     const instant now = boot_clock::now();
     m_report.start(deadline::after(now, reportPause));
-    if (m_linesLeftOut > 0) {
-        m_log.write(log_line("dispatch", "lines_left_out").add("count", std::exchange(m_linesLeftOut, 0)));
-    }
-    m_lines = {};
-    const std::int64_t instances = m_members.count(now);
-    if (instances != m_instanceCount) {
-        m_log.write(log_line("dispatch", "instances_changed").add("count", instances).add("before", m_instanceCount));
-        m_instanceCount = instances;
-        m_repeats.setInstanceCount(instances);
-        m_endpoints.setInstanceCount(instances);
-    }
-    m_shares.setDemands(instances, m_members.ownDemand(now), m_members.demands(now), now);
+    m_requests.beginPeriod();
+    if (m_fleet.refreshShares(now)) {
+        m_repeats.setInstanceCount(m_fleet.instanceCount());
+        announceConnectionBounds();
+    }
     if (m_reportSequence++ % reportsPerMemberReport == 0) {
-        member_report report = {m_settings.incarnation, m_reportSequence, m_shares.demand(now)};
+        member_report report = {m_settings.incarnation, m_reportSequence, m_fleet.shares().demand(now)};
         if (m_to.store.post(member_state {encodeMemberReport(report)}) != post_result::delivered) {
             m_log.write(log_line("dispatch", "message_dropped").add("receiver", "store"));
         }
     }
     listEngines();
-    m_metrics.gauges.push_back({{"burdockshelf_endpoints", {}}, static_cast<double>(m_endpoints.size())});
-    m_metrics.gauges.push_back({{"burdockshelf_instances", {}}, static_cast<double>(instances)});
+    m_metrics.gauges.push_back({{"burdockshelf_endpoints", {}}, static_cast<double>(m_fleet.endpoints().size())});
+    m_metrics.gauges.push_back({{"burdockshelf_instances", {}}, static_cast<double>(m_fleet.instanceCount())});
     m_metrics.gauges.push_back({{"burdockshelf_active_requests", {}}, static_cast<double>(m_flows.size())});
     if (m_to.metrics.post(std::exchange(m_metrics, {})) != post_result::delivered) {
         m_log.write(log_line("dispatch", "message_dropped").add("receiver", "monitor"));
@@ -715,9 +464,9 @@
 void dispatch_task::listEngines()
 {
     engines_listed listed;
-    m_endpoints.forEach([&](const endpoint_state &known) {
+    m_fleet.endpoints().forEach([&](const endpoint_state &known) {
         if (known.entry.stage) {
-            const bool isUsable = m_endpoints.mayReceive(known.entry.id);
+            const bool isUsable = m_fleet.endpoints().mayReceive(known.entry.id);
             listed.engines.push_back({known.entry.id, known.entry.service, known.entry.address, *known.entry.stage, isUsable});
         }
     });
@@ -728,15 +477,15 @@
 
 void dispatch_task::updateReadiness()
 {
-    const bool isReady = m_plan && m_endpoints.size() > 0 && !m_isShuttingDown;
+    const bool isReady = m_fleet.plan() && m_fleet.endpoints().size() > 0 && !m_isShuttingDown;
     if (isReady == m_isReady) {
         return;
     }
     m_isReady = isReady;
-    const std::string reason = m_isShuttingDown ? "shutting down" : (m_plan ? "no endpoints" : "no configuration");
+    const std::string reason = m_isShuttingDown ? "shutting down" : (m_fleet.plan() ? "no endpoints" : "no configuration");
     m_log.write(log_line("dispatch", isReady ? "ready" : "not_ready")
-                    .add("plan", m_plan ? m_plan->plan().version.value() : 0)
-                    .add("endpoints", m_endpoints.size())
+                    .add("plan", m_fleet.planVersion())
+                    .add("endpoints", m_fleet.endpoints().size())
                     .add("reason", isReady ? "" : reason));
     if (m_to.readiness.post({isReady, isReady ? "" : reason}) != post_result::delivered) {
         m_log.write(log_line("dispatch", "message_dropped").add("receiver", "monitor"));
@@ -745,7 +494,7 @@
 
 flow_context dispatch_task::context()
 {
-    return {m_endpoints, m_repeats, m_random};
+    return {m_fleet.endpoints(), m_repeats, m_random};
 }
 
 void dispatch_task::toCallers(front_message message)
@@ -762,16 +511,6 @@
     }
 }
 
-bool dispatch_task::mayLog(bool isGood)
-{
-    std::int64_t &written = isGood ? m_lines.good : m_lines.failed;
-    if (++written <= (isGood ? mostSuccessLines : mostFailureLines)) {
-        return true;
-    }
-    ++m_linesLeftOut;
-    return false;
-}
-
 void dispatch_task::count(std::string_view metric, std::string_view label, std::string_view value)
 {
     m_metrics.counters.push_back({{std::string(metric), {{std::string(label), std::string(value)}}}, 1});
--- a/src/gateway/dispatch_task.h
+++ b/src/gateway/dispatch_task.h
@@ -1,10 +1,10 @@
 #pragma once
 
-#include "forwarding/member_view.h"
-#include "forwarding/workspace_shares.h"
 #include "gateway/duty_messages.h"
+#include "gateway/fleet_state.h"
 #include "gateway/gateway_messages.h"
 #include "gateway/monitor_messages.h"
+#include "gateway/request_log.h"
 #include "logging/log_writer_task.h"
 #include "runtime/task.h"
 #include "runtime/timer.h"
@@ -39,7 +39,7 @@
 };
 
 /// Decides on every request: admits it under the plan in force, runs its flow, and carries the flow's actions to the tasks that own the
-/// sockets. Owns all that this instance believes: plan, endpoints, members, quotas.
+/// sockets. Owns all that this instance believes.
 class dispatch_task : public task<dispatch_message>
 {
 public:
@@ -58,22 +58,6 @@
     struct active_flow;
     using active_flows = std::map<flow_id, std::unique_ptr<active_flow>>;
 
-    /// How the records of one topic are taken in.
-    struct topic_handler
-    {
-        void (dispatch_task::*reset)(const std::vector<store_record> &);
-        void (dispatch_task::*change)(const std::vector<store_record> &);
-    };
-
-    /// Lines written since the last report.
-    struct log_volume
-    {
-        std::int64_t good = 0;
-        std::int64_t failed = 0;
-    };
-
-    static const topic_handler &handlerOf(store_topic topic);
-
     void handle(dispatch_message &&message) override;
     void apply(request_arrived &&arrived);
     void apply(const caller_left &gone);
@@ -85,31 +69,16 @@
     void apply(const store_reachability &change);
     void apply(const shutdown_begun &begun);
 
-    void resetOperators(const std::vector<store_record> &records);
-    void changeOperators(const std::vector<store_record> &records);
-    void resetEndpoints(const std::vector<store_record> &records);
-    void changeEndpoints(const std::vector<store_record> &records);
-    void changeMembers(const std::vector<store_record> &records);
-    void takeOperatorRecord(const store_record &record, std::set<data_centre_id> &evacuated);
-    void takePlan(traffic_plan plan);
-    void setEvacuated(std::set<data_centre_id> evacuated);
-    void putEndpoint(const endpoint_entry &entry);
-    void removeEndpoint(const endpoint_id &endpoint, std::string_view cause);
-
-    /// The admitted request, or the cause of its refusal.
-    struct admission
-    {
-        std::optional<admitted_request> request;
-        caller_refusal refusal;
-    };
-
-    admission admit(const forward_facts &facts, instant arrived);
-    void refuse(flow_id flow, const caller_refusal &refusal, const forward_facts &facts);
+    void refuse(flow_id flow, const admission_decision &decision, const forward_facts &facts);
+    /// Hands on what follows from a change of belief.
+    void announcePlan(plan_version before);
+    void announceConnectionBounds();
     void carryOut(active_flow &flow, flow_actions &&actions);
     void perform(active_flow &flow, start_attempt &&action);
     void perform(active_flow &flow, const withdraw_attempt &action);
     void perform(active_flow &flow, const release_handle &action);
     void perform(active_flow &flow, const release_room &action);
+    void perform(active_flow &flow, const note_no_room &action);
     void perform(active_flow &flow, const relay_head &action);
     void perform(active_flow &flow, relay_piece &&action);
     void perform(active_flow &flow, const relay_end &action);
@@ -117,7 +86,9 @@
     void perform(active_flow &flow, const refuse_request &action);
     void perform(active_flow &flow, const break_answer &action);
     void settle(active_flow &flow);
-    void noteOutcome(active_flow &flow, std::string_view outcome, int status);
+    void noteFailure(active_flow &flow, const start_attempt &sent, const attempt_ended &ended);
+    static void noteFirstByte(active_flow &flow, attempt_number number);
+    static void noteOutcome(active_flow &flow, std::string_view outcome, int status);
     active_flow *find(flow_id flow);
     std::optional<std::string> readHandle(endpoint_duty duty, const attempt_ended &ended) const;
     /// Tokens of this instance's requests at an endpoint, for the log.
@@ -130,8 +101,6 @@
     flow_context context();
     void toCallers(front_message message);
     void toEndpoints(endpoint_link_message message);
-    /// Bounds the log under load; failures have their own, larger bound.
-    bool mayLog(bool isGood);
     void count(std::string_view metric, std::string_view label, std::string_view value);
 
     dispatch_settings m_settings;
@@ -139,22 +108,15 @@
     dispatch_addresses m_to;
     event_log m_log;
     random_source m_random;
-    std::shared_ptr<const plan_index> m_plan;
-    endpoint_table m_endpoints;
-    /// Entries that came before the first plan.
-    std::map<endpoint_id, endpoint_entry> m_early;
+    request_log m_requests;
+    fleet_state m_fleet;
     repeat_budget m_repeats;
-    workspace_shares m_shares;
-    member_view m_members;
-    std::int64_t m_instanceCount = 1;
     std::int64_t m_reportSequence = 0;
     active_flows m_flows;
     std::set<std::pair<instant, flow_id>> m_deadlines;
     timer m_deadline;
     timer m_report;
     metric_batch m_metrics;
-    log_volume m_lines;
-    std::int64_t m_linesLeftOut = 0;
     bool m_isReady = false;
     deadline m_streamsUntil = deadline::never();
     deadline m_callsUntil = deadline::never();
--- /dev/null
+++ b/src/gateway/fleet_state.cpp
@@ -0,0 +1,243 @@
+#include "gateway/fleet_state.h"
+
+#include "gateway/member_codec.h"
+
+#include <array>
+#include <utility>
+
+namespace burdockshelf
+{
+
+fleet_state::fleet_state(
+    const instance_id &self, const data_centre_id &dataCentre, double quotaSlack, const record_dialect &records, event_log log)
+    : m_records(records)
+    , m_log(std::move(log))
+    , m_endpoints(endpoint_table_settings {dataCentre})
+    , m_shares(quotaSlack)
+    , m_members(self)
+{
+}
+
+const fleet_state::topic_handler &fleet_state::handlerOf(store_topic topic)
+{
+    static constexpr std::array<topic_handler, 3> handlers = {
+        topic_handler {&fleet_state::resetOperators, &fleet_state::changeOperators},
+        topic_handler {&fleet_state::resetEndpoints, &fleet_state::changeEndpoints},
+        topic_handler {&fleet_state::changeMembers, &fleet_state::changeMembers},
+    };
+    return handlers.at(static_cast<std::size_t>(topic));
+}
+
+void fleet_state::reset(store_topic topic, const std::vector<store_record> &records, instant now)
+{
+    (this->*handlerOf(topic).reset)(records, now);
+}
+
+void fleet_state::change(store_topic topic, const std::vector<store_record> &records, instant now)
+{
+    (this->*handlerOf(topic).change)(records, now);
+}
+
+bool fleet_state::refreshShares(instant now)
+{
+    const std::int64_t before = std::exchange(m_instanceCount, m_members.count(now));
+    m_shares.setDemands(m_instanceCount, m_members.ownDemand(now), m_members.demands(now), now);
+    if (m_instanceCount == before) {
+        return false;
+    }
+    m_log.write(log_line("dispatch", "instances_changed").add("count", m_instanceCount).add("before", before));
+    m_endpoints.setInstanceCount(m_instanceCount);
+    return true;
+}
+
+const std::shared_ptr<const plan_index> &fleet_state::plan() const
+{
+    return m_plan;
+}
+
+plan_version fleet_state::planVersion() const
+{
+    return m_plan ? m_plan->plan().version : plan_version();
+}
+
+endpoint_table &fleet_state::endpoints()
+{
+    return m_endpoints;
+}
+
+const endpoint_table &fleet_state::endpoints() const
+{
+    return m_endpoints;
+}
+
+workspace_shares &fleet_state::shares()
+{
+    return m_shares;
+}
+
+std::int64_t fleet_state::instanceCount() const
+{
+    return m_instanceCount;
+}
+
+void fleet_state::resetOperators(const std::vector<store_record> &records, instant now)
+{
+    std::set<data_centre_id> evacuated;
+    for (const store_record &record : records) {
+        takeOperatorRecord(record, evacuated, now);
+    }
+    setEvacuated(std::move(evacuated));
+}
+
+void fleet_state::changeOperators(const std::vector<store_record> &records, instant now)
+{
+    std::set<data_centre_id> evacuated = m_endpoints.evacuated();
+    for (const store_record &record : records) {
+        takeOperatorRecord(record, evacuated, now);
+    }
+    setEvacuated(std::move(evacuated));
+}
+
+void fleet_state::takeOperatorRecord(const store_record &record, std::set<data_centre_id> &evacuated, instant now)
+{
+    if (const auto dataCentre = m_records.evacuationOfKey(record.key)) {
+        if (record.value) {
+            evacuated.insert(*dataCentre);
+        } else {
+            evacuated.erase(*dataCentre);
+        }
+        return;
+    }
+    if (!record.value) {
+        return;
+    }
+    auto decoded = m_records.decodeOperator(record.key, *record.value);
+    if (!decoded) {
+        logUnreadable(record, decoded.error());
+        return;
+    }
+    if (decoded.value()) {
+        if (auto *plan = std::get_if<traffic_plan>(&*decoded.value())) {
+            takePlan(std::move(*plan), now);
+        }
+    }
+}
+
+void fleet_state::takePlan(traffic_plan plan, instant now)
+{
+    const plan_version known = planVersion();
+    if (m_plan && plan.version <= known) {
+        if (plan.version < known) {
+            m_log.write(log_line("dispatch", "older_plan_ignored").add("plan", plan.version).add("in_force", known));
+        }
+        return;
+    }
+    m_plan = std::make_shared<const plan_index>(std::move(plan));
+    m_shares.setPlan(m_plan->plan(), now);
+    m_log.write(log_line("dispatch", "plan_in_force")
+                    .add("plan", m_plan->plan().version)
+                    .add("before", known)
+                    .add("routes", m_plan->plan().routes.size())
+                    .add("workspaces", m_plan->plan().workspaces.size()));
+    for (const auto &[id, entry] : std::exchange(m_early, {})) {
+        putEndpoint(entry, now);
+    }
+}
+
+void fleet_state::setEvacuated(std::set<data_centre_id> evacuated)
+{
+    if (evacuated == m_endpoints.evacuated()) {
+        return;
+    }
+    log_line line("dispatch", "evacuations_changed");
+    line.add("count", evacuated.size());
+    for (const data_centre_id &dataCentre : evacuated) {
+        line.add("data_centre", dataCentre);
+    }
+    m_log.write(std::move(line));
+    m_endpoints.setEvacuated(std::move(evacuated));
+}
+
+void fleet_state::resetEndpoints(const std::vector<store_record> &records, instant now)
+{
+    std::set<endpoint_id> listed;
+    for (const store_record &record : records) {
+        if (record.value) {
+            listed.insert(endpoint_id(record.key));
+        }
+    }
+    std::vector<endpoint_id> gone;
+    m_endpoints.forEach([&](const endpoint_state &known) {
+        if (listed.count(known.entry.id) == 0) {
+            gone.push_back(known.entry.id);
+        }
+    });
+    std::erase_if(m_early, [&](const auto &entry) { return listed.count(entry.first) == 0; });
+    for (const endpoint_id &endpoint : gone) {
+        removeEndpoint(endpoint, "not among the newest entries");
+    }
+    changeEndpoints(records, now);
+}
+
+void fleet_state::changeEndpoints(const std::vector<store_record> &records, instant now)
+{
+    for (const store_record &record : records) {
+        if (!record.value) {
+            removeEndpoint(endpoint_id(record.key), "its entry was dropped");
+            continue;
+        }
+        const auto decoded = m_records.decodeEndpoint(record.key, *record.value);
+        if (!decoded) {
+            logUnreadable(record, decoded.error());
+        } else if (m_plan) {
+            putEndpoint(decoded.value(), now);
+        } else {
+            m_early[decoded.value().id] = decoded.value();
+        }
+    }
+}
+
+void fleet_state::changeMembers(const std::vector<store_record> &records, instant now)
+{
+    for (const store_record &record : records) {
+        const instance_id instance(record.key);
+        if (!record.value) {
+            m_members.remove(instance);
+            continue;
+        }
+        const auto report = decodeMemberReport(*record.value);
+        if (report) {
+            m_members.put(instance, report.value(), now);
+        } else {
+            logUnreadable(record, report.error());
+        }
+    }
+}
+
+void fleet_state::putEndpoint(const endpoint_entry &entry, instant now)
+{
+    if (m_endpoints.put(entry, m_plan->findService(entry.service), now)) {
+        m_log.write(log_line("dispatch", "endpoint_changed")
+                        .add("endpoint", entry.id)
+                        .add("service", entry.service)
+                        .add("address", entry.address.toString())
+                        .add("data_centre", entry.dataCentre)
+                        .add("draining", entry.isDraining)
+                        .add("cold_ms", entry.coldLeft));
+    }
+}
+
+void fleet_state::removeEndpoint(const endpoint_id &endpoint, std::string_view cause)
+{
+    m_early.erase(endpoint);
+    if (m_endpoints.remove(endpoint)) {
+        m_log.write(log_line("dispatch", "endpoint_gone").add("endpoint", endpoint).add("cause", cause));
+    }
+}
+
+void fleet_state::logUnreadable(const store_record &record, const error &cause)
+{
+    m_log.write(log_line("dispatch", "record_unreadable").add("key", record.key).add("offset", record.offset).add("cause", cause.message));
+}
+
+} // namespace burdockshelf
--- /dev/null
+++ b/src/gateway/fleet_state.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include "forwarding/member_view.h"
+#include "forwarding/workspace_shares.h"
+#include "gateway/dialects.h"
+#include "logging/log_writer_task.h"
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string_view>
+#include <vector>
+
+namespace burdockshelf
+{
+
+/// What an instance believes of the fleet from the records of the platform's store: the plan in force, the endpoints, the other instances
+/// and its share of the quotas. Writes a log line for every change of a belief. Owned by the dispatcher.
+class fleet_state
+{
+public:
+    /// The slack is the imprecision that the quotas of the whole fleet may have, in cost units.
+    fleet_state(const instance_id &self, const data_centre_id &dataCentre, double quotaSlack, const record_dialect &records, event_log log);
+
+    /// All newest records of a topic, in place of what was known.
+    void reset(store_topic topic, const std::vector<store_record> &records, instant now);
+    void change(store_topic topic, const std::vector<store_record> &records, instant now);
+    /// Works out the shares anew from what the instances report. Returns true when their number has changed.
+    bool refreshShares(instant now);
+
+    /// The plan in force; null before the first one has been read.
+    const std::shared_ptr<const plan_index> &plan() const;
+    plan_version planVersion() const;
+    endpoint_table &endpoints();
+    const endpoint_table &endpoints() const;
+    workspace_shares &shares();
+    std::int64_t instanceCount() const;
+
+private:
+    using records_handler = void (fleet_state::*)(const std::vector<store_record> &, instant);
+
+    /// How the records of one topic are taken in.
+    struct topic_handler
+    {
+        records_handler reset;
+        records_handler change;
+    };
+
+    static const topic_handler &handlerOf(store_topic topic);
+
+    void resetOperators(const std::vector<store_record> &records, instant now);
+    void changeOperators(const std::vector<store_record> &records, instant now);
+    void resetEndpoints(const std::vector<store_record> &records, instant now);
+    void changeEndpoints(const std::vector<store_record> &records, instant now);
+    void changeMembers(const std::vector<store_record> &records, instant now);
+    void takeOperatorRecord(const store_record &record, std::set<data_centre_id> &evacuated, instant now);
+    void takePlan(traffic_plan plan, instant now);
+    void setEvacuated(std::set<data_centre_id> evacuated);
+    void putEndpoint(const endpoint_entry &entry, instant now);
+    void removeEndpoint(const endpoint_id &endpoint, std::string_view cause);
+    void logUnreadable(const store_record &record, const error &cause);
+
+    const record_dialect &m_records;
+    event_log m_log;
+    std::shared_ptr<const plan_index> m_plan;
+    endpoint_table m_endpoints;
+    /// Entries that came before the first plan.
+    std::map<endpoint_id, endpoint_entry> m_early;
+    workspace_shares m_shares;
+    member_view m_members;
+    std::int64_t m_instanceCount = 1;
+};
+
+} // namespace burdockshelf
--- /dev/null
+++ b/src/gateway/request_log.cpp
@@ -0,0 +1,180 @@
+#include "gateway/request_log.h"
+
+#include <array>
+#include <utility>
+
+namespace burdockshelf
+{
+
+namespace
+{
+
+// Lines per period for requests that went well, and for those that failed or were refused.
+constexpr std::int64_t mostGoodLines = 150;
+constexpr std::int64_t mostFailureLines = 300;
+constexpr int firstFailureStatus = 400;
+
+std::string_view dutyName(endpoint_duty duty)
+{
+    static constexpr std::array<std::string_view, 4> names = {"plain_call", "reserve", "prefill", "decode"};
+    return names.at(static_cast<std::size_t>(duty));
+}
+
+} // namespace
+
+std::string_view requestKindName(request_kind kind)
+{
+    static constexpr std::array<std::string_view, 3> names = {"idempotent", "non_idempotent", "streaming"};
+    return names.at(static_cast<std::size_t>(kind));
+}
+
+request_log::request_log(event_log to)
+    : m_to(std::move(to))
+{
+}
+
+void request_log::writeRefused(const forward_facts &facts, const admission_decision &decision, int status, plan_version plan)
+{
+    if (!mayWrite(false)) {
+        return;
+    }
+    m_to.write(log_line("dispatch", "refused")
+                   .add("request", facts.id)
+                   .add("cause", refusalName(decision.cause))
+                   .add("status", status)
+                   .add("path", facts.path)
+                   .add("plan", plan)
+                   .add("retry_after_ms", decision.retryAfter ? decision.retryAfter->count() : -1));
+}
+
+void request_log::writeOverQuota(const forward_facts &facts, const admission_decision &decision, double share, std::int64_t instances)
+{
+    if (!mayWrite(false)) {
+        return;
+    }
+    m_to.write(log_line("dispatch", "over_quota")
+                   .add("request", facts.id)
+                   .add("workspace", decision.workspace->id)
+                   .add("cost", static_cast<std::int64_t>(decision.cost))
+                   .add("rate_per_s", static_cast<std::int64_t>(decision.workspace->ratePerSecond))
+                   .add("share_percent", static_cast<std::int64_t>(share * 100.0))
+                   .add("instances", instances));
+}
+
+void request_log::writeSent(const admitted_request &request, const start_attempt &sent, const endpoint_state *endpoint, instant now)
+{
+    // A reservation shows in the attempt that uses it, or in the line of the round that found no room.
+    if (sent.duty == endpoint_duty::reserve || !mayWrite(true)) {
+        return;
+    }
+    m_to.write(log_line("dispatch", "attempt_sent")
+                   .add("request", request.facts.id)
+                   .add("attempt", sent.number)
+                   .add("duty", dutyName(sent.duty))
+                   .add("endpoint", sent.endpoint)
+                   .add("tokens", sent.tokens)
+                   .add("own_requests_there", endpoint == nullptr ? 0 : endpoint->outstanding)
+                   .add("own_tokens_there", endpoint == nullptr ? 0 : endpoint->outstandingTokens.value())
+                   .add("others_there", endpoint == nullptr ? 0 : static_cast<std::int64_t>(endpoint->foreignRequests))
+                   .add("others_seen_ms", endpoint == nullptr ? boot_clock::duration() : now - endpoint->foreignSeen)
+                   .add("has_room", sent.room.has_value())
+                   .add("has_prompt", sent.source.has_value())
+                   .add("left_ms", sent.until.remaining(now)));
+}
+
+void request_log::writeFailed(const admitted_request &request, const start_attempt &sent, const attempt_ended &ended, token_count ownTokens)
+{
+    const bool isFullEndpoint =
+        sent.duty == endpoint_duty::reserve && (ended.end == attempt_end::whole || ended.end == attempt_end::rejected);
+    if (isFullEndpoint || !mayWrite(false)) {
+        return;
+    }
+    m_to.write(log_line("dispatch", "attempt_failed")
+                   .add("request", request.facts.id)
+                   .add("attempt", sent.number)
+                   .add("duty", dutyName(sent.duty))
+                   .add("endpoint", sent.endpoint)
+                   .add("end", attemptEndName(ended.end))
+                   .add("status", ended.response.status)
+                   .add("endpoint_running", ended.facts.load ? ended.facts.load->running : -1)
+                   .add("endpoint_waiting", ended.facts.load ? ended.facts.load->waiting : -1)
+                   .add("own_tokens_there", ownTokens)
+                   .add("detail", ended.detail));
+}
+
+void request_log::writeNoRoom(const admitted_request &request, const note_no_room &round, instant now)
+{
+    if (!mayWrite(false)) {
+        return;
+    }
+    std::string asked;
+    for (const endpoint_id &endpoint : round.asked) {
+        asked.append(asked.empty() ? "" : ",").append(endpoint.value());
+    }
+    m_to.write(log_line("dispatch", "no_room")
+                   .add("request", request.facts.id)
+                   .add("round", round.round)
+                   .add("tokens", round.tokens)
+                   .add("asked", asked)
+                   .add("waits_until_ms", round.until.remaining(now)));
+}
+
+void request_log::writeCancelled(const admitted_request &request, attempt_number number, const endpoint_id &endpoint, bool isCallerGone)
+{
+    if (!mayWrite(false)) {
+        return;
+    }
+    m_to.write(log_line("dispatch", "attempt_cancelled")
+                   .add("request", request.facts.id)
+                   .add("attempt", number)
+                   .add("endpoint", endpoint)
+                   .add("caller_gone", isCallerGone));
+}
+
+void request_log::writeDone(const admitted_request &request, std::int64_t attempts, const request_end &end)
+{
+    const bool isGood = end.outcome == "answered" && end.status < firstFailureStatus;
+    if (!mayWrite(isGood)) {
+        return;
+    }
+    log_line line("dispatch", "request_done");
+    line.add("request", request.facts.id)
+        .add("route", request.route->id)
+        .add("kind", requestKindName(request.route->kind))
+        .add("workspace", request.workspace)
+        .add("outcome", end.outcome)
+        .add("status", end.status)
+        .add("endpoint", end.answeredBy)
+        .add("attempts", attempts)
+        .add("plan", request.plan->plan().version)
+        .add("first_ms", end.firstByteAfter)
+        .add("longest_pause_ms", end.longestPause)
+        .add("took_ms", end.took);
+    if (!end.lastFailure.empty()) {
+        line.add("last_failed_duty", dutyName(end.lastFailedDuty))
+            .add("last_failed_endpoint", end.lastFailedEndpoint)
+            .add("last_failure", end.lastFailure);
+    }
+    m_to.write(std::move(line));
+}
+
+void request_log::beginPeriod()
+{
+    m_goodLines = 0;
+    m_failureLines = 0;
+    if (m_leftOut > 0) {
+        m_to.write(log_line("dispatch", "lines_left_out").add("count", std::exchange(m_leftOut, 0)));
+    }
+}
+
+bool request_log::mayWrite(bool isGood)
+{
+    std::int64_t &written = isGood ? m_goodLines : m_failureLines;
+    if (++written <= (isGood ? mostGoodLines : mostFailureLines)) {
+        return true;
+    }
+    ++m_leftOut;
+    return false;
+}
+
+} // namespace burdockshelf
