Share prompts by the readers' delay, repeat where the prompt is kept, and stop spinning on finished requests

Cause: (1) A booking whose caller had left kept the deadline of its silent endpoint in the past; the dispatcher then spun on it until the route's time was over. (3) After a block, a dark endpoint got every request at once until it was noticed again.

Change: a finished request waits for the route's time only. Readers are chosen by the wait that their last answers show; when that is longer than a decode endpoint would take, it reads the prompt itself. A failed endpoint is tried with one request at a time. A lost answer of a reader is asked for again there; repeated streams name the reader to fetch from. Readers are given up by estimate instead of after 700 ms.

Copies of running streams at a second engine would double the memory that binds.

Tests: each of sendsPromptsToTheReaderThatIsNotBehind, triesAFailedEndpointWithOneRequestAtATime, letsTheDecodeEndpointReadWhenAllReadersAreBehind and movesItsDeadlineOnWheneverOneHasPassed failed first.

--- a/src/forwarding/endpoint_table.cpp
+++ b/src/forwarding/endpoint_table.cpp
@@ -40,6 +40,15 @@
 constexpr double latencyScaleSeconds = 0.2;
 // Streams last for seconds, so an endpoint that was full stays so for some tens of milliseconds.
 constexpr milliseconds fullTime {60};
+// A wait of this length counts as much as a fully used endpoint.
+constexpr double readWaitScaleSeconds = 0.35;
+// The time per token follows prompts that were read faster at once, and slower ones slowly: a prompt that took long has mostly waited.
+constexpr double fasterReadWeight = 0.2;
+constexpr double slowerReadWeight = 0.01;
+// Shorter prompts say more of the way to the reader than of its speed.
+constexpr token_count leastTokensToMeasure {200};
+// A delay that was seen is worked off at half speed, because other instances go on sending.
+constexpr double readDelayDecay = 0.5;
 // Tokens of a request of another instance, which reports tell only by number.
 constexpr double typicalTokens = 3300.0;
 
@@ -253,6 +262,9 @@
         known->blockedUntil = deadline();
         known->failureShare *= 1.0 - newestWeight;
         known->latencySeconds += (took.count() - known->latencySeconds) * newestWeight;
+        if (known->entry.stage == engine_stage::prefill) {
+            noteRead(*known, tokens, now - sentAt, now);
+        }
         break;
     }
     case endpoint_verdict::failed:
@@ -303,12 +315,17 @@
 double endpoint_table::score(
     const endpoint_state &candidate, endpoint_duty duty, token_count tokens, const traffic_service *profile, instant now) const
 {
-    const double used = load(candidate, duty, tokens, profile, now);
+    double used = load(candidate, duty, tokens, profile, now);
+    if (duty == endpoint_duty::prefill) {
+        used = std::max(used, estimateRead(candidate, tokens, now).wait.count() / readWaitScaleSeconds);
+    }
     double total = used + candidate.failureShare * failurePenalty;
     if (duty == endpoint_duty::plain_call) {
         total += std::min(candidate.latencySeconds / latencyScaleSeconds, 1.0) * used;
     }
-    total += candidate.blockedUntil.hasPassed(now) ? 0.0 : blockedPenalty;
+    // An endpoint that has failed is tried again with one request at a time.
+    const bool isOnTrial = candidate.failuresInRow >= failuresToBlock && !candidate.unanswered.empty();
+    total += candidate.blockedUntil.hasPassed(now) && !isOnTrial ? 0.0 : blockedPenalty;
     total += isCutOff(candidate.entry.dataCentre, now) ? cutOffPenalty : 0.0;
     total += isSuspect(candidate, now) ? suspectPenalty : 0.0;
     total += candidate.fullUntil.hasPassed(now) ? 0.0 : fullPenalty;
@@ -317,6 +334,30 @@
     return total;
 }
 
+void endpoint_table::noteRead(endpoint_state &reader, token_count tokens, boot_clock::duration took, instant now)
+{
+    if (tokens < leastTokensToMeasure) {
+        return;
+    }
+    const std::chrono::duration<double> seconds = took;
+    const double perToken = seconds.count() / static_cast<double>(tokens.value());
+    double &known = m_secondsPerToken.try_emplace(reader.entry.service, perToken).first->second;
+    known += (perToken - known) * (perToken < known ? fasterReadWeight : slowerReadWeight);
+    reader.readDelay = std::max(seconds - std::chrono::duration<double>(known * static_cast<double>(tokens.value())), {});
+    reader.readDelaySeen = now;
+}
+
+endpoint_table::read_estimate endpoint_table::estimateRead(const endpoint_state &reader, token_count tokens, instant now) const
+{
+    const auto known = m_secondsPerToken.find(reader.entry.service);
+    const double perToken = known == m_secondsPerToken.end() ? 0.0 : known->second;
+    const std::chrono::duration<double> own(perToken * static_cast<double>(reader.outstandingTokens.value()));
+    const std::chrono::duration<double> age = now - reader.readDelaySeen;
+    const std::chrono::duration<double> seen = reader.readDelay - age * readDelayDecay;
+    return {std::max({own, seen, std::chrono::duration<double>::zero()}),
+            std::chrono::duration<double>(perToken * static_cast<double>(tokens.value()))};
+}
+
 double
 endpoint_table::load(const endpoint_state &candidate, endpoint_duty duty, token_count tokens, const traffic_service *profile, instant now)
 {
--- a/src/forwarding/endpoint_table.h
+++ b/src/forwarding/endpoint_table.h
@@ -57,6 +57,9 @@
     instant foreignSeen;
     double failureShare = 0.0;
     double latencySeconds = 0.0;
+    /// How much longer than the reading itself the last prompt took here, and when that was seen.
+    std::chrono::duration<double> readDelay {};
+    instant readDelaySeen;
     std::int64_t failuresInRow = 0;
     /// No requests before this instant, after failures in a row.
     deadline blockedUntil;
@@ -103,6 +106,15 @@
     void forEach(const std::function<void(const endpoint_state &)> &visit) const;
     const std::set<data_centre_id> &evacuated() const;
 
+    /// How long a prompt would wait at an endpoint before it is read, and how long the reading takes, as far as answers have shown.
+    struct read_estimate
+    {
+        std::chrono::duration<double> wait {};
+        std::chrono::duration<double> reading {};
+    };
+
+    read_estimate estimateRead(const endpoint_state &reader, token_count tokens, instant now) const;
+
     /// True while the endpoint may still be sent to; checked once more before each send.
     bool mayReceive(const endpoint_id &endpoint) const;
     /// Takes one request out of the cold share of a cold endpoint.
@@ -130,6 +142,7 @@
 
     bool isCutOff(const data_centre_id &dataCentre, instant now) const;
     void noteWay(const data_centre_id &dataCentre, bool isOpen, instant now);
+    void noteRead(endpoint_state &reader, token_count tokens, boot_clock::duration took, instant now);
 
     endpoint_state *state(const endpoint_id &endpoint);
     static void forgetUnanswered(endpoint_state &endpoint, instant sentAt);
@@ -144,6 +157,8 @@
     std::map<service_id, service_endpoints> m_byService;
     std::set<data_centre_id> m_evacuated;
     std::map<data_centre_id, way_state> m_ways;
+    /// Seconds that an idle reader of each service needs for a token, as far as seen; 0 while nothing was seen.
+    std::map<service_id, double> m_secondsPerToken;
     std::int64_t m_instanceCount = 1;
 };
 
--- a/src/forwarding/flow_messages.h
+++ b/src/forwarding/flow_messages.h
@@ -111,6 +111,8 @@
     service_id service;
     std::optional<prompt_handle> source;
     std::optional<reserved_room> room;
+    /// An endpoint that has read the prompt and may still keep it.
+    std::optional<socket_address> fetchFrom;
     /// Room that the request needs, for reservations.
     token_count tokens;
     std::optional<std::int64_t> resumeAfter;
--- a/src/forwarding/forward_flow.cpp
+++ b/src/forwarding/forward_flow.cpp
@@ -16,11 +16,16 @@
 constexpr std::int64_t mostUnsentTries = 4;
 // An endpoint that has said nothing for this long is given up where the request may go elsewhere.
 constexpr milliseconds plainSilenceLeast {120};
-constexpr milliseconds prefillSilence {700};
+constexpr milliseconds prefillSilence {350};
+// A reader may take this many times as long as estimated before it counts as silent.
+constexpr double prefillPatience = 2.0;
 // An engine that answers others meanwhile is busy, not gone, and its prompt is waited for up to this time.
 constexpr milliseconds prefillLongest {2500};
 constexpr milliseconds decodeSilence {1100};
 constexpr milliseconds reserveSilence {250};
+// A decode endpoint reads a prompt at half the speed, and other streams there have to wait meanwhile.
+constexpr double decodeReadFactor = 2.0;
+constexpr std::chrono::duration<double> decodeReadCost {0.12};
 // Endpoints that are asked for room before the request waits.
 constexpr std::size_t mostFullPerRound = 3;
 constexpr milliseconds roomRetryPause {70};
@@ -184,11 +189,15 @@
 
 deadline forward_flow::nextDeadline() const
 {
-    deadline next = m_isFinal && m_attempts.empty() ? deadline::never() : m_until;
+    if (m_isFinal) {
+        // What is left ends with the route's time; nothing is repeated any more.
+        return m_attempts.empty() ? deadline::never() : m_until;
+    }
+    deadline next = std::min(m_until, m_roomRetryAt);
     for (const attempt &one : m_attempts) {
         next = std::min(next, one.silentAt);
     }
-    return m_isFinal ? next : std::min(next, m_roomRetryAt);
+    return next;
 }
 
 bool forward_flow::isDone() const
@@ -267,6 +276,7 @@
 {
     if (end == attempt_end::whole && handle) {
         const endpoint_state *source = m_context->endpoints.find(ended.endpoint);
+        m_reader = ended.endpoint;
         if (source != nullptr) {
             sendDecode(prompt_handle {ended.endpoint, source->entry.address, *handle});
             return;
@@ -277,7 +287,8 @@
         return;
     }
     if (end == attempt_end::lost) {
-        repeatPrefill();
+        m_reader = ended.endpoint;
+        repeatPrefill(ended.endpoint);
         return;
     }
     if (end == attempt_end::rejected || end == attempt_end::misdirected) {
@@ -365,19 +376,21 @@
     const bool isBusy = reader != nullptr && reader->lastAnswer > silent.sentAt && m_now - silent.sentAt < prefillLongest;
     if (isBusy) {
         if (attempt *waiting = find(silent.number)) {
-            waiting->silentAt = deadline::after(m_now, prefillSilence);
+            waiting->silentAt = deadline::after(m_now, silenceFor(endpoint_duty::prefill, silent.endpoint));
         }
         return;
     }
     cancel(silent);
-    repeatPrefill();
+    repeatPrefill(std::nullopt);
 }
 
-void forward_flow::repeatPrefill()
+void forward_flow::repeatPrefill(const std::optional<endpoint_id> &preferred)
 {
     // A further prompt counts as an attempt, and another one must be left for the answer.
     const bool mayRead = m_attemptsUsed + 1 < m_request.route->maxAttempts && spendRepeat();
-    if (mayRead && send(endpoint_duty::prefill, std::nullopt)) {
+    const endpoint_state *again = preferred ? m_context->endpoints.find(*preferred) : nullptr;
+    const bool isAgain = again != nullptr && m_context->endpoints.mayReceive(*preferred);
+    if (mayRead && (isAgain ? sendTo(*again, endpoint_duty::prefill, std::nullopt) : send(endpoint_duty::prefill, std::nullopt))) {
         ++m_attemptsUsed;
         return;
     }
@@ -496,7 +509,7 @@
 
 void forward_flow::continueWithRoom()
 {
-    if (m_prefillsSent == 0) {
+    if (m_prefillsSent == 0 && !m_mayHaveRun) {
         if (m_room) {
             sendPrefill();
         } else {
@@ -518,11 +531,20 @@
 
 void forward_flow::sendPrefill()
 {
-    if (!send(endpoint_duty::prefill, std::nullopt)) {
+    const token_count prompt = tokensFor(endpoint_duty::prefill);
+    const endpoint_state *reader =
+        m_context->endpoints.choose(m_service, endpoint_duty::prefill, prompt, m_tried, m_profile, m_now, m_context->random);
+    if (reader == nullptr || isReadSoonerAtDecode(*reader, prompt) || !sendTo(*reader, endpoint_duty::prefill, std::nullopt)) {
         sendDecode(std::nullopt);
     }
 }
 
+bool forward_flow::isReadSoonerAtDecode(const endpoint_state &reader, token_count prompt) const
+{
+    const endpoint_table::read_estimate estimate = m_context->endpoints.estimateRead(reader, prompt, m_now);
+    return m_room && estimate.wait + estimate.reading > estimate.reading * decodeReadFactor + decodeReadCost;
+}
+
 void forward_flow::sendDecode(std::optional<prompt_handle> source)
 {
     m_handle = source;
@@ -553,7 +575,8 @@
     fresh.duty = duty;
     fresh.endpoint = chosen.entry.id;
     fresh.sentAt = m_now;
-    fresh.silentAt = deadline::after(m_now, silenceFor(duty));
+    fresh.answerDue = deadline::after(m_now, silenceFor(duty, fresh.endpoint));
+    fresh.silentAt = fresh.answerDue;
     if (duty != endpoint_duty::reserve) {
         m_tried.push_back(fresh.endpoint);
     }
@@ -576,6 +599,12 @@
             releaseUnused();
         }
     }
+    if (duty == endpoint_duty::decode && !order.source && m_reader) {
+        const endpoint_state *reader = m_context->endpoints.find(*m_reader);
+        if (reader != nullptr) {
+            order.fetchFrom = reader->entry.address;
+        }
+    }
     order.resumeAfter = m_events.lastId();
     order.until = m_until;
     order.isStreamed =
@@ -633,7 +662,7 @@
     if (!ended) {
         return;
     }
-    const bool wasSilent = !ended->isAnswered && m_now - ended->sentAt > silenceFor(ended->duty);
+    const bool wasSilent = !ended->isAnswered && ended->answerDue.hasPassed(m_now);
     const endpoint_verdict verdict = wasSilent ? endpoint_verdict::failed : endpoint_verdict::abandoned;
     m_context->endpoints.noteEnded(ended->endpoint, tokensFor(ended->duty), ended->sentAt, ended->isAnswered, verdict, m_now);
     m_actions.emplace_back(withdraw_attempt {ended->number});
@@ -694,15 +723,22 @@
     return std::exchange(m_actions, {});
 }
 
-milliseconds forward_flow::silenceFor(endpoint_duty duty) const
+milliseconds forward_flow::silenceFor(endpoint_duty duty, const endpoint_id &endpoint) const
 {
     switch (duty) {
     case endpoint_duty::plain_call:
         return std::max(m_request.route->target, plainSilenceLeast);
     case endpoint_duty::reserve:
         return reserveSilence;
-    case endpoint_duty::prefill:
-        return prefillSilence;
+    case endpoint_duty::prefill: {
+        const endpoint_state *reader = m_context->endpoints.find(endpoint);
+        if (reader == nullptr) {
+            return prefillSilence;
+        }
+        const auto estimate = m_context->endpoints.estimateRead(*reader, tokensFor(duty), m_now);
+        const auto expected = std::chrono::duration_cast<milliseconds>((estimate.wait + estimate.reading) * prefillPatience);
+        return std::min(prefillSilence + expected, prefillLongest);
+    }
     case endpoint_duty::decode:
         return decodeSilence;
     }
--- a/src/forwarding/forward_flow.h
+++ b/src/forwarding/forward_flow.h
@@ -70,7 +70,9 @@
         endpoint_duty duty = endpoint_duty::plain_call;
         endpoint_id endpoint;
         instant sentAt;
-        /// When the attempt counts as silent.
+        /// An endpoint that has not answered by then has failed.
+        deadline answerDue = deadline::never();
+        /// When the attempt counts as silent next.
         deadline silentAt = deadline::never();
         bool isAnswered = false;
         bool isRelayed = false;
@@ -109,6 +111,8 @@
     /// The room is there, or none is needed or to be had: reads the prompt, or goes on with what has been read.
     void continueWithRoom();
     void sendPrefill();
+    /// The decode endpoint that has room would have read the prompt before its turn came at the reader.
+    bool isReadSoonerAtDecode(const endpoint_state &reader, token_count prompt) const;
     bool sendTo(const endpoint_state &chosen, endpoint_duty duty, std::optional<prompt_handle> source);
     void sendDecode(std::optional<prompt_handle> source);
     void sendPlain();
@@ -116,7 +120,8 @@
     bool send(endpoint_duty duty, std::optional<prompt_handle> source);
     bool spendRepeat();
     /// Reads the prompt once more if the route allows it, or lets the decode endpoint read it.
-    void repeatPrefill();
+    /// The preferred endpoint has read the prompt, and only its answer is missing.
+    void repeatPrefill(const std::optional<endpoint_id> &preferred);
     void repeatDecode(const attempt &ended);
     void refuseNotRun(refusal_cause cause);
     void answerFailure(refusal_cause cause);
@@ -128,7 +133,7 @@
     std::optional<attempt> take(attempt_number number);
     endpoint_verdict verdictOf(const attempt &ended, attempt_end end, const answer_summary &answer) const;
     flow_actions run(const flow_context &context, instant now, const std::function<void()> &step);
-    std::chrono::milliseconds silenceFor(endpoint_duty duty) const;
+    std::chrono::milliseconds silenceFor(endpoint_duty duty, const endpoint_id &endpoint) const;
     token_count tokensFor(endpoint_duty duty) const;
     std::int64_t &counterOf(endpoint_duty duty);
 
@@ -150,6 +155,8 @@
     bool m_isCallerGone = false;
     event_splitter m_events;
     std::optional<prompt_handle> m_handle;
+    /// The endpoint that has read the prompt last, whether or not its result was used.
+    std::optional<endpoint_id> m_reader;
     std::optional<reserved_room> m_room;
     /// Endpoints that had no room in the current round.
     std::vector<endpoint_id> m_full;
--- a/tests/forwarding/endpoint_table_test.cpp
+++ b/tests/forwarding/endpoint_table_test.cpp
@@ -19,6 +19,17 @@
                                     fixture.random);
 }
 
+const endpoint_state *chooseReader(plan_fixture &fixture)
+{
+    return fixture.endpoints.choose(service_id("engine"),
+                                    endpoint_duty::prefill,
+                                    token_count(1000),
+                                    {},
+                                    fixture.plan->findService(service_id("engine")),
+                                    fixture.now,
+                                    fixture.random);
+}
+
 } // namespace
 
 TEST_GROUP(endpoint_table)
@@ -125,3 +136,43 @@
         CHECK(choosePlain(fixture)->entry.id != endpoint_id("p1"));
     }
 }
+
+// Reports do not tell how many prompts of other instances wait at a reader; all instances would go on sending to the one that is behind.
+TEST(endpoint_table, sendsPromptsToTheReaderThatIsNotBehind)
+{
+    const token_count prompt(1000);
+    const auto read = [&](const char *reader, std::chrono::milliseconds took) {
+        fixture.endpoints.noteSent(endpoint_id(reader), prompt, fixture.now - took);
+        fixture.endpoints.noteEnded(endpoint_id(reader), prompt, fixture.now - took, false, endpoint_verdict::good, fixture.now);
+    };
+    read("r2", 30ms);
+    read("r1", 600ms);
+    fixture.endpoints.noteSent(endpoint_id("r2"), prompt, fixture.now);
+    for (int round = 0; round < 20; ++round) {
+        CHECK(chooseReader(fixture)->entry.id == endpoint_id("r2"));
+    }
+    // The queue of a reader that gets nothing is worked off.
+    fixture.now += 5s;
+    CHECK(chooseReader(fixture)->entry.id == endpoint_id("r1"));
+}
+
+// While an endpoint that has failed is silent, every request sent there would wait for its time to run out.
+TEST(endpoint_table, triesAFailedEndpointWithOneRequestAtATime)
+{
+    for (int failure = 0; failure < 2; ++failure) {
+        fixture.endpoints.noteSent(endpoint_id("p1"), {}, fixture.now);
+        fixture.endpoints.noteEnded(endpoint_id("p1"), {}, fixture.now, false, endpoint_verdict::failed, fixture.now);
+    }
+    for (const char *loaded : {"p2", "p3"}) {
+        for (int request = 0; request < 16; ++request) {
+            fixture.endpoints.noteSent(endpoint_id(loaded), {}, fixture.now);
+            fixture.endpoints.noteAnswer(endpoint_id(loaded), fixture.now, fixture.now);
+        }
+    }
+    fixture.now += 3s;
+    CHECK(choosePlain(fixture)->entry.id == endpoint_id("p1"));
+    fixture.endpoints.noteSent(endpoint_id("p1"), {}, fixture.now);
+    CHECK(choosePlain(fixture)->entry.id != endpoint_id("p1"));
+    fixture.endpoints.noteEnded(endpoint_id("p1"), {}, fixture.now, false, endpoint_verdict::good, fixture.now);
+    CHECK(choosePlain(fixture)->entry.id == endpoint_id("p1"));
+}
--- a/tests/forwarding/forward_flow_test.cpp
+++ b/tests/forwarding/forward_flow_test.cpp
@@ -261,3 +261,111 @@
     const flow_actions actions = flow.onDeadline(fixture.context(), fixture.now);
     CHECK(findAction<refuse_request>(actions)->cause == refusal_cause::timed_out);
 }
+
+// With all readers behind, a prompt that joins their queue has its first token late; a decode endpoint reads it at half the speed.
+TEST(forward_flow, letsTheDecodeEndpointReadWhenAllReadersAreBehind)
+{
+    plan_fixture fixture;
+    const token_count prompt(1000);
+    for (const auto &[reader, took] : {std::pair("r1", 30ms), std::pair("r1", 600ms), std::pair("r2", 600ms)}) {
+        fixture.endpoints.noteSent(endpoint_id(reader), prompt, fixture.now - took);
+        fixture.endpoints.noteEnded(endpoint_id(reader), prompt, fixture.now - took, false, endpoint_verdict::good, fixture.now);
+    }
+    forward_flow flow = fixture.flow("stream");
+    const flow_actions begun = flow.begin(fixture.context(), fixture.now);
+    const auto *reserve = findAction<start_attempt>(begun);
+    CHECK(reserve != nullptr && reserve->duty == endpoint_duty::reserve);
+    const flow_actions reserved =
+        flow.onEnd(reserve->number, attempt_end::whole, {200, true}, std::string("room"), fixture.context(), fixture.now);
+    const auto *decode = findAction<start_attempt>(reserved);
+    CHECK(decode != nullptr);
+    CHECK(decode->duty == endpoint_duty::decode);
+    CHECK(decode->room.has_value());
+    CHECK_FALSE(decode->source.has_value());
+    // A run that is lost may have happened, whoever read the prompt.
+    const flow_actions lost = flow.onEnd(decode->number, attempt_end::lost, {}, std::nullopt, fixture.context(), fixture.now);
+    const auto *refused = findAction<refuse_request>(lost);
+    CHECK(refused != nullptr && refused->cause == refusal_cause::endpoint_failed);
+}
+
+// A request that did not run must not count against its workspace; one that may have run must.
+TEST(forward_flow, saysWhetherARefusedRequestHasRun)
+{
+    plan_fixture fixture;
+    forward_flow lost = fixture.flow("unsafe");
+    const flow_actions sent = lost.begin(fixture.context(), fixture.now);
+    const auto number = findAction<start_attempt>(sent)->number;
+    const flow_actions failed = lost.onEnd(number, attempt_end::lost, {}, std::nullopt, fixture.context(), fixture.now);
+    CHECK_FALSE(findAction<refuse_request>(failed)->isNotRun);
+    forward_flow late = fixture.flow("unsafe");
+    late.begin(fixture.context(), fixture.now);
+    fixture.now += 6s;
+    const flow_actions timedOut = late.onDeadline(fixture.context(), fixture.now);
+    CHECK_FALSE(findAction<refuse_request>(timedOut)->isNotRun);
+    forward_flow expired = fixture.flow("unsafe");
+    const flow_actions refused = expired.begin(fixture.context(), fixture.now + 10s);
+    CHECK_TRUE(findAction<refuse_request>(refused)->isNotRun);
+}
+
+// A deadline that stays in the past makes the dispatcher spin on it; a booking whose caller had left did so until its time was over.
+TEST(forward_flow, movesItsDeadlineOnWheneverOneHasPassed)
+{
+    for (const std::string route : {"safe", "unsafe", "stream", "resumed"}) {
+        CHECK_PROPERTY("deadline lies ahead", [route](const std::vector<std::uint8_t> &choices, bool isCallerLeaving) {
+            random_play play(route);
+            play.take(play.flow.begin(play.fixture.context(), play.fixture.now));
+            for (const std::uint8_t choice : choices) {
+                play.step(choice);
+            }
+            if (isCallerLeaving) {
+                play.take(play.flow.onCallerGone(play.fixture.context(), play.fixture.now));
+            }
+            for (int step = 0; step < 60 && !play.flow.isDone(); ++step) {
+                play.fixture.now += 100ms;
+                play.take(play.flow.onDeadline(play.fixture.context(), play.fixture.now));
+                RC_ASSERT(play.flow.isDone() || !play.flow.nextDeadline().hasPassed(play.fixture.now));
+            }
+        });
+    }
+}
+
+// Guards against a prompt that is read again elsewhere while the reader that has read it, or its cache, is still there.
+TEST(forward_flow, goesBackToTheReaderWhosePromptIsRead)
+{
+    plan_fixture fixture;
+    forward_flow flow = fixture.flow("resumed");
+    const auto next = [&](const flow_actions &actions, endpoint_duty duty) {
+        const auto *sent = findAction<start_attempt>(actions);
+        CHECK(sent != nullptr && sent->duty == duty);
+        return *sent;
+    };
+    const auto end = [&](const start_attempt &sent, attempt_end how, std::optional<std::string> handle) {
+        return flow.onEnd(sent.number, how, {how == attempt_end::whole ? 200 : 0, true}, handle, fixture.context(), fixture.now);
+    };
+    const start_attempt reserve = next(flow.begin(fixture.context(), fixture.now), endpoint_duty::reserve);
+    const start_attempt decode = [&] {
+        const start_attempt read = next(end(reserve, attempt_end::whole, "room"), endpoint_duty::prefill);
+        return next(end(read, attempt_end::whole, "handle"), endpoint_duty::decode);
+    }();
+    CHECK_FALSE(decode.fetchFrom.has_value());
+    const start_attempt again = next(end(decode, attempt_end::lost, std::nullopt), endpoint_duty::reserve);
+    const start_attempt repeated = next(end(again, attempt_end::whole, "room2"), endpoint_duty::decode);
+    CHECK_FALSE(repeated.source.has_value());
+    CHECK(repeated.fetchFrom == decode.source->address);
+}
+
+// Guards against a second reading when only the answer of the first one was lost.
+TEST(forward_flow, asksTheSameReaderAgainWhenItsAnswerIsLost)
+{
+    plan_fixture fixture;
+    forward_flow flow = fixture.flow("resumed");
+    const flow_actions begun = flow.begin(fixture.context(), fixture.now);
+    const attempt_number reserveNumber = findAction<start_attempt>(begun)->number;
+    const flow_actions reserved =
+        flow.onEnd(reserveNumber, attempt_end::whole, {200, true}, std::string("room"), fixture.context(), fixture.now);
+    const start_attempt read = *findAction<start_attempt>(reserved);
+    const flow_actions lost = flow.onEnd(read.number, attempt_end::lost, {}, std::nullopt, fixture.context(), fixture.now);
+    const auto *again = findAction<start_attempt>(lost);
+    CHECK(again != nullptr && again->duty == endpoint_duty::prefill);
+    CHECK(again->endpoint == read.endpoint);
+}
--- a/tests/platform/platform_test.cpp
+++ b/tests/platform/platform_test.cpp
@@ -35,6 +35,7 @@
         {"X-Tenant", "forged"},
         {"X-Kv-Source", "forged"},
         {"x-kv-hold", "forged"},
+        {"Kv-Fetch", "forged"},
         {"X-Stage", "prefill"},
         {"Connection", "X-Hop"},
         {"X-Hop", "1"},
@@ -118,6 +119,7 @@
     CHECK_FALSE(sent.headers.has("Authorization"));
     CHECK_FALSE(sent.headers.has("X-Kv-Source"));
     CHECK_FALSE(sent.headers.has("X-Kv-Hold"));
+    CHECK_FALSE(sent.headers.has("Kv-Fetch"));
     CHECK_FALSE(sent.headers.has("X-Stage"));
     CHECK_FALSE(sent.headers.has("X-Hop"));
     CHECK(sent.headers.value("X-Tenant") == "w");
