Run nothing for callers that have left, and end within the grace beside a silent store

The end of the connection lay behind the request in the same socket. Callers are served until 0.4 s before it, and giving up the duty then waited up to 0.5 s for a store that could not be reached.

Change: a request is passed on only while its caller has not closed the connection behind it; giving up the duty waits 0.15 s.

Ruled out: judging by the time that a request waited, which the process cannot see; leaving the duty at the begin of the shutdown, because engines would be without orders for the whole grace.

--- a/src/gateway/caller_front_task.cpp
+++ b/src/gateway/caller_front_task.cpp
@@ -22,7 +22,7 @@
 constexpr milliseconds lingerTime {1000};
 // After SIGTERM the balancer needs two checks, a second apart, to send new connections elsewhere.
 constexpr milliseconds balancerNotice {2500};
-// Before the forced end: the last answers are written and the process leaves.
+// Before the forced end: the last answers are written, and the duty is given up, which waits for the store for a part of this time.
 constexpr milliseconds endMargin {400};
 constexpr int listenBacklog = 1024;
 // Requests behind the running one wait in the connection up to this size.
@@ -199,6 +199,12 @@
         case parse_state::reading:
             break;
         case parse_state::complete:
+            // After a pause of the whole process, callers may have left long before their requests are read.
+            if (m_stream->hasPeerLeft()) {
+                m_owner.m_log.write(log_line("callers", "request_dropped").add("cause", "its caller left before it was read"));
+                m_owner.bury(*this);
+                break;
+            }
             m_owner.passOn(*this, std::move(m_request));
             m_request = {};
             break;
--- a/src/gateway/duty_task.cpp
+++ b/src/gateway/duty_task.cpp
@@ -13,6 +13,8 @@
 constexpr milliseconds joinPause {700};
 constexpr milliseconds joinTime {500};
 constexpr milliseconds engineCallTime {600};
+// Callers are served until shortly before the process is ended by force; giving up the duty must fit in what is left.
+constexpr milliseconds leaveTime {150};
 
 std::string_view stageName(engine_stage stage)
 {
@@ -53,7 +55,7 @@
     // The next holder need not wait for the store to notice. No answer is awaited; the store would notice by itself.
     m_storeCall.abandon();
     m_storeCall.begin(m_store.leaveDuty(m_settings.instance),
-                      deadline::after(boot_clock::now(), joinTime),
+                      deadline::after(boot_clock::now(), leaveTime),
                       [this](const outcome<http_response> &) { finish(); });
 }
 
--- a/src/http1/byte_stream.cpp
+++ b/src/http1/byte_stream.cpp
@@ -1,5 +1,6 @@
 #include "http1/byte_stream.h"
 
+#include <cerrno>
 #include <utility>
 
 #include <arpa/inet.h>
@@ -96,6 +97,13 @@
     evbuffer_drain(bufferevent_get_input(m_handle), bytes);
 }
 
+bool byte_stream::hasPeerLeft() const
+{
+    char next = 0;
+    const ssize_t read = ::recv(bufferevent_getfd(m_handle), &next, sizeof(next), MSG_PEEK | MSG_DONTWAIT);
+    return read == 0 || (read < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
+}
+
 void byte_stream::setReading(bool isReading)
 {
     if (isReading) {
--- a/tests/gateway/gateway_test.cpp
+++ b/tests/gateway/gateway_test.cpp
@@ -8,6 +8,8 @@
 #include "standins/users_platform/standin_store.h"
 
 #include <fcntl.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #include <nlohmann/json.hpp>
@@ -36,6 +38,8 @@
 /// A gateway with the platform around it in one process and on one loop.
 struct deployment
 {
+    static constexpr std::chrono::milliseconds grace {4000};
+
     event_loop loop;
     timer guard;
     bool isTimedOut = false;
@@ -70,7 +74,7 @@
         settings.dataCentre = data_centre_id("z");
         settings.callerAddress = settings.readinessAddress = settings.metricsAddress = {"127.0.0.1", 0};
         settings.storeAddress = store.address();
-        settings.grace = 4000ms;
+        settings.grace = grace;
         settings.quotaSlack = 190000;
         gateway = std::make_unique<gateway_tree>(loop, settings, adapter.dialects(), log, [this](int status) {
             ended = status;
@@ -272,6 +276,49 @@
     CHECK(site.ended == std::optional<int>(0));
 }
 
+// A process that is still there at the end of the grace is killed; a store that does not answer must not keep it.
+TEST(gateway, endsWithinTheGraceWithASilentStoreAndARunningStream)
+{
+    deployment site;
+    site.callUntil(site.request("GET", "/safe/x"), 200);
+    std::vector<std::shared_ptr<http_exchange>> unanswered;
+    site.decode.setBehaviour([&](const std::shared_ptr<http_exchange> &exchange) { unanswered.push_back(exchange); });
+    http_request text = site.request("POST", "/text/x");
+    text.headers.add("X-Token-Counts", "1000,50");
+    http_call_handlers handlers;
+    handlers.onDone = [](const http_call_result &) {};
+    site.client->send(text, std::move(handlers), deadline::after(boot_clock::now(), guardTime));
+    site.store.setMood(standin_store::mood::silent);
+    const instant begun = boot_clock::now();
+    site.gateway->beginShutdown();
+    while (!site.ended && !site.isTimedOut) {
+        site.loop.run();
+    }
+    CHECK(site.ended == std::optional<int>(0));
+    CHECK(boot_clock::now() - begun < deployment::grace);
+}
+
+// An instance that was frozen finds requests whose callers have left long ago; a booking among them would be made for nobody.
+TEST(gateway, runsNothingForACallerThatLeftBeforeItsRequestWasRead)
+{
+    deployment site;
+    site.callUntil(site.request("GET", "/safe/x"), 200);
+    const int caller = ::socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in to = {};
+    to.sin_family = AF_INET;
+    to.sin_port = htons(site.gateway->callerAddress().port);
+    to.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    LONGS_EQUAL(0, ::connect(caller, reinterpret_cast<const sockaddr *>(&to), sizeof(to)));
+    const std::string booking = "POST /unsafe/x HTTP/1.1\r\nHost: 127.0.0.1\r\nX-Attempt-Id: left\r\nX-Deadline-Ms: 4000\r\n"
+                                "Authorization: Bearer k1\r\nContent-Length: 5\r\n\r\norder";
+    LONGS_EQUAL(booking.size(), ::send(caller, booking.data(), booking.size(), 0));
+    ::close(caller);
+    const std::size_t before = site.plain.runs().size();
+    LONGS_EQUAL(200, site.call(site.request("GET", "/safe/y")).status);
+    LONGS_EQUAL(200, site.call(site.request("GET", "/safe/z")).status);
+    LONGS_EQUAL(before + 2, site.plain.runs().size());
+}
+
 TEST_GROUP(endpoint_link) {};
 
 namespace
