Read endpoint entries with a pause, and take the bound on changes from the deployment

Change: 0.7 s between reads of the entries; the wait for changes of the operator follows configurationWithinMs.

--- a/src/burdockshelfctl/request_story.cpp
+++ b/src/burdockshelfctl/request_story.cpp
@@ -22,9 +22,10 @@
 };
 
 constexpr std::string_view endpointValue = "endpoint";
+constexpr std::string_view startEvent = "start";
 
 constexpr belief_event beliefEvents[] = {
-    {"start", "process", ""},
+    {startEvent, "process", ""},
     {"plan_in_force", "plan", ""},
     {"store_lost", "store", ""},
     {"store_regained", "store", ""},
@@ -150,6 +151,10 @@
         m_steps.push_back(std::move(step));
         return;
     }
+    if (record.event == startEvent) {
+        // A new process knows nothing of what the one before it believed.
+        std::erase_if(m_beliefs, [&](const auto &held) { return held.first.first == record.instance; });
+    }
     if (const belief_event *belief = beliefOf(record.event)) {
         const auto key = std::pair(record.instance, subjectOf(*belief, record));
         m_beliefs.insert_or_assign(key, std::move(record));
--- a/src/gateway/gateway_settings.cpp
+++ b/src/gateway/gateway_settings.cpp
@@ -40,6 +40,7 @@
     settings.metricsAddress = addressOf(reader, "metricsAddress");
     settings.storeAddress = addressOf(reader, "storeAddress");
     settings.grace = std::chrono::milliseconds(reader.integer("graceMs", graceRange));
+    settings.configurationWithin = std::chrono::milliseconds(reader.integer("configurationWithinMs", graceRange));
     settings.repeats.perHundred = reader.integer("repeatsPerHundred", percentRange);
     settings.repeats.slack = reader.integer("repeatSlack", slackRange);
     settings.quotaSlack = reader.integer("quotaSlack", quotaSlackRange);
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -22,6 +22,8 @@
     socket_address storeAddress;
     /// From SIGTERM until the process is ended by force.
     std::chrono::milliseconds grace {8000};
+    /// A change of the operator must be in force within this time of the store's acknowledgement.
+    std::chrono::milliseconds configurationWithin {2000};
     repeat_limits repeats;
     /// Imprecision of quotas that the fleet may have in a window, in cost units.
     std::int64_t quotaSlack = 0;
--- a/src/gateway/gateway_tree.cpp
+++ b/src/gateway/gateway_tree.cpp
@@ -72,7 +72,7 @@
                           return std::make_unique<dispatch_task>(m_loop, m_dispatchBox, dispatch, dialects, to, m_log, random_source());
                       }});
     m_root->addChild({"store", [this, settings, &store = dialects.store] {
-                          const store_settings at = {settings.storeAddress, settings.instance};
+                          const store_settings at = {settings.storeAddress, settings.instance, settings.configurationWithin};
                           return std::make_unique<store_task>(
                               m_loop, m_storeBox, at, store, address(m_dispatchBox), m_log, random_source());
                       }});
--- a/src/gateway/store_task.cpp
+++ b/src/gateway/store_task.cpp
@@ -1,5 +1,6 @@
 #include "gateway/store_task.h"
 
+#include <algorithm>
 #include <array>
 #include <utility>
 
@@ -13,13 +14,30 @@
 
 constexpr milliseconds writeTime {1500};
 
-// Changes of the operator must be in force within two seconds of the store's acknowledgement, also when the connection on which they were
-// awaited has gone silent; a silent one is noticed after wait and answer time.
-constexpr std::array<follow_settings, 3> followed = {
-    follow_settings {store_topic::operators, milliseconds(1150), milliseconds(0), milliseconds(450), milliseconds(10000)},
-    follow_settings {store_topic::endpoints, milliseconds(1150), milliseconds(0), milliseconds(450), milliseconds(10000)},
-    follow_settings {store_topic::members, milliseconds(0), milliseconds(3000), milliseconds(1000), milliseconds(60000)},
-};
+// Time that a followed call may take beyond its wait.
+constexpr milliseconds answerTime {450};
+// What is left of the bound on changes once a connection that has gone silent has been given up: the next call, and taking the change in.
+constexpr milliseconds afterSilence {400};
+constexpr milliseconds shortestWait {200};
+// Endpoints write their entries again and again; a pause lets one call fetch the changes of several.
+constexpr milliseconds endpointsWait {1150};
+constexpr milliseconds endpointsPause {700};
+constexpr milliseconds membersPause {3000};
+constexpr milliseconds membersAnswerTime {1000};
+constexpr milliseconds rereadPause {10000};
+constexpr milliseconds membersRereadPause {60000};
+
+std::array<follow_settings, 3> followedTopics(milliseconds configurationWithin)
+{
+    // Changes of the operator must be in force in time also when the connection on which they were awaited has gone silent; a silent one is
+    // noticed after wait and answer time.
+    const milliseconds wait = std::max(configurationWithin - answerTime - afterSilence, shortestWait);
+    return {
+        follow_settings {store_topic::operators, wait, milliseconds(0), answerTime, rereadPause},
+        follow_settings {store_topic::endpoints, endpointsWait, endpointsPause, answerTime, rereadPause},
+        follow_settings {store_topic::members, milliseconds(0), membersPause, membersAnswerTime, membersRereadPause},
+    };
+}
 
 } // namespace
 
@@ -38,7 +56,7 @@
     , m_random(random)
     , m_writer(loop, m_settings.address)
 {
-    for (const follow_settings &topic : followed) {
+    for (const follow_settings &topic : followedTopics(m_settings.configurationWithin)) {
         m_followers.push_back(std::make_unique<topic_follower>(
             loop,
             m_settings.address,
--- a/src/gateway/store_task.h
+++ b/src/gateway/store_task.h
@@ -13,6 +13,8 @@
 {
     socket_address address;
     instance_id instance;
+    /// A change of the operator must be in force within this time of the store's acknowledgement.
+    std::chrono::milliseconds configurationWithin {2000};
 };
 
 /// The one client of the platform's store: follows the topics that concern a gateway and writes this instance's own state.
--- a/tests/burdockshelfctl/explain_test.cpp
+++ b/tests/burdockshelfctl/explain_test.cpp
@@ -58,6 +58,18 @@
     STRCMP_CONTAINS("i-1 (lost, answer cut)", story.conclusion().c_str());
 }
 
+// Guards against beliefs of an earlier process that are told as those of the one that decided.
+TEST(explain, forgetsWhatAnEarlierProcessBelieved)
+{
+    const request_story story = storyOf("r3",
+                                        std::string(lines)
+                                            + "time_ms=9000 part=gateway event=start incarnation=8\n"
+                                              "time_ms=9100 part=dispatch event=refused request=r3 cause=not_ready status=503\n");
+    LONGS_EQUAL(1, story.steps().size());
+    LONGS_EQUAL(1, story.steps()[0].beliefs.size());
+    STRCMP_EQUAL("start", story.steps()[0].beliefs[0].changedBy.event.c_str());
+}
+
 // Guards against steps of two instances that are told in the order of the files.
 TEST(explain, ordersTheStepsOfSeveralInstances)
 {
--- a/tests/gateway/gateway_test.cpp
+++ b/tests/gateway/gateway_test.cpp
@@ -286,7 +286,8 @@
     http_request text = site.request("POST", "/text/x");
     text.headers.add("X-Token-Counts", "1000,50");
     http_call_handlers handlers;
-    handlers.onDone = [](const http_call_result &) {};
+    handlers.onDone = [](const http_call_result &) {
+    };
     site.client->send(text, std::move(handlers), deadline::after(boot_clock::now(), guardTime));
     site.store.setMood(standin_store::mood::silent);
     const instant begun = boot_clock::now();
@@ -429,7 +430,7 @@
 TEST(gateway_codecs, settingsNameWhatIsWrong)
 {
     const std::string good = R"({"instance":"a","dataCentre":"z","callerAddress":"127.0.0.1:1","readinessAddress":"127.0.0.1:2",
- "metricsAddress":"127.0.0.1:3","storeAddress":"127.0.0.1:4","graceMs":8000,"repeatsPerHundred":20,"repeatSlack":56,"quotaSlack":190000,"dutyTurnMs":3000,"prefillPercent":25})";
+ "metricsAddress":"127.0.0.1:3","storeAddress":"127.0.0.1:4","graceMs":8000,"configurationWithinMs":2000,"repeatsPerHundred":20,"repeatSlack":56,"quotaSlack":190000,"dutyTurnMs":3000,"prefillPercent":25})";
     CHECK_TRUE(parseGatewaySettings(good).has_value());
     nlohmann::json document = nlohmann::json::parse(good);
     for (const auto &[name, value] : document.items()) {
