Take quota tolerance and repeat ratio from the deployment, and use the whole tolerance for bursts

The ratio of repeats stood in the template as a number, which another deployment would break.

Change: settings quotaOver, quotaWindowMs and repeatRatio; 0.6 of the whole tolerance are bursts.

Ruled out: letting a request leave a debt whenever the bucket is not empty; all instances together could then take more than the tolerance in the first seconds of a flood.

--- a/src/forwarding/workspace_shares.cpp
+++ b/src/forwarding/workspace_shares.cpp
@@ -11,15 +11,16 @@
 
 // Part of every quota that is split evenly.
 constexpr double evenPart = 0.4;
-// Part of the fleet's slack that serves bursts at single instances. The rest covers instances that have not heard of each other yet.
-constexpr double burstPartOfSlack = 0.5;
+// Part of the fleet's tolerance that serves bursts at single instances. The rest covers instances that have not heard of each other yet,
+// and instances that start anew with a full bucket.
+constexpr double burstPartOfSlack = 0.6;
 // Demand is smoothed over about this time, because single requests are large compared with a share.
 constexpr double smoothingSeconds = 8.0;
 
 } // namespace
 
-workspace_shares::workspace_shares(double slack)
-    : m_slack(slack)
+workspace_shares::workspace_shares(quota_tolerance tolerance)
+    : m_tolerance(tolerance)
 {
 }
 
@@ -137,7 +138,9 @@
 
 double workspace_shares::burstOf(const account &target) const
 {
-    return target.burst * target.share + m_slack * burstPartOfSlack / static_cast<double>(m_instanceCount);
+    const std::chrono::duration<double> window = m_tolerance.window;
+    const double slack = m_tolerance.fixed + m_tolerance.part * (target.rate * window.count() + target.burst);
+    return target.burst * target.share + slack * burstPartOfSlack / static_cast<double>(m_instanceCount);
 }
 
 } // namespace burdockshelf
--- a/src/forwarding/workspace_shares.h
+++ b/src/forwarding/workspace_shares.h
@@ -13,13 +13,23 @@
 /// Cost units per second that callers of each workspace ask for at one instance.
 using workspace_demand = std::map<workspace_id, double>;
 
+/// How much more than a quota the whole fleet may take in a window.
+struct quota_tolerance
+{
+    /// In cost units, for every workspace.
+    double fixed = 0.0;
+    /// As a part of what rate and burst allow in a window.
+    double part = 0.0;
+    std::chrono::milliseconds window {0};
+};
+
 /// This instance's share of each workspace's quota. The shares of all instances add up to the quota: a part is split evenly, so that every
 /// instance can always serve something, and the rest follows the demand that the instances have published.
 class workspace_shares
 {
 public:
-    /// The slack is the imprecision that the fleet may have in any window, in cost units; part of it is split among the instances as burst.
-    explicit workspace_shares(double slack);
+    /// Part of the tolerance is split among the instances as burst.
+    explicit workspace_shares(quota_tolerance tolerance);
 
     /// Changes limits; spent tokens stay spent.
     void setPlan(const traffic_plan &plan, instant now);
@@ -53,7 +63,7 @@
     void applyShare(account &target, instant now);
     double burstOf(const account &target) const;
 
-    double m_slack;
+    quota_tolerance m_tolerance;
 
     std::unordered_map<workspace_id, account> m_accounts;
     std::int64_t m_instanceCount = 1;
--- a/src/gateway/dispatch_task.cpp
+++ b/src/gateway/dispatch_task.cpp
@@ -66,7 +66,7 @@
     , m_log(std::move(log))
     , m_random(random)
     , m_requests(m_log)
-    , m_fleet(m_settings.instance, m_settings.dataCentre, m_settings.quotaSlack, dialects.records, m_log)
+    , m_fleet(m_settings.instance, m_settings.dataCentre, m_settings.quotas, dialects.records, m_log)
     , m_repeats(m_settings.repeats)
     , m_deadline(loop, [this] { checkDeadlines(); })
     , m_report(loop, [this] { reportState(); })
--- a/src/gateway/dispatch_task.h
+++ b/src/gateway/dispatch_task.h
@@ -22,7 +22,7 @@
     incarnation_id incarnation;
     data_centre_id dataCentre;
     repeat_limits repeats;
-    double quotaSlack = 0.0;
+    quota_tolerance quotas;
     /// From the begin of the shutdown until the process is ended by force.
     std::chrono::milliseconds grace {8000};
 };
--- a/src/gateway/fleet_state.cpp
+++ b/src/gateway/fleet_state.cpp
@@ -9,11 +9,11 @@
 {
 
 fleet_state::fleet_state(
-    const instance_id &self, const data_centre_id &dataCentre, double quotaSlack, const record_dialect &records, event_log log)
+    const instance_id &self, const data_centre_id &dataCentre, quota_tolerance quotas, const record_dialect &records, event_log log)
     : m_records(records)
     , m_log(std::move(log))
     , m_endpoints(endpoint_table_settings {dataCentre})
-    , m_shares(quotaSlack)
+    , m_shares(quotas)
     , m_members(self)
 {
 }
--- a/src/gateway/fleet_state.h
+++ b/src/gateway/fleet_state.h
@@ -19,8 +19,8 @@
 class fleet_state
 {
 public:
-    /// The slack is the imprecision that the quotas of the whole fleet may have, in cost units.
-    fleet_state(const instance_id &self, const data_centre_id &dataCentre, double quotaSlack, const record_dialect &records, event_log log);
+    fleet_state(
+        const instance_id &self, const data_centre_id &dataCentre, quota_tolerance quotas, const record_dialect &records, event_log log);
 
     /// All newest records of a topic, in place of what was known.
     void reset(store_topic topic, const std::vector<store_record> &records, instant now);
--- a/src/gateway/gateway_settings.cpp
+++ b/src/gateway/gateway_settings.cpp
@@ -11,7 +11,6 @@
 namespace
 {
 
-constexpr number_range percentRange = {0, 1000};
 constexpr number_range slackRange = {0, 1'000'000};
 constexpr number_range quotaSlackRange = {0, 1'000'000'000};
 constexpr number_range shareRange = {0, 100};
@@ -41,9 +40,11 @@
     settings.storeAddress = addressOf(reader, "storeAddress");
     settings.grace = std::chrono::milliseconds(reader.integer("graceMs", graceRange));
     settings.configurationWithin = std::chrono::milliseconds(reader.integer("configurationWithinMs", graceRange));
-    settings.repeats.perHundred = reader.integer("repeatsPerHundred", percentRange);
+    settings.repeats.perHundred = static_cast<std::int64_t>(reader.fraction("repeatRatio") * 100.0);
     settings.repeats.slack = reader.integer("repeatSlack", slackRange);
-    settings.quotaSlack = reader.integer("quotaSlack", quotaSlackRange);
+    settings.quotas.fixed = static_cast<double>(reader.integer("quotaSlack", quotaSlackRange));
+    settings.quotas.part = reader.fraction("quotaOver");
+    settings.quotas.window = std::chrono::milliseconds(reader.integer("quotaWindowMs", graceRange));
     settings.dutyTurn = std::chrono::milliseconds(reader.integer("dutyTurnMs", graceRange));
     settings.prefillPercent = reader.integer("prefillPercent", shareRange);
     BOOST_OUTCOME_TRYV(reader.finish());
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -4,6 +4,7 @@
 #include "core/outcome.h"
 #include "core/socket_address.h"
 #include "forwarding/repeat_budget.h"
+#include "forwarding/workspace_shares.h"
 
 #include <chrono>
 #include <string>
@@ -25,8 +26,7 @@
     /// A change of the operator must be in force within this time of the store's acknowledgement.
     std::chrono::milliseconds configurationWithin {2000};
     repeat_limits repeats;
-    /// Imprecision of quotas that the fleet may have in a window, in cost units.
-    std::int64_t quotaSlack = 0;
+    quota_tolerance quotas;
     /// Two holders of the duty to order engines must not take turns within this time.
     std::chrono::milliseconds dutyTurn {3000};
     /// The part of a service's engines that should read prompts, in percent; 0 leaves the engines as they are.
--- a/src/gateway/gateway_tree.cpp
+++ b/src/gateway/gateway_tree.cpp
@@ -56,12 +56,8 @@
                           return std::make_unique<endpoint_link_task>(m_loop, m_endpointBox, endpoints, address(m_dispatchBox), m_log);
                       }});
     m_root->addChild({"dispatcher", [this, settings, dialects, incarnation] {
-                          const dispatch_settings dispatch = {settings.instance,
-                                                              incarnation,
-                                                              settings.dataCentre,
-                                                              settings.repeats,
-                                                              static_cast<double>(settings.quotaSlack),
-                                                              settings.grace};
+                          const dispatch_settings dispatch = {
+                              settings.instance, incarnation, settings.dataCentre, settings.repeats, settings.quotas, settings.grace};
                           dispatch_addresses to;
                           to.callers = address(m_frontBox);
                           to.endpoints = address(m_endpointBox);
--- a/src/wire/json_reader.cpp
+++ b/src/wire/json_reader.cpp
@@ -190,6 +190,20 @@
     return value->get<std::int64_t>();
 }
 
+double json_reader::fraction(std::string_view key)
+{
+    const auto *value = static_cast<const json *>(require(key));
+    if (value == nullptr) {
+        return 0.0;
+    }
+    const double read = value->is_number() ? value->get<double>() : -1.0;
+    if (!(read >= 0.0 && read <= 1.0)) {
+        reject(key, "a number from 0 to 1");
+        return 0.0;
+    }
+    return read;
+}
+
 std::int64_t json_reader::integerOr(std::string_view key, std::int64_t fallback, number_range range)
 {
     return has(key) ? integer(key, range) : fallback;
--- a/src/wire/json_reader.h
+++ b/src/wire/json_reader.h
@@ -54,6 +54,8 @@
     /// A text with at least one character.
     std::string nonEmptyText(std::string_view key);
     std::int64_t integer(std::string_view key, number_range range = {});
+    /// A number from 0 to 1.
+    double fraction(std::string_view key);
     std::int64_t integerOr(std::string_view key, std::int64_t fallback, number_range range = {});
     bool boolean(std::string_view key);
     bool booleanOr(std::string_view key, bool fallback);
--- a/tests/forwarding/admission_test.cpp
+++ b/tests/forwarding/admission_test.cpp
@@ -12,7 +12,7 @@
 /// A plan with one workspace that may use 100 tokens per second.
 struct admission_fixture : plan_fixture
 {
-    workspace_shares shares {0.0};
+    workspace_shares shares {quota_tolerance {}};
     std::shared_ptr<const plan_index> limited;
     deadline streamsUntil = deadline::never();
     deadline callsUntil = deadline::never();
--- a/tests/forwarding/shares_test.cpp
+++ b/tests/forwarding/shares_test.cpp
@@ -53,7 +53,7 @@
         double taken = 0.0;
         constexpr int seconds = 8;
         for (const workspace_demand &own : published) {
-            workspace_shares shares(slack);
+            workspace_shares shares({slack, 0.1, std::chrono::seconds(seconds)});
             shares.setDemands(count, nullptr, {}, start);
             shares.setPlan(planWith(rate, burst), start);
             shares.setDemands(count, &own, all, start);
@@ -70,7 +70,7 @@
 TEST(shares, keepsAnEvenPartWithoutContact)
 {
     const instant start(1000s);
-    workspace_shares shares(0.0);
+    workspace_shares shares({});
     shares.setPlan(planWith(rate, burst), start);
     shares.setDemands(4, nullptr, {}, start);
     DOUBLES_EQUAL(0.1, shares.shareOf(workspace), 0.001);
@@ -80,7 +80,7 @@
 TEST(shares, givesNoNewBurstWithEachPlan)
 {
     const instant start(1000s);
-    workspace_shares shares(0.0);
+    workspace_shares shares({});
     shares.setPlan(planWith(rate, burst), start);
     int taken = 0;
     for (int change = 0; change < 50; ++change) {
--- a/tests/gateway/gateway_test.cpp
+++ b/tests/gateway/gateway_test.cpp
@@ -75,7 +75,7 @@
         settings.callerAddress = settings.readinessAddress = settings.metricsAddress = {"127.0.0.1", 0};
         settings.storeAddress = store.address();
         settings.grace = grace;
-        settings.quotaSlack = 190000;
+        settings.quotas.fixed = 190000;
         gateway = std::make_unique<gateway_tree>(loop, settings, adapter.dialects(), log, [this](int status) {
             ended = status;
             loop.stop();
@@ -430,7 +430,7 @@
 TEST(gateway_codecs, settingsNameWhatIsWrong)
 {
     const std::string good = R"({"instance":"a","dataCentre":"z","callerAddress":"127.0.0.1:1","readinessAddress":"127.0.0.1:2",
- "metricsAddress":"127.0.0.1:3","storeAddress":"127.0.0.1:4","graceMs":8000,"configurationWithinMs":2000,"repeatsPerHundred":20,"repeatSlack":56,"quotaSlack":190000,"dutyTurnMs":3000,"prefillPercent":25})";
+ "metricsAddress":"127.0.0.1:3","storeAddress":"127.0.0.1:4","graceMs":8000,"configurationWithinMs":2000,"repeatRatio":0.2,"repeatSlack":56,"quotaSlack":190000,"quotaOver":0.1,"quotaWindowMs":8000,"dutyTurnMs":3000,"prefillPercent":25})";
     CHECK_TRUE(parseGatewaySettings(good).has_value());
     nlohmann::json document = nlohmann::json::parse(good);
     for (const auto &[name, value] : document.items()) {
