Take no quota before the other instances' reports are read

Cause: an instance believed to be alone until its first report, one second after its start.

Change: not ready until the reports have been read; shares, repeats, cold rates and connections follow a report at once.

Ruled out: the larger bursts alone.

Test: fleet_state, takesNoMoreThanItsPartAsSoonAsItKnowsTheOthers, failed first (whole rate instead of a tenth).

--- a/src/forwarding/admission.cpp
+++ b/src/forwarding/admission.cpp
@@ -26,7 +26,7 @@
 
 admission_decision decideAdmission(const forward_facts &facts, instant arrived, const admission_inputs &inputs, instant now)
 {
-    if (!inputs.plan || !inputs.hasEndpoints) {
+    if (!inputs.plan || !inputs.isInformed) {
         return refusal(refusal_cause::not_ready, retryAfterStart);
     }
     const traffic_route *route = inputs.plan->findRoute(facts.host, facts.path);
--- a/src/gateway/dispatch_task.cpp
+++ b/src/gateway/dispatch_task.cpp
@@ -89,7 +89,7 @@
 void dispatch_task::apply(request_arrived &&arrived)
 {
     const forward_facts facts = m_dialects.callers.readRequest(arrived.request, arrived.arrived);
-    const admission_inputs inputs = {m_fleet.plan(), m_fleet.endpoints().size() > 0, m_fleet.shares(), m_streamsUntil, m_callsUntil};
+    const admission_inputs inputs = {m_fleet.plan(), m_fleet.isInformed(), m_fleet.shares(), m_streamsUntil, m_callsUntil};
     admission_decision decided = decideAdmission(facts, arrived.arrived, inputs, boot_clock::now());
     if (!decided.request) {
         refuse(arrived.flow, decided, facts);
@@ -196,18 +196,14 @@
 
 void dispatch_task::apply(const topic_reset &reset)
 {
-    const plan_version before = m_fleet.planVersion();
     m_fleet.reset(reset.topic, reset.records, boot_clock::now());
-    announcePlan(before);
-    updateReadiness();
+    announceChanges();
 }
 
 void dispatch_task::apply(const topic_changed &change)
 {
-    const plan_version before = m_fleet.planVersion();
     m_fleet.change(change.topic, change.records, boot_clock::now());
-    announcePlan(before);
-    updateReadiness();
+    announceChanges();
 }
 
 void dispatch_task::apply(const store_reachability &change)
@@ -227,13 +223,20 @@
     updateReadiness();
 }
 
-void dispatch_task::announcePlan(plan_version before)
+void dispatch_task::announceChanges()
 {
-    if (m_fleet.planVersion() == before) {
-        return;
+    const bool isPlanNew = std::exchange(m_announcedPlan, m_fleet.planVersion()) != m_fleet.planVersion();
+    const bool isCountNew = std::exchange(m_announcedCount, m_fleet.instanceCount()) != m_fleet.instanceCount();
+    if (isPlanNew) {
+        toCallers(limits_changed {m_fleet.plan()->plan().limits});
     }
-    toCallers(limits_changed {m_fleet.plan()->plan().limits});
-    announceConnectionBounds();
+    if (isCountNew) {
+        m_repeats.setInstanceCount(m_fleet.instanceCount());
+    }
+    if (isPlanNew || isCountNew) {
+        announceConnectionBounds();
+    }
+    updateReadiness();
 }
 
 void dispatch_task::announceConnectionBounds()
@@ -442,10 +445,8 @@
     const instant now = boot_clock::now();
     m_report.start(deadline::after(now, reportPause));
     m_requests.beginPeriod();
-    if (m_fleet.refreshShares(now)) {
-        m_repeats.setInstanceCount(m_fleet.instanceCount());
-        announceConnectionBounds();
-    }
+    m_fleet.refreshShares(now);
+    announceChanges();
     if (m_reportSequence++ % reportsPerMemberReport == 0) {
         member_report report = {m_settings.incarnation, m_reportSequence, m_fleet.shares().demand(now)};
         if (m_to.store.post(member_state {encodeMemberReport(report)}) != post_result::delivered) {
@@ -477,12 +478,13 @@
 
 void dispatch_task::updateReadiness()
 {
-    const bool isReady = m_fleet.plan() && m_fleet.endpoints().size() > 0 && !m_isShuttingDown;
+    const bool isReady = m_fleet.isInformed() && !m_isShuttingDown;
     if (isReady == m_isReady) {
         return;
     }
     m_isReady = isReady;
-    const std::string reason = m_isShuttingDown ? "shutting down" : (m_fleet.plan() ? "no endpoints" : "no configuration");
+    const std::string reason =
+        m_isShuttingDown ? "shutting down" : (m_fleet.plan() ? "no endpoints or no reports of other instances" : "no configuration");
     m_log.write(log_line("dispatch", isReady ? "ready" : "not_ready")
                     .add("plan", m_fleet.planVersion())
                     .add("endpoints", m_fleet.endpoints().size())
--- a/src/gateway/dispatch_task.h
+++ b/src/gateway/dispatch_task.h
@@ -71,7 +71,7 @@
 
     void refuse(flow_id flow, const admission_decision &decision, const forward_facts &facts);
     /// Hands on what follows from a change of belief.
-    void announcePlan(plan_version before);
+    void announceChanges();
     void announceConnectionBounds();
     void carryOut(active_flow &flow, flow_actions &&actions);
     void perform(active_flow &flow, start_attempt &&action);
@@ -110,6 +110,8 @@
     random_source m_random;
     request_log m_requests;
     fleet_state m_fleet;
+    plan_version m_announcedPlan;
+    std::int64_t m_announcedCount = 1;
     repeat_budget m_repeats;
     std::int64_t m_reportSequence = 0;
     active_flows m_flows;
--- a/src/gateway/fleet_state.cpp
+++ b/src/gateway/fleet_state.cpp
@@ -38,16 +38,19 @@
     (this->*handlerOf(topic).change)(records, now);
 }
 
-bool fleet_state::refreshShares(instant now)
+void fleet_state::refreshShares(instant now)
 {
     const std::int64_t before = std::exchange(m_instanceCount, m_members.count(now));
     m_shares.setDemands(m_instanceCount, m_members.ownDemand(now), m_members.demands(now), now);
-    if (m_instanceCount == before) {
-        return false;
+    if (m_instanceCount != before) {
+        m_log.write(log_line("dispatch", "instances_changed").add("count", m_instanceCount).add("before", before));
+        m_endpoints.setInstanceCount(m_instanceCount);
     }
-    m_log.write(log_line("dispatch", "instances_changed").add("count", m_instanceCount).add("before", before));
-    m_endpoints.setInstanceCount(m_instanceCount);
-    return true;
+}
+
+bool fleet_state::isInformed() const
+{
+    return m_plan && m_endpoints.size() > 0 && m_areMembersKnown;
 }
 
 const std::shared_ptr<const plan_index> &fleet_state::plan() const
@@ -212,6 +215,8 @@
             logUnreadable(record, report.error());
         }
     }
+    m_areMembersKnown = true;
+    refreshShares(now);
 }
 
 void fleet_state::putEndpoint(const endpoint_entry &entry, instant now)
--- a/src/gateway/fleet_state.h
+++ b/src/gateway/fleet_state.h
@@ -25,8 +25,11 @@
     /// All newest records of a topic, in place of what was known.
     void reset(store_topic topic, const std::vector<store_record> &records, instant now);
     void change(store_topic topic, const std::vector<store_record> &records, instant now);
-    /// Works out the shares anew from what the instances report. Returns true when their number has changed.
-    bool refreshShares(instant now);
+    /// Works out the shares anew from what the instances have reported lately.
+    void refreshShares(instant now);
+    /// False until the plan, an endpoint and the reports of the other instances have been read. Without the reports this instance would
+    /// take the quotas for its own.
+    bool isInformed() const;
 
     /// The plan in force; null before the first one has been read.
     const std::shared_ptr<const plan_index> &plan() const;
@@ -69,6 +72,7 @@
     workspace_shares m_shares;
     member_view m_members;
     std::int64_t m_instanceCount = 1;
+    bool m_areMembersKnown = false;
 };
 
 } // namespace burdockshelf
--- a/tests/gateway/gateway_test.cpp
+++ b/tests/gateway/gateway_test.cpp
@@ -1,6 +1,7 @@
 #include "gateway/gateway_tree.h"
 
 #include "gateway/endpoint_link_task.h"
+#include "gateway/fleet_state.h"
 #include "gateway/member_codec.h"
 #include "http/http_client.h"
 #include "platform/platform.h"
@@ -320,6 +321,24 @@
     LONGS_EQUAL(before + 2, site.plain.runs().size());
 }
 
+TEST_GROUP(fleet_state) {};
+
+// After a restart of many instances each of them took its workspaces' whole rate until its first report, a second later.
+TEST(fleet_state, takesNoMoreThanItsPartAsSoonAsItKnowsTheOthers)
+{
+    platform_adapter adapter;
+    const instant now = boot_clock::now();
+    fleet_state fleet(instance_id("me"), data_centre_id("z"), {}, adapter.dialects().records, {});
+    fleet.reset(store_topic::operators, {{"config", configText(3), store_offset(1)}}, now);
+    std::vector<store_record> others;
+    for (int i = 0; i < 9; ++i) {
+        const member_report report = {incarnation_id("x" + std::to_string(i)), 1, {}};
+        others.push_back({"other-" + std::to_string(i), encodeMemberReport(report), store_offset(i)});
+    }
+    fleet.reset(store_topic::members, others, now);
+    CHECK(fleet.shares().shareOf(workspace_id("w")) <= 0.1);
+}
+
 TEST_GROUP(endpoint_link) {};
 
 namespace
