Split attempts and the search for room out of forward_flow

Change: attempt_list numbers and keeps attempts, room_search runs the rounds of asking for room; both have no other job.

--- /dev/null
+++ b/src/forwarding/attempt_list.cpp
@@ -0,0 +1,81 @@
+#include "forwarding/attempt_list.h"
+
+#include <algorithm>
+
+namespace burdockshelf
+{
+
+bool isRun(endpoint_duty duty)
+{
+    return duty == endpoint_duty::plain_call || duty == endpoint_duty::decode;
+}
+
+const flow_attempt &attempt_list::add(endpoint_duty duty, const endpoint_id &endpoint, instant now, deadline answerDue)
+{
+    m_newest += attempt_number(1);
+    flow_attempt fresh;
+    fresh.number = m_newest;
+    fresh.duty = duty;
+    fresh.endpoint = endpoint;
+    fresh.sentAt = now;
+    fresh.answerDue = answerDue;
+    fresh.silentAt = answerDue;
+    if (duty != endpoint_duty::reserve) {
+        m_tried.push_back(endpoint);
+    }
+    m_attempts.push_back(fresh);
+    return m_attempts.back();
+}
+
+flow_attempt *attempt_list::find(attempt_number number)
+{
+    const auto found = std::find_if(m_attempts.begin(), m_attempts.end(), [&](const flow_attempt &one) { return one.number == number; });
+    return found == m_attempts.end() ? nullptr : &*found;
+}
+
+std::optional<flow_attempt> attempt_list::take(attempt_number number)
+{
+    const flow_attempt *found = find(number);
+    if (found == nullptr) {
+        return std::nullopt;
+    }
+    flow_attempt taken = *found;
+    m_attempts.erase(m_attempts.begin() + (found - m_attempts.data()));
+    return taken;
+}
+
+bool attempt_list::isEmpty() const
+{
+    return m_attempts.empty();
+}
+
+std::vector<flow_attempt> attempt_list::all() const
+{
+    return m_attempts;
+}
+
+bool attempt_list::mayBeRunning() const
+{
+    return std::any_of(m_attempts.begin(), m_attempts.end(), [](const flow_attempt &one) { return isRun(one.duty); });
+}
+
+bool attempt_list::isNewest(attempt_number number) const
+{
+    return number == m_newest;
+}
+
+deadline attempt_list::nextSilence() const
+{
+    deadline next = deadline::never();
+    for (const flow_attempt &one : m_attempts) {
+        next = std::min(next, one.silentAt);
+    }
+    return next;
+}
+
+const std::vector<endpoint_id> &attempt_list::tried() const
+{
+    return m_tried;
+}
+
+} // namespace burdockshelf
--- a/src/forwarding/forward_flow.cpp
+++ b/src/forwarding/forward_flow.cpp
@@ -26,9 +26,6 @@
 // A decode endpoint reads a prompt at half the speed, and other streams there have to wait meanwhile.
 constexpr double decodeReadFactor = 2.0;
 constexpr std::chrono::duration<double> decodeReadCost {0.12};
-// Endpoints that are asked for room before the request waits.
-constexpr std::size_t mostFullPerRound = 3;
-constexpr milliseconds roomRetryPause {70};
 // A request that finds no room within this part of its route's target is refused, so that its caller can come back later.
 constexpr double waitPartOfTarget = 0.7;
 // When a caller whose request was not run may come again: after the blocking of a failed endpoint has begun to end, and long before its
@@ -39,12 +36,6 @@
 constexpr milliseconds retryAfterNoRoom {3000};
 constexpr int firstServerErrorStatus = 500;
 
-// Reading a prompt and setting aside room are no runs of the request.
-bool isRun(endpoint_duty duty)
-{
-    return duty == endpoint_duty::plain_call || duty == endpoint_duty::decode;
-}
-
 } // namespace
 
 forward_flow::forward_flow(admitted_request request)
@@ -77,7 +68,7 @@
 flow_actions forward_flow::onHead(attempt_number number, const flow_context &context, instant now)
 {
     return run(context, now, [&] {
-        attempt *answered = find(number);
+        flow_attempt *answered = m_attempts.find(number);
         if (answered == nullptr || answered->isAnswered) {
             return;
         }
@@ -90,7 +81,7 @@
 flow_actions forward_flow::onPiece(attempt_number number, std::string_view bytes, const flow_context &context, instant now)
 {
     return run(context, now, [&] {
-        attempt *sender = find(number);
+        flow_attempt *sender = m_attempts.find(number);
         if (sender == nullptr || m_isFinal) {
             return;
         }
@@ -100,7 +91,6 @@
             m_actions.emplace_back(relay_head {number});
             m_isHeadRelayed = true;
         }
-        sender->isRelayed = true;
         std::string whole = m_events.take(bytes);
         if (!whole.empty()) {
             m_actions.emplace_back(relay_piece {std::move(whole)});
@@ -116,7 +106,7 @@
                                  instant now)
 {
     return run(context, now, [&] {
-        const std::optional<attempt> ended = take(number);
+        const std::optional<flow_attempt> ended = m_attempts.take(number);
         if (!ended) {
             return;
         }
@@ -147,8 +137,7 @@
             return;
         }
         if (m_until.hasPassed(m_now)) {
-            const bool isOutstanding =
-                std::any_of(m_attempts.begin(), m_attempts.end(), [](const attempt &one) { return isRun(one.duty); });
+            const bool isOutstanding = m_attempts.mayBeRunning();
             cancelAll();
             if (m_mayHaveRun || isOutstanding) {
                 answerFailure(refusal_cause::timed_out);
@@ -157,15 +146,12 @@
             }
             return;
         }
-        if (m_roomRetryAt.hasPassed(m_now) && !m_isFinal) {
-            m_roomRetryAt = deadline::never();
-            m_full = m_tried;
+        if (!m_isFinal && m_roomSearch.takeDue(m_now)) {
             findRoom();
         }
-        const std::vector<attempt> current = m_attempts;
-        for (const attempt &one : current) {
+        for (const flow_attempt &one : m_attempts.all()) {
             if (one.silentAt.hasPassed(m_now) && !m_isFinal) {
-                if (attempt *silent = find(one.number)) {
+                if (flow_attempt *silent = m_attempts.find(one.number)) {
                     silent->silentAt = deadline::never();
                 }
                 (this->*rulesOf(one.duty).onSilence)(one);
@@ -191,18 +177,14 @@
 {
     if (m_isFinal) {
         // What is left ends with the route's time; nothing is repeated any more.
-        return m_attempts.empty() ? deadline::never() : m_until;
+        return m_attempts.isEmpty() ? deadline::never() : m_until;
     }
-    deadline next = std::min(m_until, m_roomRetryAt);
-    for (const attempt &one : m_attempts) {
-        next = std::min(next, one.silentAt);
-    }
-    return next;
+    return std::min({m_until, m_roomSearch.nextRoundAt(), m_attempts.nextSilence()});
 }
 
 bool forward_flow::isDone() const
 {
-    return m_isFinal && m_attempts.empty();
+    return m_isFinal && m_attempts.isEmpty();
 }
 
 bool forward_flow::hasFinalAnswer() const
@@ -220,7 +202,7 @@
     return m_attemptsUsed + m_prefillsSent;
 }
 
-void forward_flow::finishPlain(const attempt &ended,
+void forward_flow::finishPlain(const flow_attempt &ended,
                                attempt_end end,
                                const answer_summary &answer,
                                const std::optional<std::string> & /*handle*/)
@@ -235,7 +217,7 @@
         m_isFinal = true;
         return;
     }
-    if (!m_attempts.empty()) {
+    if (!m_attempts.isEmpty()) {
         return;
     }
     const bool isRun = end == attempt_end::lost;
@@ -251,7 +233,7 @@
     }
 }
 
-void forward_flow::finishReserve(const attempt &ended,
+void forward_flow::finishReserve(const flow_attempt &ended,
                                  attempt_end end,
                                  const answer_summary & /*answer*/,
                                  const std::optional<std::string> &handle)
@@ -265,11 +247,11 @@
     if (end == attempt_end::whole || end == attempt_end::rejected) {
         m_context->endpoints.noteFull(ended.endpoint, m_now);
     }
-    m_full.push_back(ended.endpoint);
+    m_roomSearch.noteFull(ended.endpoint);
     findRoom();
 }
 
-void forward_flow::finishPrefill(const attempt &ended,
+void forward_flow::finishPrefill(const flow_attempt &ended,
                                  attempt_end end,
                                  const answer_summary & /*answer*/,
                                  const std::optional<std::string> &handle)
@@ -302,7 +284,7 @@
     sendDecode(std::nullopt);
 }
 
-void forward_flow::finishDecode(const attempt &ended,
+void forward_flow::finishDecode(const flow_attempt &ended,
                                 attempt_end end,
                                 const answer_summary & /*answer*/,
                                 const std::optional<std::string> & /*handle*/)
@@ -336,14 +318,14 @@
     repeatDecode(ended);
 }
 
-void forward_flow::repeatDecode(const attempt &ended)
+void forward_flow::repeatDecode(const flow_attempt &ended)
 {
     if (m_unsentTries == 0) {
         m_handle.reset();
     }
     m_events.dropPartial();
     const bool mayGoOn = (!m_mayHaveRun || mayRepeat()) && hasAttemptsLeft() && m_unsentTries < mostUnsentTries;
-    const bool isFree = m_unsentTries > 0 && ended.number == m_lastNumber && m_attemptsUsed == 0;
+    const bool isFree = m_unsentTries > 0 && m_attempts.isNewest(ended.number) && m_attemptsUsed == 0;
     if (mayGoOn && (isFree || spendRepeat())) {
         beginRoomSearch();
         return;
@@ -355,7 +337,7 @@
     }
 }
 
-void forward_flow::passPlainSilence(const attempt & /*silent*/)
+void forward_flow::passPlainSilence(const flow_attempt & /*silent*/)
 {
     // The silent endpoint keeps its chance; the first whole answer counts.
     if (mayRepeat() && hasAttemptsLeft() && spendRepeat()) {
@@ -363,19 +345,19 @@
     }
 }
 
-void forward_flow::passReserveSilence(const attempt &silent)
+void forward_flow::passReserveSilence(const flow_attempt &silent)
 {
     cancel(silent);
-    m_full.push_back(silent.endpoint);
+    m_roomSearch.noteFull(silent.endpoint);
     findRoom();
 }
 
-void forward_flow::passPrefillSilence(const attempt &silent)
+void forward_flow::passPrefillSilence(const flow_attempt &silent)
 {
     const endpoint_state *reader = m_context->endpoints.find(silent.endpoint);
     const bool isBusy = reader != nullptr && reader->lastAnswer > silent.sentAt && m_now - silent.sentAt < prefillLongest;
     if (isBusy) {
-        if (attempt *waiting = find(silent.number)) {
+        if (flow_attempt *waiting = m_attempts.find(silent.number)) {
             waiting->silentAt = deadline::after(m_now, silenceFor(endpoint_duty::prefill, silent.endpoint));
         }
         return;
@@ -397,7 +379,7 @@
     sendDecode(std::nullopt);
 }
 
-void forward_flow::passDecodeSilence(const attempt &silent)
+void forward_flow::passDecodeSilence(const flow_attempt &silent)
 {
     if (!mayRepeat() || !hasAttemptsLeft() || !spendRepeat()) {
         return;
@@ -468,21 +450,21 @@
 
 void forward_flow::beginRoomSearch()
 {
-    m_roomUntil = deadline::after(m_now, std::chrono::duration_cast<milliseconds>(m_request.route->target * waitPartOfTarget));
-    m_full = m_tried;
+    const auto wait = std::chrono::duration_cast<milliseconds>(m_request.route->target * waitPartOfTarget);
+    m_roomSearch.begin(m_attempts.tried(), deadline::after(m_now, wait));
     findRoom();
 }
 
 void forward_flow::findRoom()
 {
     const endpoint_state *chosen = m_context->endpoints.choose(
-        m_service, endpoint_duty::reserve, tokensFor(endpoint_duty::reserve), m_full, m_profile, m_now, m_context->random);
-    if (chosen == nullptr && m_full.size() == m_tried.size()) {
+        m_service, endpoint_duty::reserve, tokensFor(endpoint_duty::reserve), m_roomSearch.excluded(), m_profile, m_now, m_context->random);
+    if (chosen == nullptr && m_roomSearch.isRoundNew()) {
         // No endpoint generates at all.
         continueWithRoom();
         return;
     }
-    if (chosen == nullptr || m_full.size() >= m_tried.size() + mostFullPerRound) {
+    if (chosen == nullptr || m_roomSearch.isRoundFull()) {
         waitForRoom();
         return;
     }
@@ -493,10 +475,8 @@
 
 void forward_flow::waitForRoom()
 {
-    const auto asked = m_full.begin() + static_cast<std::ptrdiff_t>(std::min(m_tried.size(), m_full.size()));
-    m_actions.emplace_back(note_no_room {++m_roomRounds, tokensFor(endpoint_duty::reserve), {asked, m_full.end()}, m_roomUntil});
-    if (!m_roomUntil.hasPassed(m_now)) {
-        m_roomRetryAt = deadline::after(m_now, roomRetryPause);
+    m_actions.emplace_back(m_roomSearch.endRound(tokensFor(endpoint_duty::reserve)));
+    if (m_roomSearch.pause(m_now)) {
         return;
     }
     if (m_mayHaveRun) {
@@ -533,7 +513,7 @@
 {
     const token_count prompt = tokensFor(endpoint_duty::prefill);
     const endpoint_state *reader =
-        m_context->endpoints.choose(m_service, endpoint_duty::prefill, prompt, m_tried, m_profile, m_now, m_context->random);
+        m_context->endpoints.choose(m_service, endpoint_duty::prefill, prompt, m_attempts.tried(), m_profile, m_now, m_context->random);
     if (reader == nullptr || isReadSoonerAtDecode(*reader, prompt) || !sendTo(*reader, endpoint_duty::prefill, std::nullopt)) {
         sendDecode(std::nullopt);
     }
@@ -559,7 +539,7 @@
     if (duty == endpoint_duty::decode && m_room && m_context->endpoints.mayReceive(m_room->endpoint)) {
         chosen = m_context->endpoints.find(m_room->endpoint);
     } else {
-        chosen = m_context->endpoints.choose(m_service, duty, tokensFor(duty), m_tried, m_profile, m_now, m_context->random);
+        chosen = m_context->endpoints.choose(m_service, duty, tokensFor(duty), m_attempts.tried(), m_profile, m_now, m_context->random);
     }
     return chosen != nullptr && sendTo(*chosen, duty, std::move(source));
 }
@@ -569,18 +549,7 @@
     if (!m_context->endpoints.takeColdShare(chosen.entry.id, m_now)) {
         return false;
     }
-    m_lastNumber += attempt_number(1);
-    attempt fresh;
-    fresh.number = m_lastNumber;
-    fresh.duty = duty;
-    fresh.endpoint = chosen.entry.id;
-    fresh.sentAt = m_now;
-    fresh.answerDue = deadline::after(m_now, silenceFor(duty, fresh.endpoint));
-    fresh.silentAt = fresh.answerDue;
-    if (duty != endpoint_duty::reserve) {
-        m_tried.push_back(fresh.endpoint);
-    }
-    m_attempts.push_back(fresh);
+    const flow_attempt &fresh = m_attempts.add(duty, chosen.entry.id, m_now, deadline::after(m_now, silenceFor(duty, chosen.entry.id)));
     counterOf(duty) += 1;
 
     start_attempt order;
@@ -656,9 +625,9 @@
     m_isFinal = true;
 }
 
-void forward_flow::cancel(const attempt &target)
+void forward_flow::cancel(const flow_attempt &target)
 {
-    const std::optional<attempt> ended = take(target.number);
+    const std::optional<flow_attempt> ended = m_attempts.take(target.number);
     if (!ended) {
         return;
     }
@@ -670,30 +639,12 @@
 
 void forward_flow::cancelAll()
 {
-    const std::vector<attempt> current = m_attempts;
-    for (const attempt &one : current) {
+    for (const flow_attempt &one : m_attempts.all()) {
         cancel(one);
     }
 }
 
-forward_flow::attempt *forward_flow::find(attempt_number number)
-{
-    const auto found = std::find_if(m_attempts.begin(), m_attempts.end(), [&](const attempt &one) { return one.number == number; });
-    return found == m_attempts.end() ? nullptr : &*found;
-}
-
-std::optional<forward_flow::attempt> forward_flow::take(attempt_number number)
-{
-    const auto found = std::find_if(m_attempts.begin(), m_attempts.end(), [&](const attempt &one) { return one.number == number; });
-    if (found == m_attempts.end()) {
-        return std::nullopt;
-    }
-    attempt taken = *found;
-    m_attempts.erase(found);
-    return taken;
-}
-
-endpoint_verdict forward_flow::verdictOf(const attempt &ended, attempt_end end, const answer_summary &answer) const
+endpoint_verdict forward_flow::verdictOf(const flow_attempt &ended, attempt_end end, const answer_summary &answer) const
 {
     if (ended.duty == endpoint_duty::reserve && (end == attempt_end::whole || end == attempt_end::rejected)) {
         // Having no room is no failure.
--- a/src/forwarding/forward_flow.h
+++ b/src/forwarding/forward_flow.h
@@ -1,9 +1,11 @@
 #pragma once
 
 #include "core/random_source.h"
+#include "forwarding/attempt_list.h"
 #include "forwarding/event_splitter.h"
 #include "forwarding/flow_messages.h"
 #include "forwarding/repeat_budget.h"
+#include "forwarding/room_search.h"
 
 #include <functional>
 
@@ -64,22 +66,11 @@
     std::int64_t attemptCount() const;
 
 private:
-    struct attempt
-    {
-        attempt_number number;
-        endpoint_duty duty = endpoint_duty::plain_call;
-        endpoint_id endpoint;
-        instant sentAt;
-        /// An endpoint that has not answered by then has failed.
-        deadline answerDue = deadline::never();
-        /// When the attempt counts as silent next.
-        deadline silentAt = deadline::never();
-        bool isAnswered = false;
-        bool isRelayed = false;
-    };
-
-    using end_handler = void (forward_flow::*)(const attempt &, attempt_end, const answer_summary &, const std::optional<std::string> &);
-    using silence_handler = void (forward_flow::*)(const attempt &);
+    using end_handler = void (forward_flow::*)(const flow_attempt &,
+                                               attempt_end,
+                                               const answer_summary &,
+                                               const std::optional<std::string> &);
+    using silence_handler = void (forward_flow::*)(const flow_attempt &);
 
     /// How attempts of one duty are dealt with.
     struct duty_rules
@@ -90,14 +81,14 @@
 
     static const duty_rules &rulesOf(endpoint_duty duty);
 
-    void finishPlain(const attempt &ended, attempt_end end, const answer_summary &answer, const std::optional<std::string> &handle);
-    void finishReserve(const attempt &ended, attempt_end end, const answer_summary &answer, const std::optional<std::string> &handle);
-    void finishPrefill(const attempt &ended, attempt_end end, const answer_summary &answer, const std::optional<std::string> &handle);
-    void finishDecode(const attempt &ended, attempt_end end, const answer_summary &answer, const std::optional<std::string> &handle);
-    void passPlainSilence(const attempt &silent);
-    void passReserveSilence(const attempt &silent);
-    void passPrefillSilence(const attempt &silent);
-    void passDecodeSilence(const attempt &silent);
+    void finishPlain(const flow_attempt &ended, attempt_end end, const answer_summary &answer, const std::optional<std::string> &handle);
+    void finishReserve(const flow_attempt &ended, attempt_end end, const answer_summary &answer, const std::optional<std::string> &handle);
+    void finishPrefill(const flow_attempt &ended, attempt_end end, const answer_summary &answer, const std::optional<std::string> &handle);
+    void finishDecode(const flow_attempt &ended, attempt_end end, const answer_summary &answer, const std::optional<std::string> &handle);
+    void passPlainSilence(const flow_attempt &silent);
+    void passReserveSilence(const flow_attempt &silent);
+    void passPrefillSilence(const flow_attempt &silent);
+    void passDecodeSilence(const flow_attempt &silent);
 
     bool mayRepeat() const;
     bool hasAttemptsLeft() const;
@@ -122,16 +113,14 @@
     /// Reads the prompt once more if the route allows it, or lets the decode endpoint read it.
     /// The preferred endpoint has read the prompt, and only its answer is missing.
     void repeatPrefill(const std::optional<endpoint_id> &preferred);
-    void repeatDecode(const attempt &ended);
+    void repeatDecode(const flow_attempt &ended);
     void refuseNotRun(refusal_cause cause);
     void answerFailure(refusal_cause cause);
     void refuse(refusal_cause cause, std::optional<std::chrono::milliseconds> retryAfter);
-    void cancel(const attempt &target);
+    void cancel(const flow_attempt &target);
     void cancelAll();
     void releaseUnused();
-    attempt *find(attempt_number number);
-    std::optional<attempt> take(attempt_number number);
-    endpoint_verdict verdictOf(const attempt &ended, attempt_end end, const answer_summary &answer) const;
+    endpoint_verdict verdictOf(const flow_attempt &ended, attempt_end end, const answer_summary &answer) const;
     flow_actions run(const flow_context &context, instant now, const std::function<void()> &step);
     std::chrono::milliseconds silenceFor(endpoint_duty duty, const endpoint_id &endpoint) const;
     token_count tokensFor(endpoint_duty duty) const;
@@ -141,9 +130,7 @@
     service_id m_service;
     const traffic_service *m_profile = nullptr;
     deadline m_until;
-    std::vector<attempt> m_attempts;
-    std::vector<endpoint_id> m_tried;
-    attempt_number m_lastNumber;
+    attempt_list m_attempts;
     /// Endpoints that count against the route's bound.
     std::int64_t m_attemptsUsed = 0;
     std::int64_t m_prefillsSent = 0;
@@ -158,12 +145,7 @@
     /// The endpoint that has read the prompt last, whether or not its result was used.
     std::optional<endpoint_id> m_reader;
     std::optional<reserved_room> m_room;
-    /// Endpoints that had no room in the current round.
-    std::vector<endpoint_id> m_full;
-    deadline m_roomRetryAt = deadline::never();
-    /// Until when room is looked for.
-    deadline m_roomUntil;
-    std::int64_t m_roomRounds = 0;
+    room_search m_roomSearch;
     // Valid while an event is handled.
     const flow_context *m_context = nullptr;
     instant m_now;
--- /dev/null
+++ b/src/forwarding/room_search.cpp
@@ -0,0 +1,73 @@
+#include "forwarding/room_search.h"
+
+namespace burdockshelf
+{
+
+namespace
+{
+
+// Endpoints that are asked for room before the request waits.
+constexpr std::size_t mostAskedPerRound = 3;
+constexpr std::chrono::milliseconds roundPause {70};
+
+} // namespace
+
+void room_search::begin(const std::vector<endpoint_id> &tried, deadline until)
+{
+    m_tried = tried;
+    m_excluded = tried;
+    m_until = until;
+    m_nextRoundAt = deadline::never();
+}
+
+void room_search::noteFull(const endpoint_id &endpoint)
+{
+    m_excluded.push_back(endpoint);
+}
+
+const std::vector<endpoint_id> &room_search::excluded() const
+{
+    return m_excluded;
+}
+
+bool room_search::isRoundNew() const
+{
+    return m_excluded.size() == m_tried.size();
+}
+
+bool room_search::isRoundFull() const
+{
+    return m_excluded.size() >= m_tried.size() + mostAskedPerRound;
+}
+
+note_no_room room_search::endRound(token_count tokens)
+{
+    const auto asked = m_excluded.begin() + static_cast<std::ptrdiff_t>(m_tried.size());
+    return {++m_rounds, tokens, {asked, m_excluded.end()}, m_until};
+}
+
+bool room_search::pause(instant now)
+{
+    if (m_until.hasPassed(now)) {
+        return false;
+    }
+    m_nextRoundAt = deadline::after(now, roundPause);
+    return true;
+}
+
+bool room_search::takeDue(instant now)
+{
+    if (!m_nextRoundAt.hasPassed(now)) {
+        return false;
+    }
+    m_nextRoundAt = deadline::never();
+    m_excluded = m_tried;
+    return true;
+}
+
+deadline room_search::nextRoundAt() const
+{
+    return m_nextRoundAt;
+}
+
+} // namespace burdockshelf
--- a/src/gateway/dispatch_task.cpp
+++ b/src/gateway/dispatch_task.cpp
@@ -282,9 +282,8 @@
     order.address = action.address;
     order.expected = request.facts.id;
     order.isStreamed = action.isStreamed;
-    const bool isRun = action.duty == endpoint_duty::plain_call || action.duty == endpoint_duty::decode;
-    order.needsProof = isRun;
-    order.isRepeatable = request.route->kind == request_kind::idempotent || !isRun;
+    order.needsProof = isRun(action.duty);
+    order.isRepeatable = request.route->kind == request_kind::idempotent || !isRun(action.duty);
     order.request = action.duty == endpoint_duty::reserve ? m_dialects.endpoints.reserve(action)
                                                           : m_dialects.endpoints.forward(flow.original, request, action, boot_clock::now());
     m_requests.writeSent(request, action, m_fleet.endpoints().find(action.endpoint), boot_clock::now());
