--- a/bench/site/child_process.cpp
+++ b/bench/site/child_process.cpp
@@ -69,8 +69,10 @@
     return *this;
 }
 
-outcome<child_process>
-child_process::start(const std::string &program, const std::vector<std::string> &arguments, const std::string &errorFile)
+outcome<child_process> child_process::start(const std::string &program,
+                                            const std::vector<std::string> &arguments,
+                                            const std::string &errorFile,
+                                            const std::string &outputFile)
 {
     int ends[2] = {-1, -1};
     if (pipe2(ends, O_CLOEXEC) != 0) {
@@ -85,7 +87,11 @@
     words.push_back(nullptr);
     posix_spawn_file_actions_t actions;
     posix_spawn_file_actions_init(&actions);
-    posix_spawn_file_actions_adddup2(&actions, ends[1], STDOUT_FILENO);
+    if (outputFile.empty()) {
+        posix_spawn_file_actions_adddup2(&actions, ends[1], STDOUT_FILENO);
+    } else {
+        posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, outputFile.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
+    }
     posix_spawn_file_actions_addopen(&actions, STDERR_FILENO, errorFile.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
     child_process child;
     const int result = posix_spawn(&child.m_pid, path.c_str(), &actions, nullptr, words.data(), environ);
@@ -174,6 +180,12 @@
     return m_pid > 0;
 }
 
+bool child_process::hasEnded() const
+{
+    siginfo_t info = {};
+    return m_pid > 0 && ::waitid(P_PID, static_cast<id_t>(m_pid), &info, WEXITED | WNOHANG | WNOWAIT) == 0 && info.si_pid == m_pid;
+}
+
 pid_t child_process::pid() const
 {
     return m_pid;
--- a/bench/site/child_process.h
+++ b/bench/site/child_process.h
@@ -23,9 +23,11 @@
     child_process(const child_process &) = delete;
     child_process &operator=(const child_process &) = delete;
 
-    /// Starts a program of this build by its name.
-    static outcome<child_process>
-    start(const std::string &program, const std::vector<std::string> &arguments, const std::string &errorFile);
+    /// Starts a program of this build by its name. Standard output goes to a file if one is named, and to readLine() otherwise.
+    static outcome<child_process> start(const std::string &program,
+                                        const std::vector<std::string> &arguments,
+                                        const std::string &errorFile,
+                                        const std::string &outputFile = {});
 
     /// Reads lines of standard output until one starts with the word, and returns the rest of it.
     outcome<std::string> readLine(std::string_view word, std::chrono::milliseconds limit);
@@ -39,6 +41,8 @@
     /// Waits for the process to end by itself; its exit status, or none when the time is over.
     outcome<int> wait(std::chrono::milliseconds limit);
     bool isRunning() const;
+    /// The process has ended and was not waited for yet.
+    bool hasEnded() const;
     pid_t pid() const;
 
 private:
--- a/src/gateway/dispatch_task.cpp
+++ b/src/gateway/dispatch_task.cpp
@@ -145,7 +145,7 @@
         if (ended.end != attempt_end::whole || ended.response.status >= firstFailureStatus) {
             noteFailure(*target, sent->second, ended);
         }
-        count("burdockshelf_attempts_total", "end", attemptEndName(ended.end));
+        count("attempts_total", "end", attemptEndName(ended.end));
         if (ended.facts.load) {
             m_fleet.endpoints().noteLoad(sent->second.endpoint, *ended.facts.load, now);
         }
@@ -261,7 +261,7 @@
     }
     http_response response = m_dialects.callers.refusal({decision.cause, decision.retryAfter}, facts);
     m_requests.writeRefused(facts, decision, response.status, m_fleet.planVersion());
-    count("burdockshelf_refusals_total", "cause", refusalName(decision.cause));
+    count("refusals_total", "cause", refusalName(decision.cause));
     toCallers(answer_whole {flow, std::move(response)});
 }
 
@@ -359,7 +359,7 @@
     http_response response = m_dialects.callers.refusal({action.cause, action.retryAfter}, request.facts);
     const int status = response.status;
     toCallers(answer_whole {flow.id, std::move(response)});
-    count("burdockshelf_refusals_total", "cause", refusalName(action.cause));
+    count("refusals_total", "cause", refusalName(action.cause));
     noteOutcome(flow, refusalName(action.cause), status);
 }
 
@@ -380,8 +380,8 @@
     if (flow.flow.isDone()) {
         const admitted_request &request = flow.flow.request();
         flow.end.took = boot_clock::now() - request.arrived;
-        count("burdockshelf_requests_total", "outcome", flow.end.outcome);
-        m_metrics.latencies.push_back({{"burdockshelf_request_seconds", {{"kind", std::string(requestKindName(request.route->kind))}}},
+        count("requests_total", "outcome", flow.end.outcome);
+        m_metrics.latencies.push_back({{"request_seconds", {{"kind", std::string(requestKindName(request.route->kind))}}},
                                        std::chrono::duration_cast<latency_sketch::duration>(flow.end.took)});
         m_requests.writeDone(request, flow.flow.attemptCount(), flow.end);
         if (flow.isArmed) {
@@ -453,9 +453,9 @@
         }
     }
     listEngines();
-    m_metrics.gauges.push_back({{"burdockshelf_endpoints", {}}, static_cast<double>(m_fleet.endpoints().size())});
-    m_metrics.gauges.push_back({{"burdockshelf_instances", {}}, static_cast<double>(m_fleet.instanceCount())});
-    m_metrics.gauges.push_back({{"burdockshelf_active_requests", {}}, static_cast<double>(m_flows.size())});
+    m_metrics.gauges.push_back({{"endpoints", {}}, static_cast<double>(m_fleet.endpoints().size())});
+    m_metrics.gauges.push_back({{"instances", {}}, static_cast<double>(m_fleet.instanceCount())});
+    m_metrics.gauges.push_back({{"active_requests", {}}, static_cast<double>(m_flows.size())});
     if (m_to.metrics.post(std::exchange(m_metrics, {})) != post_result::delivered) {
         m_log.write(log_line("dispatch", "message_dropped").add("receiver", "monitor"));
     }
