--- a/tests/forwarding/forward_flow_test.cpp
+++ b/tests/forwarding/forward_flow_test.cpp
@@ -339,7 +339,7 @@
         CHECK(sent != nullptr && sent->duty == duty);
         return *sent;
     };
-    const auto end = [&](const start_attempt &sent, attempt_end how, std::optional<std::string> handle) {
+    const auto end = [&](const start_attempt &sent, attempt_end how, const std::optional<std::string> &handle) {
         return flow.onEnd(sent.number, how, {how == attempt_end::whole ? 200 : 0, true}, handle, fixture.context(), fixture.now);
     };
     const start_attempt reserve = next(flow.begin(fixture.context(), fixture.now), endpoint_duty::reserve);
