--- a/src/burdockshelfctl/request_story.cpp
+++ b/src/burdockshelfctl/request_story.cpp
@@ -85,7 +85,7 @@
 
 bool isDecisive(const logged_line &record)
 {
-    return record.event == "request_done" || record.event == "refused";
+    return record.event == "request_done" || record.event == "refused" || record.event == "request_dropped";
 }
 
 std::string valuesText(const logged_line &record, std::string_view leftOut)
@@ -183,7 +183,7 @@
         return "no line says how the request ended: the process ended first, its lines were left out, or a log is missing";
     }
     const logged_line &decision = last->decision;
-    const std::string_view outcome = decision.event == "refused" ? decision.valueOf("cause") : decision.valueOf("outcome");
+    const std::string_view outcome = decision.valueOf(decision.event == "request_done" ? "outcome" : "cause");
     const auto *const known =
         std::find_if(std::begin(outcomeTexts), std::end(outcomeTexts), [&](const outcome_text &one) { return one.outcome == outcome; });
     std::string text = decision.instance + ": " + std::string(outcome);
--- a/src/gateway/caller_front_task.cpp
+++ b/src/gateway/caller_front_task.cpp
@@ -201,7 +201,7 @@
         case parse_state::complete:
             // After a pause of the whole process, callers may have left long before their requests are read.
             if (m_stream->hasPeerLeft()) {
-                m_owner.m_log.write(log_line("callers", "request_dropped").add("cause", "its caller left before it was read"));
+                m_owner.reportLeft(std::move(m_request));
                 m_owner.bury(*this);
                 break;
             }
@@ -408,6 +408,14 @@
     }
 }
 
+void caller_front_task::reportLeft(http_request &&request)
+{
+    m_lastFlow += flow_id(1);
+    if (m_dispatcher.post(request_arrived {m_lastFlow, std::move(request), boot_clock::now(), true}) != post_result::delivered) {
+        m_log.write(log_line("callers", "message_dropped").add("flow", m_lastFlow));
+    }
+}
+
 void caller_front_task::callerLeft(connection &from)
 {
     m_answering.erase(from.flow());
--- a/src/gateway/caller_front_task.h
+++ b/src/gateway/caller_front_task.h
@@ -64,6 +64,8 @@
     void apply(const limits_changed &change);
     connection *findAnswering(flow_id flow);
     void passOn(connection &from, http_request &&request);
+    /// Tells the dispatcher of a request that nobody waits for.
+    void reportLeft(http_request &&request);
     void callerLeft(connection &from);
     void bury(connection &ended);
     void sweep();
--- a/src/gateway/dispatch_task.cpp
+++ b/src/gateway/dispatch_task.cpp
@@ -89,6 +89,11 @@
 void dispatch_task::apply(request_arrived &&arrived)
 {
     const forward_facts facts = m_dialects.callers.readRequest(arrived.request, arrived.arrived);
+    if (arrived.hasCallerLeft) {
+        m_requests.writeDropped(facts);
+        count("requests_total", "outcome", "dropped");
+        return;
+    }
     const admission_inputs inputs = {m_fleet.plan(), m_fleet.isInformed(), m_fleet.shares(), m_streamsUntil, m_callsUntil};
     admission_decision decided = decideAdmission(facts, arrived.arrived, inputs, boot_clock::now());
     if (!decided.request) {
--- a/src/gateway/gateway_messages.h
+++ b/src/gateway/gateway_messages.h
@@ -17,6 +17,8 @@
     flow_id flow;
     http_request request;
     instant arrived;
+    /// The caller had closed its connection before the request was read; nobody waits for an answer.
+    bool hasCallerLeft = false;
 };
 
 struct caller_left
--- a/src/gateway/request_log.cpp
+++ b/src/gateway/request_log.cpp
@@ -47,6 +47,16 @@
                    .add("retry_after_ms", decision.retryAfter ? decision.retryAfter->count() : -1));
 }
 
+void request_log::writeDropped(const forward_facts &facts)
+{
+    if (mayWrite(false)) {
+        m_to.write(log_line("dispatch", "request_dropped")
+                       .add("request", facts.id)
+                       .add("path", facts.path)
+                       .add("cause", "its caller left before it was read"));
+    }
+}
+
 void request_log::writeOverQuota(const forward_facts &facts, const admission_decision &decision, double share, std::int64_t instances)
 {
     if (!mayWrite(false)) {
--- a/src/gateway/request_log.h
+++ b/src/gateway/request_log.h
@@ -37,6 +37,8 @@
     explicit request_log(event_log to);
 
     void writeRefused(const forward_facts &facts, const admission_decision &decision, int status, plan_version plan);
+    /// A request whose caller left before it was read.
+    void writeDropped(const forward_facts &facts);
     void writeOverQuota(const forward_facts &facts, const admission_decision &decision, double share, std::int64_t instances);
     void writeSent(const admitted_request &request, const start_attempt &sent, const endpoint_state *endpoint, instant now);
     void writeFailed(const admitted_request &request, const start_attempt &sent, const attempt_ended &ended, token_count ownTokens);
