Split what held more than one job, and take seconds with a fraction from the deployment

A local variable hid the function isRun. graceMs and quotaWindowMs were made in the template by writing 000 behind a figure in seconds, so a fraction there would have kept a gateway from starting.

Change: service_queues (policy, with tests), answer_patience, verdictOf and drawService (forwarding), flow_deadlines and active_flow (gateway), soak_site and fault_series. Settings graceSeconds and quotaWindowSeconds. No behaviour of requests changes.

--- a/src/forwarding/attempt_list.cpp
+++ b/src/forwarding/attempt_list.cpp
@@ -10,6 +10,26 @@
     return duty == endpoint_duty::plain_call || duty == endpoint_duty::decode;
 }
 
+endpoint_verdict verdictOf(const flow_attempt &ended, attempt_end end, const answer_summary &answer, bool isRequestOver)
+{
+    if (ended.duty == endpoint_duty::reserve && (end == attempt_end::whole || end == attempt_end::rejected)) {
+        // Having no room is no failure.
+        return endpoint_verdict::abandoned;
+    }
+    switch (end) {
+    case attempt_end::whole:
+        return answer.status >= firstServerErrorStatus ? endpoint_verdict::failed : endpoint_verdict::good;
+    case attempt_end::rejected:
+        return endpoint_verdict::refused;
+    case attempt_end::misdirected:
+    case attempt_end::not_sent:
+        return endpoint_verdict::unreachable;
+    case attempt_end::lost:
+        return isRequestOver && !ended.isAnswered ? endpoint_verdict::abandoned : endpoint_verdict::failed;
+    }
+    return endpoint_verdict::failed;
+}
+
 const flow_attempt &attempt_list::add(endpoint_duty duty, const endpoint_id &endpoint, instant now, deadline answerDue)
 {
     m_newest += attempt_number(1);
--- a/src/forwarding/attempt_list.h
+++ b/src/forwarding/attempt_list.h
@@ -25,6 +25,9 @@
 /// True for duties that run the request; reading its prompt and setting aside room do not.
 bool isRun(endpoint_duty duty);
 
+/// What the end of an attempt says of its endpoint's health. Once the request is over, a missing answer says nothing.
+endpoint_verdict verdictOf(const flow_attempt &ended, attempt_end end, const answer_summary &answer, bool isRequestOver);
+
 /// The attempts of one request that have not ended, and the endpoints that it was sent to.
 class attempt_list
 {
--- a/src/forwarding/flow_messages.h
+++ b/src/forwarding/flow_messages.h
@@ -92,6 +92,9 @@
 
 std::string_view attemptEndName(attempt_end end);
 
+/// Statuses from here on are failures of the endpoint's own.
+constexpr int firstServerErrorStatus = 500;
+
 /// The head of an answer as far as decisions need it.
 struct answer_summary
 {
--- a/src/forwarding/forward_flow.cpp
+++ b/src/forwarding/forward_flow.cpp
@@ -1,5 +1,7 @@
 #include "forwarding/forward_flow.h"
 
+#include "forwarding/answer_patience.h"
+
 #include <algorithm>
 #include <array>
 #include <utility>
@@ -14,15 +16,6 @@
 
 // Connections that may fail before the request is given up; no byte of it was sent to any of them.
 constexpr std::int64_t mostUnsentTries = 4;
-// An endpoint that has said nothing for this long is given up where the request may go elsewhere.
-constexpr milliseconds plainSilenceLeast {120};
-constexpr milliseconds prefillSilence {350};
-// A reader may take this many times as long as estimated before it counts as silent.
-constexpr double prefillPatience = 2.0;
-// An engine that answers others meanwhile is busy, not gone, and its prompt is waited for up to this time.
-constexpr milliseconds prefillLongest {2500};
-constexpr milliseconds decodeSilence {1100};
-constexpr milliseconds reserveSilence {250};
 // A decode endpoint reads a prompt at half the speed, and other streams there have to wait meanwhile.
 constexpr double decodeReadFactor = 2.0;
 constexpr std::chrono::duration<double> decodeReadCost {0.12};
@@ -34,7 +27,6 @@
 constexpr milliseconds retryAfterNoEndpoint {300};
 // Bursts last for seconds. An answer that comes back for room is late anyway, so it comes back when the burst is likely to be over.
 constexpr milliseconds retryAfterNoRoom {3000};
-constexpr int firstServerErrorStatus = 500;
 
 } // namespace
 
@@ -59,7 +51,8 @@
 flow_actions forward_flow::begin(const flow_context &context, instant now)
 {
     return run(context, now, [this] {
-        chooseService();
+        m_service = drawService(*m_request.route, m_context->random);
+        m_profile = m_request.plan->findService(m_service);
         m_context->repeats.earn(m_service, m_now);
         sendFirst();
     });
@@ -73,7 +66,7 @@
             return;
         }
         answered->isAnswered = true;
-        answered->silentAt = deadline::after(m_now, decodeSilence);
+        answered->silentAt = deadline::after(m_now, nextPieceTime());
         m_context->endpoints.noteAnswer(answered->endpoint, answered->sentAt, m_now);
     });
 }
@@ -85,7 +78,7 @@
         if (sender == nullptr || m_isFinal) {
             return;
         }
-        sender->silentAt = deadline::after(m_now, decodeSilence);
+        sender->silentAt = deadline::after(m_now, nextPieceTime());
         if (!m_isHeadRelayed) {
             // The head waits for the first bytes, so that a stream that breaks before them can begin anew elsewhere.
             m_actions.emplace_back(relay_head {number});
@@ -111,7 +104,7 @@
             return;
         }
         m_context->endpoints.noteEnded(
-            ended->endpoint, tokensFor(ended->duty), ended->sentAt, ended->isAnswered, verdictOf(*ended, end, answer), m_now);
+            ended->endpoint, tokensFor(ended->duty), ended->sentAt, ended->isAnswered, verdictOf(*ended, end, answer, m_isFinal), m_now);
         if (end == attempt_end::misdirected) {
             m_context->endpoints.noteMisdirected(ended->endpoint);
         }
@@ -132,18 +125,8 @@
 flow_actions forward_flow::onDeadline(const flow_context &context, instant now)
 {
     return run(context, now, [this] {
-        if (m_until.hasPassed(m_now) && m_isFinal) {
-            cancelAll();
-            return;
-        }
         if (m_until.hasPassed(m_now)) {
-            const bool isOutstanding = m_attempts.mayBeRunning();
-            cancelAll();
-            if (m_mayHaveRun || isOutstanding) {
-                answerFailure(refusal_cause::timed_out);
-            } else {
-                refuse(refusal_cause::expired, std::nullopt);
-            }
+            endByTime();
             return;
         }
         if (!m_isFinal && m_roomSearch.takeDue(m_now)) {
@@ -160,6 +143,20 @@
     });
 }
 
+void forward_flow::endByTime()
+{
+    const bool mayHaveRun = m_mayHaveRun || m_attempts.mayBeRunning();
+    cancelAll();
+    if (m_isFinal) {
+        return;
+    }
+    if (mayHaveRun) {
+        answerFailure(refusal_cause::timed_out);
+    } else {
+        refuse(refusal_cause::expired, std::nullopt);
+    }
+}
+
 flow_actions forward_flow::onCallerGone(const flow_context &context, instant now)
 {
     return run(context, now, [this] {
@@ -220,9 +217,9 @@
     if (!m_attempts.isEmpty()) {
         return;
     }
-    const bool isRun = end == attempt_end::lost;
+    const bool mayHaveRunThere = end == attempt_end::lost;
     const bool isFree = end == attempt_end::not_sent && m_unsentTries < mostUnsentTries;
-    const bool mayGoOn = isFree || ((!isRun || mayRepeat()) && hasAttemptsLeft() && spendRepeat());
+    const bool mayGoOn = isFree || ((!mayHaveRunThere || mayRepeat()) && hasAttemptsLeft() && spendRepeat());
     if (mayGoOn && send(endpoint_duty::plain_call, std::nullopt)) {
         return;
     }
@@ -355,7 +352,7 @@
 void forward_flow::passPrefillSilence(const flow_attempt &silent)
 {
     const endpoint_state *reader = m_context->endpoints.find(silent.endpoint);
-    const bool isBusy = reader != nullptr && reader->lastAnswer > silent.sentAt && m_now - silent.sentAt < prefillLongest;
+    const bool isBusy = reader != nullptr && reader->lastAnswer > silent.sentAt && m_now - silent.sentAt < longestReadTime();
     if (isBusy) {
         if (flow_attempt *waiting = m_attempts.find(silent.number)) {
             waiting->silentAt = deadline::after(m_now, silenceFor(endpoint_duty::prefill, silent.endpoint));
@@ -408,28 +405,6 @@
     return m_profile != nullptr && m_profile->engine.has_value();
 }
 
-void forward_flow::chooseService()
-{
-    const std::vector<route_target> &targets = m_request.route->targets;
-    std::int64_t total = 0;
-    for (const route_target &target : targets) {
-        total += target.weight;
-    }
-    if (targets.empty()) {
-        return;
-    }
-    std::int64_t drawn = total > 0 ? static_cast<std::int64_t>(m_context->random.below(static_cast<std::uint64_t>(total))) : 0;
-    m_service = targets.front().service;
-    for (const route_target &target : targets) {
-        if (drawn < target.weight) {
-            m_service = target.service;
-            break;
-        }
-        drawn -= target.weight;
-    }
-    m_profile = m_request.plan->findService(m_service);
-}
-
 void forward_flow::sendFirst()
 {
     if (m_until.hasPassed(m_now)) {
@@ -620,8 +595,8 @@
 void forward_flow::refuse(refusal_cause cause, std::optional<milliseconds> retryAfter)
 {
     releaseUnused();
-    m_actions.emplace_back(
-        refuse_request {cause, retryAfter, !m_mayHaveRun && cause != refusal_cause::timed_out && cause != refusal_cause::endpoint_failed});
+    const bool mayBeRunning = cause == refusal_cause::timed_out || cause == refusal_cause::endpoint_failed;
+    m_actions.emplace_back(refuse_request {cause, retryAfter, !m_mayHaveRun && !mayBeRunning});
     m_isFinal = true;
 }
 
@@ -644,26 +619,6 @@
     }
 }
 
-endpoint_verdict forward_flow::verdictOf(const flow_attempt &ended, attempt_end end, const answer_summary &answer) const
-{
-    if (ended.duty == endpoint_duty::reserve && (end == attempt_end::whole || end == attempt_end::rejected)) {
-        // Having no room is no failure.
-        return endpoint_verdict::abandoned;
-    }
-    switch (end) {
-    case attempt_end::whole:
-        return answer.status >= firstServerErrorStatus ? endpoint_verdict::failed : endpoint_verdict::good;
-    case attempt_end::rejected:
-        return endpoint_verdict::refused;
-    case attempt_end::misdirected:
-    case attempt_end::not_sent:
-        return endpoint_verdict::unreachable;
-    case attempt_end::lost:
-        return m_isFinal && !ended.isAnswered ? endpoint_verdict::abandoned : endpoint_verdict::failed;
-    }
-    return endpoint_verdict::failed;
-}
-
 flow_actions forward_flow::run(const flow_context &context, instant now, const std::function<void()> &step)
 {
     m_context = &context;
@@ -676,24 +631,8 @@
 
 milliseconds forward_flow::silenceFor(endpoint_duty duty, const endpoint_id &endpoint) const
 {
-    switch (duty) {
-    case endpoint_duty::plain_call:
-        return std::max(m_request.route->target, plainSilenceLeast);
-    case endpoint_duty::reserve:
-        return reserveSilence;
-    case endpoint_duty::prefill: {
-        const endpoint_state *reader = m_context->endpoints.find(endpoint);
-        if (reader == nullptr) {
-            return prefillSilence;
-        }
-        const auto estimate = m_context->endpoints.estimateRead(*reader, tokensFor(duty), m_now);
-        const auto expected = std::chrono::duration_cast<milliseconds>((estimate.wait + estimate.reading) * prefillPatience);
-        return std::min(prefillSilence + expected, prefillLongest);
-    }
-    case endpoint_duty::decode:
-        return decodeSilence;
-    }
-    return decodeSilence;
+    const endpoint_table &endpoints = m_context->endpoints;
+    return firstAnswerTime(duty, *m_request.route, endpoints, endpoints.find(endpoint), tokensFor(duty), m_now);
 }
 
 std::int64_t &forward_flow::counterOf(endpoint_duty duty)
--- a/src/forwarding/forward_flow.h
+++ b/src/forwarding/forward_flow.h
@@ -93,7 +93,8 @@
     bool mayRepeat() const;
     bool hasAttemptsLeft() const;
     bool usesEngine() const;
-    void chooseService();
+    /// Ends everything once the route's time, or the caller's, is over.
+    void endByTime();
     void sendFirst();
     /// Finds room for the whole request before its prompt is read.
     void beginRoomSearch();
@@ -110,8 +111,8 @@
     /// False when no endpoint can be had.
     bool send(endpoint_duty duty, std::optional<prompt_handle> source);
     bool spendRepeat();
-    /// Reads the prompt once more if the route allows it, or lets the decode endpoint read it.
-    /// The preferred endpoint has read the prompt, and only its answer is missing.
+    /// Has the prompt read once more if the route allows it, or lets the decode endpoint read it. The preferred endpoint has read it
+    /// already, and only its answer is missing.
     void repeatPrefill(const std::optional<endpoint_id> &preferred);
     void repeatDecode(const flow_attempt &ended);
     void refuseNotRun(refusal_cause cause);
@@ -120,7 +121,6 @@
     void cancel(const flow_attempt &target);
     void cancelAll();
     void releaseUnused();
-    endpoint_verdict verdictOf(const flow_attempt &ended, attempt_end end, const answer_summary &answer) const;
     flow_actions run(const flow_context &context, instant now, const std::function<void()> &step);
     std::chrono::milliseconds silenceFor(endpoint_duty duty, const endpoint_id &endpoint) const;
     token_count tokensFor(endpoint_duty duty) const;
--- a/src/forwarding/traffic_plan.cpp
+++ b/src/forwarding/traffic_plan.cpp
@@ -82,4 +82,20 @@
     return !m_plan.workspaces.empty();
 }
 
+service_id drawService(const traffic_route &route, random_source &random)
+{
+    std::int64_t total = 0;
+    for (const route_target &target : route.targets) {
+        total += target.weight;
+    }
+    std::int64_t drawn = total > 0 ? static_cast<std::int64_t>(random.below(static_cast<std::uint64_t>(total))) : 0;
+    for (const route_target &target : route.targets) {
+        if (drawn < target.weight) {
+            return target.service;
+        }
+        drawn -= target.weight;
+    }
+    return route.targets.empty() ? service_id() : route.targets.front().service;
+}
+
 } // namespace burdockshelf
--- a/src/forwarding/traffic_plan.h
+++ b/src/forwarding/traffic_plan.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/ids.h"
+#include "core/random_source.h"
 #include "core/units.h"
 
 #include <chrono>
@@ -110,6 +111,9 @@
     std::vector<workspace_plan> workspaces;
 };
 
+/// One of the route's services, by weight; empty when the route has none.
+service_id drawService(const traffic_route &route, random_source &random);
+
 /// A traffic plan with the indexes that requests need. Immutable; requests keep the one under which they were admitted.
 class plan_index
 {
--- a/src/gateway/dispatch_task.cpp
+++ b/src/gateway/dispatch_task.cpp
@@ -29,29 +29,6 @@
 
 } // namespace
 
-/// A request with what only this task needs of it.
-struct dispatch_task::active_flow
-{
-    active_flow(flow_id number, http_request request, admitted_request admitted)
-        : id(number)
-        , original(std::move(request))
-        , flow(std::move(admitted))
-    {
-    }
-
-    flow_id id;
-    http_request original;
-    forward_flow flow;
-    /// Heads of answers that the flow has not decided on yet, and whole answers.
-    std::map<attempt_number, http_response> answers;
-    std::map<attempt_number, start_attempt> sent;
-    instant armedFor;
-    bool isArmed = false;
-    bool isCallerGone = false;
-    instant lastPieceAt;
-    request_end end = {"unfinished"};
-};
-
 dispatch_task::dispatch_task(event_loop &loop,
                              std::shared_ptr<mailbox<dispatch_message>> box,
                              dispatch_settings settings,
@@ -68,7 +45,7 @@
     , m_requests(m_log)
     , m_fleet(m_settings.instance, m_settings.dataCentre, m_settings.quotas, dialects.records, m_log)
     , m_repeats(m_settings.repeats)
-    , m_deadline(loop, [this] { checkDeadlines(); })
+    , m_deadlines(loop, [this](flow_id due) { passDeadline(due); })
     , m_report(loop, [this] { reportState(); })
 {
 }
@@ -389,59 +366,24 @@
         m_metrics.latencies.push_back({{"request_seconds", {{"kind", std::string(requestKindName(request.route->kind))}}},
                                        std::chrono::duration_cast<latency_sketch::duration>(flow.end.took)});
         m_requests.writeDone(request, flow.flow.attemptCount(), flow.end);
-        if (flow.isArmed) {
-            m_deadlines.erase({flow.armedFor, flow.id});
-        }
+        m_deadlines.remove(flow.id);
         m_flows.erase(flow.id);
-        armDeadline();
         return;
     }
-    const deadline next = flow.flow.nextDeadline();
-    if (flow.isArmed && flow.armedFor == next.at()) {
-        return;
-    }
-    if (flow.isArmed) {
-        m_deadlines.erase({flow.armedFor, flow.id});
-    }
-    flow.isArmed = !next.isNever();
-    flow.armedFor = next.at();
-    if (flow.isArmed) {
-        m_deadlines.insert({flow.armedFor, flow.id});
-    }
-    armDeadline();
+    m_deadlines.set(flow.id, flow.flow.nextDeadline());
 }
 
-dispatch_task::active_flow *dispatch_task::find(flow_id flow)
+active_flow *dispatch_task::find(flow_id flow)
 {
     const auto found = m_flows.find(flow);
     return found == m_flows.end() ? nullptr : found->second.get();
 }
 
-void dispatch_task::armDeadline()
+void dispatch_task::passDeadline(flow_id flow)
 {
-    if (m_deadlines.empty()) {
-        m_deadline.stop();
-        return;
-    }
-    const deadline first(m_deadlines.begin()->first);
-    // A timer that fires too early finds nothing due and is armed again, which is cheaper than moving it with every request.
-    if (!m_deadline.isArmed() || first < m_deadline.at()) {
-        m_deadline.start(first);
-    }
-}
-
-void dispatch_task::checkDeadlines()
-{
-    const instant now = boot_clock::now();
-    while (!m_deadlines.empty() && m_deadlines.begin()->first <= now) {
-        const flow_id due = m_deadlines.begin()->second;
-        m_deadlines.erase(m_deadlines.begin());
-        if (active_flow *target = find(due)) {
-            target->isArmed = false;
-            carryOut(*target, target->flow.onDeadline(context(), now));
-        }
+    if (active_flow *target = find(flow)) {
+        carryOut(*target, target->flow.onDeadline(context(), boot_clock::now()));
     }
-    armDeadline();
 }
 
 void dispatch_task::reportState()
--- a/src/gateway/dispatch_task.h
+++ b/src/gateway/dispatch_task.h
@@ -1,7 +1,9 @@
 #pragma once
 
+#include "gateway/active_flow.h"
 #include "gateway/duty_messages.h"
 #include "gateway/fleet_state.h"
+#include "gateway/flow_deadlines.h"
 #include "gateway/gateway_messages.h"
 #include "gateway/monitor_messages.h"
 #include "gateway/request_log.h"
@@ -11,7 +13,6 @@
 
 #include <map>
 #include <memory>
-#include <set>
 
 namespace burdockshelf
 {
@@ -55,7 +56,6 @@
     outcome<void> start() override;
 
 private:
-    struct active_flow;
     using active_flows = std::map<flow_id, std::unique_ptr<active_flow>>;
 
     void handle(dispatch_message &&message) override;
@@ -93,8 +93,7 @@
     std::optional<std::string> readHandle(endpoint_duty duty, const attempt_ended &ended) const;
     /// Tokens of this instance's requests at an endpoint, for the log.
     token_count ownTokensAt(const endpoint_id &endpoint) const;
-    void armDeadline();
-    void checkDeadlines();
+    void passDeadline(flow_id flow);
     void reportState();
     void listEngines();
     void updateReadiness();
@@ -115,8 +114,7 @@
     repeat_budget m_repeats;
     std::int64_t m_reportSequence = 0;
     active_flows m_flows;
-    std::set<std::pair<instant, flow_id>> m_deadlines;
-    timer m_deadline;
+    flow_deadlines m_deadlines;
     timer m_report;
     metric_batch m_metrics;
     bool m_isReady = false;
--- a/src/gateway/gateway_settings.cpp
+++ b/src/gateway/gateway_settings.cpp
@@ -38,13 +38,13 @@
     settings.readinessAddress = addressOf(reader, "readinessAddress");
     settings.metricsAddress = addressOf(reader, "metricsAddress");
     settings.storeAddress = addressOf(reader, "storeAddress");
-    settings.grace = std::chrono::milliseconds(reader.integer("graceMs", graceRange));
+    settings.grace = reader.seconds("graceSeconds", graceRange);
     settings.configurationWithin = std::chrono::milliseconds(reader.integer("configurationWithinMs", graceRange));
     settings.repeats.perHundred = static_cast<std::int64_t>(reader.fraction("repeatRatio") * 100.0);
     settings.repeats.slack = reader.integer("repeatSlack", slackRange);
     settings.quotas.fixed = static_cast<double>(reader.integer("quotaSlack", quotaSlackRange));
     settings.quotas.part = reader.fraction("quotaOver");
-    settings.quotas.window = std::chrono::milliseconds(reader.integer("quotaWindowMs", graceRange));
+    settings.quotas.window = reader.seconds("quotaWindowSeconds", graceRange);
     settings.dutyTurn = std::chrono::milliseconds(reader.integer("dutyTurnMs", graceRange));
     settings.prefillPercent = reader.integer("prefillPercent", shareRange);
     BOOST_OUTCOME_TRYV(reader.finish());
--- a/src/routing/router_task.cpp
+++ b/src/routing/router_task.cpp
@@ -17,11 +17,6 @@
 namespace
 {
 
-using namespace std::chrono_literals;
-
-// How long a pool without a free slot waits for news before it asks again; slots that this instance returns end the wait at once.
-constexpr auto poolPause = 10ms;
-
 namespace http_status
 {
 constexpr int badRequest = 400;
@@ -81,6 +76,7 @@
     , m_placement(makePlacement(m_settings.placement))
     , m_queueOrder(makeQueueOrder(m_settings.queueOrder))
     , m_directory(m_settings.dataCentre)
+    , m_queues(m_queueOrder, m_settings.concurrentReservations)
     , m_settlements(loop, m_links.settlements)
     , m_slotReleases(loop, m_links.slotReleases)
     , m_claimEnds(loop, m_links.claimEnds)
@@ -119,10 +115,7 @@
     m_view = std::move(changed.view);
     m_directory.setView(m_view);
     m_reporter.noteChange();
-    for (auto &[service, waiting] : m_pools) {
-        waiting.pausedUntil = deadline();
-        m_ready.insert(service);
-    }
+    m_queues.resumeAll();
 }
 
 void router_task::take(caller_request &&call)
@@ -333,11 +326,6 @@
     return find(requestOf(attempt));
 }
 
-router_task::pool &router_task::poolOf(const service_id &service)
-{
-    return m_pools.try_emplace(service, pool {admission_queue(m_queueOrder), 0, deadline()}).first->second;
-}
-
 // Some actions have an answer at once, which leads to further actions.
 void router_task::perform(const request_id &request, request_actions actions)
 {
@@ -364,7 +352,7 @@
     charge.until = deadline::after(boot_clock::now(), m_settings.chargeTimeout);
     charge.reply = makeSink<charge_answer>(self());
     if (m_links.charges.post(std::move(charge)) != post_result::delivered) {
-        return active.machine.charged(false, 1s, contextOf(active));
+        return active.machine.charged(false, std::chrono::seconds(1), contextOf(active));
     }
     return {};
 }
@@ -409,19 +397,16 @@
 request_actions router_task::carryOut(active_request &active, const enqueue_action & /*action*/)
 {
     m_reporter.noteChange();
-    pool &waiting = poolOf(active.service);
     const instant now = boot_clock::now();
-    m_ready.insert(active.service);
     if (active.queueEntry) {
-        // It found no endpoint. The pool waits a little, so that the same question is not asked again and again.
+        // It found no endpoint.
         leaveReservation(active);
-        waiting.pausedUntil = deadline::after(now, poolPause);
-        waiting.queue.putBack(*active.queueEntry);
+        m_queues.putBack(active.service, *active.queueEntry, now);
         return {};
     }
     const request_facts &facts = active.machine.facts();
     queued_request entry = {facts.id, facts.workspace, active.priority, facts.charge, now, active.machine.dispatchUntil(), 0};
-    if (!waiting.queue.push(std::move(entry), now)) {
+    if (!m_queues.push(active.service, std::move(entry), now)) {
         return active.machine.shed(contextOf(active));
     }
     return {};
@@ -429,13 +414,13 @@
 
 request_actions router_task::carryOut(active_request &active, const dequeue_action & /*action*/)
 {
-    poolOf(active.service).queue.remove(active.call.id);
+    m_queues.remove(active.service, active.call.id);
     return {};
 }
 
 request_actions router_task::carryOut(active_request &active, const admitted_action & /*action*/)
 {
-    poolOf(active.service).queue.noteDispatch(*active.queueEntry, boot_clock::now());
+    m_queues.noteDispatch(active.service, *active.queueEntry, boot_clock::now());
     leaveReservation(active);
     active.queueEntry.reset();
     return {};
@@ -467,8 +452,7 @@
     m_slotReleases.post({active.call.id, action.endpoint, action.verdict});
     // A slot that was given back unused says nothing of the pool's room; asking again at once would go on without end.
     if (action.verdict != attempt_verdict::cancelled) {
-        poolOf(active.service).pausedUntil = deadline();
-        m_ready.insert(active.service);
+        m_queues.resume(active.service);
     }
     return {};
 }
@@ -611,7 +595,7 @@
         m_metrics.noteCallerGone(active.service);
     }
     m_reporter.noteChange();
-    m_ready.insert(active.service);
+    m_queues.noteReady(active.service);
     m_requests.erase(active.call.id);
     return {};
 }
@@ -645,71 +629,47 @@
 // Called once for each popped request, when it has found its endpoints or has given up.
 void router_task::leaveReservation(active_request &active)
 {
-    pool &waiting = poolOf(active.service);
-    CHECK_GT(waiting.reservations, 0U) << "routing: a reservation ended twice.";
-    --waiting.reservations;
+    m_queues.endReservation(active.service);
     active.isReserving = false;
 }
 
 void router_task::pump(const service_id &service)
 {
-    pool &waiting = poolOf(service);
-    const instant now = boot_clock::now();
-    while (waiting.reservations < m_settings.concurrentReservations && waiting.pausedUntil.hasPassed(now)) {
-        std::optional<queued_request> next = waiting.queue.pop(now);
-        if (!next) {
-            return;
-        }
+    while (std::optional<queued_request> next = m_queues.beginReservation(service, boot_clock::now())) {
         active_request *active = find(next->id);
         if (active == nullptr) {
+            m_queues.endReservation(service);
             continue;
         }
         const request_id id = next->id;
         active->queueEntry = std::move(next);
         active->isReserving = true;
-        ++waiting.reservations;
         perform(id, active->machine.popped(contextOf(*active)));
     }
 }
 
-// What a pool does may make another one ready, or itself after a request has ended at once.
+// What one service does may make another one ready, or itself after a request has ended at once.
 void router_task::pumpAll()
 {
-    while (!m_ready.empty()) {
-        const service_id service = *m_ready.begin();
-        m_ready.erase(m_ready.begin());
-        pump(service);
+    while (const std::optional<service_id> service = m_queues.takeReady()) {
+        pump(*service);
     }
     scheduleTimer();
 }
 
 void router_task::expireQueues()
 {
-    const instant now = boot_clock::now();
-    for (auto &[service, waiting] : m_pools) {
-        for (const queued_request &expired : waiting.queue.takeExpired(now)) {
-            if (active_request *active = find(expired.id)) {
-                active->queueEntry.reset();
-                perform(expired.id, active->machine.queueExpired(contextOf(*active)));
-            }
+    for (const queued_request &expired : m_queues.takeExpired(boot_clock::now())) {
+        if (active_request *active = find(expired.id)) {
+            active->queueEntry.reset();
+            perform(expired.id, active->machine.queueExpired(contextOf(*active)));
         }
-        m_ready.insert(service);
     }
 }
 
 void router_task::scheduleTimer()
 {
-    const instant now = boot_clock::now();
-    deadline next = deadline::never();
-    for (const auto &[service, waiting] : m_pools) {
-        if (waiting.queue.size() == 0) {
-            continue;
-        }
-        next = std::min(next, waiting.queue.nextDeadline());
-        if (!waiting.pausedUntil.hasPassed(now)) {
-            next = std::min(next, waiting.pausedUntil);
-        }
-    }
+    const deadline next = m_queues.nextDeadline(boot_clock::now());
     if (next != m_timer.at()) {
         m_timer.start(next);
     }
--- a/src/routing/router_task.h
+++ b/src/routing/router_task.h
@@ -1,9 +1,9 @@
 #pragma once
 
 #include "core/random_source.h"
-#include "policy/admission_queue.h"
 #include "policy/endpoint_directory.h"
 #include "policy/placement.h"
+#include "policy/service_queues.h"
 #include "routing/active_request.h"
 #include "routing/router_metrics.h"
 #include "routing/router_settings.h"
@@ -17,7 +17,6 @@
 #include <map>
 #include <memory>
 #include <optional>
-#include <set>
 
 namespace burdockshelf
 {
@@ -55,15 +54,6 @@
     void handle(router_task_message &&message) override;
 
 private:
-    /// The requests of one service that wait for endpoints.
-    struct pool
-    {
-        admission_queue queue;
-        std::size_t reservations = 0;
-        // No endpoint had room: nothing is tried before this, unless a slot comes back.
-        deadline pausedUntil;
-    };
-
     void take(view_changed &&changed);
     void take(caller_request &&call);
     void take(caller_gone &&gone);
@@ -82,7 +72,6 @@
     event_context contextOf(const active_request &active) const;
     active_request *find(const request_id &request);
     active_request *findByAttempt(const attempt_id &attempt);
-    pool &poolOf(const service_id &service);
 
     void perform(const request_id &request, request_actions actions);
     request_actions carryOut(active_request &active, const charge_action &action);
@@ -133,9 +122,7 @@
     endpoint_directory m_directory;
     state_view_ptr m_view;
     std::map<request_id, active_request> m_requests;
-    std::map<service_id, pool> m_pools;
-    // Pools that may be able to place a request since the last message.
-    std::set<service_id> m_ready;
+    service_queues m_queues;
     outbox<charge_settlement> m_settlements;
     outbox<slot_release> m_slotReleases;
     outbox<claim_end> m_claimEnds;
--- a/src/wire/json_reader.cpp
+++ b/src/wire/json_reader.cpp
@@ -1,5 +1,6 @@
 #include "wire/json_reader.h"
 
+#include <cmath>
 #include <deque>
 #include <optional>
 #include <set>
@@ -190,20 +191,35 @@
     return value->get<std::int64_t>();
 }
 
-double json_reader::fraction(std::string_view key)
+std::optional<double> json_reader::number(std::string_view key, double least, double most, std::string_view expected)
 {
     const auto *value = static_cast<const json *>(require(key));
     if (value == nullptr) {
-        return 0.0;
+        return std::nullopt;
     }
-    const double read = value->is_number() ? value->get<double>() : -1.0;
-    if (!(read >= 0.0 && read <= 1.0)) {
-        reject(key, "a number from 0 to 1");
-        return 0.0;
+    const double read = value->is_number() ? value->get<double>() : std::numeric_limits<double>::quiet_NaN();
+    if (!(read >= least && read <= most)) {
+        reject(key, expected);
+        return std::nullopt;
     }
     return read;
 }
 
+double json_reader::fraction(std::string_view key)
+{
+    return number(key, 0.0, 1.0, "a number from 0 to 1").value_or(0.0);
+}
+
+std::chrono::milliseconds json_reader::seconds(std::string_view key, number_range range)
+{
+    constexpr double millisecondsPerSecond = 1000.0;
+    const double least = static_cast<double>(range.least) / millisecondsPerSecond;
+    const double most = static_cast<double>(range.most) / millisecondsPerSecond;
+    const auto read = number(key, least, most, "a number of seconds from " + std::to_string(least) + " to " + std::to_string(most));
+    const double milliseconds = read ? *read * millisecondsPerSecond : static_cast<double>(range.least);
+    return std::chrono::milliseconds(std::llround(milliseconds));
+}
+
 std::int64_t json_reader::integerOr(std::string_view key, std::int64_t fallback, number_range range)
 {
     return has(key) ? integer(key, range) : fallback;
--- a/src/wire/json_reader.h
+++ b/src/wire/json_reader.h
@@ -3,9 +3,11 @@
 #include "core/outcome.h"
 
 #include <array>
+#include <chrono>
 #include <cstdint>
 #include <limits>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -56,6 +58,8 @@
     std::int64_t integer(std::string_view key, number_range range = {});
     /// A number from 0 to 1.
     double fraction(std::string_view key);
+    /// A time in seconds, which may have a fraction. The range is in milliseconds.
+    std::chrono::milliseconds seconds(std::string_view key, number_range range);
     std::int64_t integerOr(std::string_view key, std::int64_t fallback, number_range range = {});
     bool boolean(std::string_view key);
     bool booleanOr(std::string_view key, bool fallback);
@@ -107,6 +111,8 @@
     outcome<void> finish() const;
 
 private:
+    /// A number within bounds; nothing after it has been rejected as not being what was expected.
+    std::optional<double> number(std::string_view key, double least, double most, std::string_view expected);
     struct document;
     struct node;
 
--- a/tests/gateway/gateway_test.cpp
+++ b/tests/gateway/gateway_test.cpp
@@ -449,9 +449,15 @@
 TEST(gateway_codecs, settingsNameWhatIsWrong)
 {
     const std::string good = R"({"instance":"a","dataCentre":"z","callerAddress":"127.0.0.1:1","readinessAddress":"127.0.0.1:2",
- "metricsAddress":"127.0.0.1:3","storeAddress":"127.0.0.1:4","graceMs":8000,"configurationWithinMs":2000,"repeatRatio":0.2,"repeatSlack":56,"quotaSlack":190000,"quotaOver":0.1,"quotaWindowMs":8000,"dutyTurnMs":3000,"prefillPercent":25})";
+ "metricsAddress":"127.0.0.1:3","storeAddress":"127.0.0.1:4","graceSeconds":8,"configurationWithinMs":2000,"repeatRatio":0.2,"repeatSlack":56,"quotaSlack":190000,"quotaOver":0.1,"quotaWindowSeconds":8.0,"dutyTurnMs":3000,"prefillPercent":25})";
     CHECK_TRUE(parseGatewaySettings(good).has_value());
     nlohmann::json document = nlohmann::json::parse(good);
+    // The deployment's figures in seconds may have a fraction; a gateway that refused them would not start at all.
+    document["graceSeconds"] = 8.5;
+    CHECK(parseGatewaySettings(document.dump()).value().grace == 8500ms);
+    document["graceSeconds"] = -1;
+    CHECK_FALSE(parseGatewaySettings(document.dump()).has_value());
+    document["graceSeconds"] = 8;
     for (const auto &[name, value] : document.items()) {
         nlohmann::json without = document;
         without.erase(name);
--- /dev/null
+++ b/tests/soak/fault_series.cpp
@@ -0,0 +1,187 @@
+#include "fault_series.h"
+
+#include <array>
+#include <csignal>
+#include <utility>
+
+namespace burdockshelf
+{
+
+using std::chrono::milliseconds;
+using namespace std::chrono_literals;
+
+fault_series::fault_series(soak_site &site, soak_judge &judge, random_source &random)
+    : m_site(site)
+    , m_judge(judge)
+    , m_random(random)
+{
+}
+
+void fault_series::begin()
+{
+    m_isInjecting = true;
+}
+
+void fault_series::end()
+{
+    m_isInjecting = false;
+}
+
+void fault_series::advance(instant now)
+{
+    for (std::size_t i = 0; i < m_planned.size();) {
+        if (!m_planned[i].at.hasPassed(now)) {
+            ++i;
+            continue;
+        }
+        const auto act = std::move(m_planned[i].act);
+        m_planned.erase(m_planned.begin() + static_cast<std::ptrdiff_t>(i));
+        act();
+    }
+    if (m_isInjecting && m_nextFault.hasPassed(now)) {
+        m_nextFault = deadline::after(now, randomTime(60, 500));
+        injectFault();
+    }
+}
+
+void fault_series::injectFault()
+{
+    static constexpr std::array<fault_action, 9> actions = {
+        &fault_series::failEndpointLink,
+        &fault_series::failEndpointLink,
+        &fault_series::failStoreLink,
+        &fault_series::stopGateway,
+        &fault_series::killGateway,
+        &fault_series::endGateway,
+        &fault_series::failStore,
+        &fault_series::forgetHistory,
+        &fault_series::flapEndpoint,
+    };
+    (this->*actions.at(m_random.below(actions.size())))();
+}
+
+void fault_series::failEndpointLink()
+{
+    const std::size_t index = m_random.below(m_site.endpoints().size());
+    const auto fault = static_cast<link_fault>(1 + m_random.below(4));
+    m_site.endpoints()[index].link->setFault(fault, randomTime(5, 300));
+    m_judge.noteFault("link of " + m_site.endpoints()[index].id + ", kind " + std::to_string(static_cast<int>(fault)));
+    later(randomTime(100, 2000), [this, index] { m_site.endpoints()[index].link->setFault(link_fault::none); });
+}
+
+void fault_series::failStoreLink()
+{
+    const std::size_t index = m_random.below(m_site.gateways().size());
+    const auto fault = static_cast<link_fault>(1 + m_random.below(4));
+    m_site.gateways()[index].storeLink->setFault(fault, randomTime(5, 600));
+    m_judge.noteFault("store link of " + m_site.gateways()[index].name + ", kind " + std::to_string(static_cast<int>(fault)));
+    later(randomTime(100, 3000), [this, index] { m_site.gateways()[index].storeLink->setFault(link_fault::none); });
+}
+
+void fault_series::stopGateway()
+{
+    soak_gateway *target = pickRunning();
+    if (target == nullptr) {
+        return;
+    }
+    m_judge.noteFault("stop " + target->name);
+    target->process.signal(SIGSTOP);
+    target->state = gateway_state::stopped;
+    target->disturbedSince = boot_clock::now();
+    later(randomTime(50, 2500), [this, target] {
+        target->process.signal(SIGCONT);
+        target->state = gateway_state::running;
+        m_judge.noteDisturbed(static_cast<std::size_t>(target - m_site.gateways().data()), target->disturbedSince, boot_clock::now());
+    });
+}
+
+void fault_series::killGateway()
+{
+    soak_gateway *target = pickRunning();
+    if (target == nullptr) {
+        return;
+    }
+    m_judge.noteFault("kill " + target->name);
+    target->process.kill();
+    target->state = gateway_state::ending;
+    target->disturbedSince = boot_clock::now();
+    later(randomTime(20, 800), [this, target] {
+        const auto started = m_site.startGateway(*target);
+        if (!started) {
+            m_judge.fail("start", started.error().message);
+        }
+        m_judge.noteDisturbed(static_cast<std::size_t>(target - m_site.gateways().data()), target->disturbedSince, boot_clock::now());
+    });
+}
+
+void fault_series::endGateway()
+{
+    soak_gateway *target = pickRunning();
+    if (target == nullptr) {
+        return;
+    }
+    m_judge.noteFault("end " + target->name);
+    target->process.signal(SIGTERM);
+    target->state = gateway_state::ending;
+    target->disturbedSince = boot_clock::now();
+    later(soak_site::graceTime + 100ms, [this, target] {
+        const auto ended = target->process.wait(0ms);
+        if (!ended) {
+            m_judge.fail("ends within its grace", target->name);
+            target->process.kill();
+        } else if (ended.value() != 0) {
+            m_judge.fail("ends with status 0", target->name + " ended with " + std::to_string(ended.value()));
+        }
+        const auto started = m_site.startGateway(*target);
+        if (!started) {
+            m_judge.fail("start", started.error().message);
+        }
+        m_judge.noteDisturbed(static_cast<std::size_t>(target - m_site.gateways().data()), target->disturbedSince, boot_clock::now());
+    });
+}
+
+void fault_series::failStore()
+{
+    const auto mood = m_random.below(2) == 0 ? standin_store::mood::refusing : standin_store::mood::silent;
+    m_site.store().setMood(mood);
+    m_judge.noteFault("store, mood " + std::to_string(static_cast<int>(mood)));
+    later(randomTime(100, 2500), [this] { m_site.store().setMood(standin_store::mood::serving); });
+}
+
+void fault_series::forgetHistory()
+{
+    m_judge.noteFault("history of the endpoints is gone");
+    m_site.store().forgetHistory("keyed.servers");
+}
+
+void fault_series::flapEndpoint()
+{
+    const std::size_t index = m_random.below(m_site.endpoints().size());
+    if (!std::exchange(m_site.endpoints()[index].isListed, false)) {
+        return;
+    }
+    m_judge.noteFault("entry of " + m_site.endpoints()[index].id + " is dropped");
+    m_site.store().drop("keyed.servers", m_site.endpoints()[index].id);
+    later(randomTime(100, 1500), [this, index] {
+        m_site.endpoints()[index].isListed = true;
+        m_site.publishEndpoint(m_site.endpoints()[index]);
+    });
+}
+
+void fault_series::later(milliseconds time, std::function<void()> act)
+{
+    m_planned.push_back({deadline::after(boot_clock::now(), time), std::move(act)});
+}
+
+soak_gateway *fault_series::pickRunning()
+{
+    soak_gateway &target = m_site.gateways()[m_random.below(m_site.gateways().size())];
+    return target.state == gateway_state::running ? &target : nullptr;
+}
+
+milliseconds fault_series::randomTime(std::int64_t least, std::int64_t most)
+{
+    return milliseconds(least + static_cast<std::int64_t>(m_random.below(static_cast<std::uint64_t>(most - least + 1))));
+}
+
+} // namespace burdockshelf
--- /dev/null
+++ b/tests/soak/soak_site.cpp
@@ -0,0 +1,184 @@
+#include "soak_site.h"
+
+#include "core/random_source.h"
+
+#include <array>
+#include <fstream>
+#include <set>
+#include <utility>
+
+#include <netinet/in.h>
+#include <nlohmann/json.hpp>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace burdockshelf
+{
+
+namespace
+{
+
+// Below the range from which the kernel takes ports for connections, which could take one between the check and its use.
+constexpr std::uint16_t firstPort = 10000;
+constexpr std::uint64_t portCount = 20000;
+
+bool isFree(const socket_address &candidate)
+{
+    const int socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    sockaddr_in address = {};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    address.sin_port = htons(candidate.port);
+    const bool isBound = ::bind(socket, reinterpret_cast<sockaddr *>(&address), sizeof(address)) == 0;
+    ::close(socket);
+    return isBound;
+}
+
+/// A port that no other process uses and that was not given out before. Not from the seed, because several soaks run at once.
+socket_address freeAddress()
+{
+    static random_source random;
+    static std::set<std::uint16_t> given;
+    socket_address candidate;
+    do {
+        candidate = {"127.0.0.1", static_cast<std::uint16_t>(firstPort + random.below(portCount))};
+    } while (given.count(candidate.port) > 0 || !isFree(candidate));
+    given.insert(candidate.port);
+    return candidate;
+}
+
+} // namespace
+
+soak_site::soak_site(event_loop &loop,
+                     const soak_plan &plan,
+                     std::function<void(const standin_backend &, const std::shared_ptr<http_exchange> &)> plainAnswer)
+    : m_loop(loop)
+    , m_logFolder(plan.logFolder.empty() ? m_scratch.path("") : plan.logFolder)
+    , m_store(loop)
+{
+    const std::array<std::array<const char *, 3>, 6> endpoints = {{
+        {"p1", "plain", ""},
+        {"p2", "plain", ""},
+        {"p3", "plain", ""},
+        {"r1", "engine", "prefill"},
+        {"d1", "engine", "decode"},
+        {"d2", "engine", "decode"},
+    }};
+    for (const auto &[id, service, stage] : endpoints) {
+        soak_endpoint fresh {id, service, stage, std::make_unique<standin_backend>(m_loop, id), nullptr};
+        fresh.link = std::make_unique<fault_proxy>(m_loop, fresh.backend->address());
+        standin_backend *backend = fresh.backend.get();
+        if (fresh.stage.empty()) {
+            backend->setBehaviour(
+                [backend, plainAnswer](const std::shared_ptr<http_exchange> &exchange) { plainAnswer(*backend, exchange); });
+        }
+        publishEndpoint(fresh);
+        m_endpoints.push_back(std::move(fresh));
+    }
+    m_store.put("keyed.op", "config", configuration(1, true));
+}
+
+outcome<void> soak_site::start(std::size_t gateways)
+{
+    for (std::size_t i = 0; i < gateways; ++i) {
+        soak_gateway fresh;
+        fresh.name = "gateway-" + std::to_string(i);
+        fresh.callers = freeAddress();
+        fresh.metrics = freeAddress();
+        fresh.storeLink = std::make_unique<fault_proxy>(m_loop, m_store.address());
+        fresh.client = std::make_unique<http_client>(m_loop, fresh.callers);
+        writeSettings(fresh);
+        m_gateways.push_back(std::move(fresh));
+        BOOST_OUTCOME_TRYV(startGateway(m_gateways.back()));
+    }
+    return success();
+}
+
+outcome<void> soak_site::startGateway(soak_gateway &target)
+{
+    const std::string log = m_logFolder + "/" + target.name;
+    // The log of one gateway has no reader, as when a collector stands still.
+    const bool isRead = target.name != "gateway-0";
+    BOOST_OUTCOME_TRY(
+        started,
+        child_process::start(
+            "burdockshelfd", {"--platform", "--settings", target.settingsFile}, log + ".errors", isRead ? log + ".log" : std::string()));
+    target.process = std::move(started);
+    target.state = gateway_state::running;
+    return success();
+}
+
+void soak_site::writeSettings(soak_gateway &target)
+{
+    target.settingsFile = m_scratch.path(target.name + ".json");
+    std::ofstream(target.settingsFile) << nlohmann::json {
+        {"instance", target.name},
+        {"dataCentre", "z"},
+        {"callerAddress", target.callers.toString()},
+        {"readinessAddress", freeAddress().toString()},
+        {"metricsAddress", target.metrics.toString()},
+        {"storeAddress", target.storeLink->address().toString()},
+        {"graceSeconds", std::chrono::duration<double>(graceTime).count()},
+        {"configurationWithinMs", configurationTime.count()},
+        {"repeatRatio", 0.2},
+        {"repeatSlack", 50},
+        {"quotaSlack", 190000},
+        {"quotaOver", 0.1},
+        {"quotaWindowSeconds", 8},
+        {"dutyTurnMs", 3000},
+        {"prefillPercent", 0},
+    };
+}
+
+std::string soak_site::configuration(int version, bool hasSecondKey) const
+{
+    const auto route = [](const char *name, const char *kind, const char *service, int attempts) {
+        return nlohmann::json {{"name", name},
+                               {"host", "127.0.0.1"},
+                               {"path_prefix", std::string("/") + name + "/"},
+                               {"kind", kind},
+                               {"timeout_ms", 4000},
+                               {"service", service},
+                               {"max_attempts", attempts}};
+    };
+    const nlohmann::json keys = hasSecondKey ? nlohmann::json {"k1", "k2"} : nlohmann::json {"k1"};
+    return nlohmann::json {
+        {"version", version},
+        {"routes", {route("safe", "safe", "plain", 2), route("unsafe", "unsafe", "plain", 1), route("text", "streaming", "engine", 1)}},
+        {"services",
+         {{{"name", "plain"}, {"max_conns", 100}},
+          {{"name", "engine"}, {"max_conns", 100}, {"engine", {{"slots", 8}, {"kv_capacity", 40000}}}}}},
+        {"tenants",
+         {{{"name", "w"}, {"api_keys", keys}, {"unit", "tokens"}, {"plain_tokens", 200}, {"rate_per_s", 470000}, {"burst", 470000}}}},
+    }
+        .dump();
+}
+
+void soak_site::publishEndpoint(const soak_endpoint &target)
+{
+    nlohmann::json entry = nlohmann::json::parse(target.backend->entry(target.service, "z", target.stage));
+    entry["address"] = target.link->address().toString();
+    m_store.put("keyed.servers", target.id, entry.dump());
+}
+
+void soak_site::withdrawSecondKey()
+{
+    m_store.put("keyed.op", "config", configuration(2, false));
+}
+
+standin_store &soak_site::store()
+{
+    return m_store;
+}
+
+std::vector<soak_endpoint> &soak_site::endpoints()
+{
+    return m_endpoints;
+}
+
+std::vector<soak_gateway> &soak_site::gateways()
+{
+    return m_gateways;
+}
+
+} // namespace burdockshelf
