--- a/tests/soak/soak_site.cpp
+++ b/tests/soak/soak_site.cpp
@@ -49,9 +49,7 @@
 
 } // namespace
 
-soak_site::soak_site(event_loop &loop,
-                     const soak_plan &plan,
-                     std::function<void(const standin_backend &, const std::shared_ptr<http_exchange> &)> plainAnswer)
+soak_site::soak_site(event_loop &loop, const soak_plan &plan, const plain_answer &plainAnswer)
     : m_loop(loop)
     , m_logFolder(plan.logFolder.empty() ? m_scratch.path("") : plan.logFolder)
     , m_store(loop)
--- a/tests/soak/soak_site.h
+++ b/tests/soak/soak_site.h
@@ -65,9 +65,9 @@
     /// Within this time a change of the operator is in force.
     static constexpr std::chrono::milliseconds configurationTime {2000};
 
-    soak_site(event_loop &loop,
-              const soak_plan &plan,
-              std::function<void(const standin_backend &, const std::shared_ptr<http_exchange> &)> plainAnswer);
+    using plain_answer = std::function<void(const standin_backend &, const std::shared_ptr<http_exchange> &)>;
+
+    soak_site(event_loop &loop, const soak_plan &plan, const plain_answer &plainAnswer);
 
     outcome<void> start(std::size_t gateways);
     /// Starts a gateway's process, at first or again.
