Take the cold share once per request, and avoid readers whose handles lapse

While handles lapse at once, each prompt read at such an engine was read for nothing, and an instance that had just started gave up readers that were only busy. The handle of a read prompt was freed when the endpoint with room left before the run.

Change: a run where room was set aside takes no further cold share; a reader whose handle could not be fetched is avoided for two seconds, and the endpoint that generates reads the prompt when all are; a reader of unknown speed has a second.

--- a/src/forwarding/answer_patience.cpp
+++ b/src/forwarding/answer_patience.cpp
@@ -15,6 +15,8 @@
 constexpr milliseconds reserveTime {250};
 constexpr milliseconds leastReadTime {350};
 constexpr milliseconds mostReadTime {2500};
+// For a reader whose speed is not known yet.
+constexpr milliseconds unknownReadTime {1000};
 // A reader may take this many times as long as estimated.
 constexpr double readPatience = 2.0;
 constexpr milliseconds decodeTime {1100};
@@ -25,6 +27,9 @@
         return leastReadTime;
     }
     const endpoint_table::read_estimate estimate = endpoints.estimateRead(*reader, tokens, now);
+    if (estimate.reading <= estimate.reading.zero()) {
+        return unknownReadTime;
+    }
     const auto expected = std::chrono::duration_cast<milliseconds>((estimate.wait + estimate.reading) * readPatience);
     return std::min(leastReadTime + expected, mostReadTime);
 }
--- a/src/forwarding/endpoint_table.cpp
+++ b/src/forwarding/endpoint_table.cpp
@@ -33,6 +33,7 @@
 constexpr double blockedPenalty = 20.0;
 constexpr double fullPenalty = 4.0;
 constexpr double cutOffPenalty = 10.0;
+constexpr double lapsePenalty = 5.0;
 constexpr double coldPenalty = 0.6;
 constexpr double remotePenalty = 0.12;
 constexpr double tieBreak = 0.02;
@@ -40,6 +41,8 @@
 constexpr double latencyScaleSeconds = 0.2;
 // Streams last for seconds, so an endpoint that was full stays so for some tens of milliseconds.
 constexpr milliseconds fullTime {60};
+// One prompt read for nothing costs more than two seconds without one of several readers.
+constexpr milliseconds lapseTime {2000};
 // A wait of this length counts as much as a fully used endpoint.
 constexpr double readWaitScaleSeconds = 0.35;
 // The time per token follows prompts that were read faster at once, and slower ones slowly: a prompt that took long has mostly waited.
@@ -299,6 +302,18 @@
     }
 }
 
+void endpoint_table::noteHandleLapsed(const endpoint_id &endpoint, instant now)
+{
+    if (endpoint_state *known = state(endpoint)) {
+        known->handlesLapseUntil = deadline::after(now, lapseTime);
+    }
+}
+
+bool endpoint_table::keepsHandles(const endpoint_state &reader, instant now) const
+{
+    return reader.handlesLapseUntil.hasPassed(now);
+}
+
 void endpoint_table::noteMisdirected(const endpoint_id &endpoint)
 {
     if (endpoint_state *known = state(endpoint)) {
@@ -318,6 +333,7 @@
     double used = load(candidate, duty, tokens, profile, now);
     if (duty == endpoint_duty::prefill) {
         used = std::max(used, estimateRead(candidate, tokens, now).wait.count() / readWaitScaleSeconds);
+        used += keepsHandles(candidate, now) ? 0.0 : lapsePenalty;
     }
     double total = used + candidate.failureShare * failurePenalty;
     if (duty == endpoint_duty::plain_call) {
--- a/src/forwarding/endpoint_table.h
+++ b/src/forwarding/endpoint_table.h
@@ -65,6 +65,8 @@
     deadline blockedUntil;
     /// The endpoint has just had no room for a reservation.
     deadline fullUntil;
+    /// Results of prompts that are read there have lapsed before they could be fetched.
+    deadline handlesLapseUntil;
     /// When the oldest attempt without an answer was sent; unset while there is none.
     std::multiset<instant> unanswered;
     /// When the endpoint last answered anything.
@@ -127,6 +129,10 @@
     void noteLoad(const endpoint_id &endpoint, const endpoint_load &load, instant now);
     /// The endpoint has no room now.
     void noteFull(const endpoint_id &endpoint, instant now);
+    /// The result of a prompt that was read there could not be fetched.
+    void noteHandleLapsed(const endpoint_id &endpoint, instant now);
+    /// False for a while after such a failure; a prompt that is read there is likely to be read for nothing.
+    bool keepsHandles(const endpoint_state &reader, instant now) const;
     /// The address belongs to another endpoint by now.
     void noteMisdirected(const endpoint_id &endpoint);
 
--- a/src/forwarding/forward_flow.cpp
+++ b/src/forwarding/forward_flow.cpp
@@ -312,6 +312,10 @@
         m_isFinal = true;
         return;
     }
+    if (end == attempt_end::rejected && m_handle) {
+        // Room was set aside, so what the endpoint lacks is the prompt.
+        m_context->endpoints.noteHandleLapsed(m_handle->endpoint, m_now);
+    }
     repeatDecode(ended);
 }
 
@@ -497,7 +501,8 @@
 bool forward_flow::isReadSoonerAtDecode(const endpoint_state &reader, token_count prompt) const
 {
     const endpoint_table::read_estimate estimate = m_context->endpoints.estimateRead(reader, prompt, m_now);
-    return m_room && estimate.wait + estimate.reading > estimate.reading * decodeReadFactor + decodeReadCost;
+    const bool isSlow = estimate.wait + estimate.reading > estimate.reading * decodeReadFactor + decodeReadCost;
+    return m_room && (isSlow || !m_context->endpoints.keepsHandles(reader, m_now));
 }
 
 void forward_flow::sendDecode(std::optional<prompt_handle> source)
@@ -521,7 +526,9 @@
 
 bool forward_flow::sendTo(const endpoint_state &chosen, endpoint_duty duty, std::optional<prompt_handle> source)
 {
-    if (!m_context->endpoints.takeColdShare(chosen.entry.id, m_now)) {
+    // Setting the room aside has taken the request out of the cold share already.
+    const bool usesRoom = duty == endpoint_duty::decode && m_room && m_room->endpoint == chosen.entry.id;
+    if (!usesRoom && !m_context->endpoints.takeColdShare(chosen.entry.id, m_now)) {
         return false;
     }
     const flow_attempt &fresh = m_attempts.add(duty, chosen.entry.id, m_now, deadline::after(m_now, silenceFor(duty, chosen.entry.id)));
@@ -535,13 +542,11 @@
     order.service = m_service;
     order.source = std::move(source);
     order.tokens = tokensFor(duty);
-    if (duty == endpoint_duty::decode && m_room) {
-        // A reservation serves once, and only at its own endpoint.
-        if (m_room->endpoint == fresh.endpoint) {
-            order.room = std::exchange(m_room, std::nullopt);
-        } else {
-            releaseUnused();
-        }
+    // A reservation serves once, and only at its own endpoint.
+    if (usesRoom) {
+        order.room = std::exchange(m_room, std::nullopt);
+    } else if (duty == endpoint_duty::decode && m_room) {
+        m_actions.emplace_back(release_room {*std::exchange(m_room, std::nullopt)});
     }
     if (duty == endpoint_duty::decode && !order.source && m_reader) {
         const endpoint_state *reader = m_context->endpoints.find(*m_reader);
--- a/tests/forwarding/forward_flow_test.cpp
+++ b/tests/forwarding/forward_flow_test.cpp
@@ -209,9 +209,11 @@
 start_attempt beginStream(plan_fixture &fixture, forward_flow &flow)
 {
     flow_actions actions = flow.begin(fixture.context(), fixture.now);
+    CHECK(findAction<start_attempt>(actions) != nullptr);
     while (findAction<start_attempt>(actions)->duty != endpoint_duty::decode) {
         const attempt_number number = findAction<start_attempt>(actions)->number;
         actions = flow.onEnd(number, attempt_end::whole, {200, false}, "handle", fixture.context(), fixture.now);
+        CHECK(findAction<start_attempt>(actions) != nullptr);
     }
     start_attempt decode = *findAction<start_attempt>(actions);
     flow.onHead(decode.number, fixture.context(), fixture.now);
@@ -369,3 +371,86 @@
     CHECK(again != nullptr && again->duty == endpoint_duty::prefill);
     CHECK(again->endpoint == read.endpoint);
 }
+
+// Requests were refused behind a prompt that had been read, because room at a cold endpoint used up the instance's share of its rate and
+// the run needed another (cvgc-shelf scale-2: 75 requests).
+TEST(forward_flow, runsWhereItHasRoomAtAColdEndpoint)
+{
+    plan_fixture fixture;
+    traffic_service profile = plan_fixture::service("engine", true);
+    profile.coldPerSecond = 8.0;
+    fixture.endpoints.setInstanceCount(8);
+    for (const char *name : {"d1", "d2", "d3"}) {
+        endpoint_entry cold = plan_fixture::entry(name, "engine", engine_stage::decode);
+        cold.coldLeft = 3s;
+        fixture.endpoints.put(cold, &profile, fixture.now);
+    }
+    forward_flow flow = fixture.flow("stream");
+    const start_attempt decode = beginStream(fixture, flow);
+    CHECK(decode.duty == endpoint_duty::decode);
+    CHECK(decode.room.has_value());
+    CHECK_FALSE(fixture.endpoints.takeColdShare(decode.endpoint, fixture.now));
+}
+
+// A prompt that has been read must stay fetchable when the endpoint with room leaves meanwhile and another one generates.
+TEST(forward_flow, keepsThePromptWhenTheEndpointWithRoomLeaves)
+{
+    plan_fixture fixture;
+    forward_flow flow = fixture.flow("stream");
+    const flow_actions begun = flow.begin(fixture.context(), fixture.now);
+    const start_attempt reserve = *findAction<start_attempt>(begun);
+    const flow_actions reserved =
+        flow.onEnd(reserve.number, attempt_end::whole, {200, true}, std::string("room"), fixture.context(), fixture.now);
+    const start_attempt read = *findAction<start_attempt>(reserved);
+    endpoint_entry leaving = plan_fixture::entry(reserve.endpoint.value(), "engine", engine_stage::decode);
+    leaving.isDraining = true;
+    fixture.endpoints.put(leaving, nullptr, fixture.now);
+    const flow_actions moved =
+        flow.onEnd(read.number, attempt_end::whole, {200, true}, std::string("handle"), fixture.context(), fixture.now);
+    const auto *decode = findAction<start_attempt>(moved);
+    CHECK(decode != nullptr && decode->source.has_value());
+    CHECK(decode->endpoint != reserve.endpoint);
+    CHECK(findAction<release_room>(moved) != nullptr);
+    CHECK(findAction<release_handle>(moved) == nullptr);
+}
+
+// While an engine's handles lapse at once, each prompt that it reads is read for nothing (cvgc-shelf scale-2, handle_short).
+TEST(forward_flow, avoidsReadersWhoseHandlesHaveLapsed)
+{
+    plan_fixture fixture;
+    forward_flow first = fixture.flow("resumed");
+    start_attempt sent = *findAction<start_attempt>(first.begin(fixture.context(), fixture.now));
+    endpoint_id reader;
+    while (sent.duty != endpoint_duty::decode) {
+        reader = sent.duty == endpoint_duty::prefill ? sent.endpoint : reader;
+        sent = *findAction<start_attempt>(
+            first.onEnd(sent.number, attempt_end::whole, {200, true}, std::string("handle"), fixture.context(), fixture.now));
+    }
+    first.onEnd(sent.number, attempt_end::rejected, {503, false}, std::nullopt, fixture.context(), fixture.now);
+    for (int round = 0; round < 20; ++round) {
+        const auto *chosen =
+            fixture.endpoints.choose(service_id("engine"), endpoint_duty::prefill, {}, {}, nullptr, fixture.now, fixture.random);
+        CHECK(chosen->entry.id != reader);
+    }
+    // Handles that lapse everywhere leave the reading to the endpoint that generates.
+    for (const char *name : {"r1", "r2"}) {
+        fixture.endpoints.noteHandleLapsed(endpoint_id(name), fixture.now);
+    }
+    forward_flow second = fixture.flow("stream");
+    const start_attempt reserve = *findAction<start_attempt>(second.begin(fixture.context(), fixture.now));
+    const flow_actions reserved =
+        second.onEnd(reserve.number, attempt_end::whole, {200, true}, std::string("room"), fixture.context(), fixture.now);
+    CHECK(findAction<start_attempt>(reserved)->duty == endpoint_duty::decode);
+}
+
+// An instance that has just started gave up readers that were only busy, and prompts were read twice after each loss of all instances.
+TEST(forward_flow, waitsForAReaderWhoseSpeedItDoesNotKnowYet)
+{
+    plan_fixture fixture;
+    forward_flow flow = fixture.flow("resumed");
+    const start_attempt reserve = *findAction<start_attempt>(flow.begin(fixture.context(), fixture.now));
+    flow.onEnd(reserve.number, attempt_end::whole, {200, true}, std::string("room"), fixture.context(), fixture.now);
+    fixture.now += 600ms;
+    const flow_actions later = flow.onDeadline(fixture.context(), fixture.now);
+    CHECK(findAction<withdraw_attempt>(later) == nullptr);
+}
