Set room aside for the output that callers expect

Change: the caller's estimate of its output, times 1.5, at least 300 and at most the longest output.

--- a/src/forwarding/flow_messages.h
+++ b/src/forwarding/flow_messages.h
@@ -34,6 +34,8 @@
     /// Not set for requests that are not for a language model.
     std::optional<token_count> promptTokens;
     token_count outputTokens;
+    /// The caller's estimate of the output, often far off.
+    std::optional<token_count> expectedOutput;
     /// The caller resumes a stream behind this event.
     std::optional<std::int64_t> resumeAfter;
 };
--- a/src/forwarding/forward_flow.cpp
+++ b/src/forwarding/forward_flow.cpp
@@ -21,6 +21,10 @@
 constexpr std::chrono::duration<double> decodeReadCost {0.12};
 // A request that finds no room within this part of its route's target is refused, so that its caller can come back later.
 constexpr double waitPartOfTarget = 0.7;
+// Most answers are much shorter than they may be. Room is set aside for what the caller expects and half as much again; an answer that
+// outgrows its room may be interrupted for others when the endpoint is full.
+constexpr double outputMargin = 1.5;
+constexpr token_count leastOutputRoom {300};
 // When a caller whose request was not run may come again: after the blocking of a failed endpoint has begun to end, and long before its
 // own deadline.
 constexpr milliseconds retryAfterOverload {120};
@@ -654,6 +658,16 @@
     return m_attemptsUsed;
 }
 
+token_count forward_flow::roomForOutput() const
+{
+    const token_count most = m_request.facts.outputTokens;
+    if (!m_request.facts.expectedOutput) {
+        return most;
+    }
+    const double expected = static_cast<double>(m_request.facts.expectedOutput->value()) * outputMargin;
+    return std::min(std::max(token_count(static_cast<std::int64_t>(expected)), leastOutputRoom), most);
+}
+
 token_count forward_flow::tokensFor(endpoint_duty duty) const
 {
     const token_count prompt = m_request.facts.promptTokens.value_or(token_count());
@@ -666,7 +680,7 @@
     case endpoint_duty::decode:
         break;
     }
-    return prompt + m_request.facts.outputTokens;
+    return prompt + roomForOutput();
 }
 
 } // namespace burdockshelf
--- a/src/forwarding/forward_flow.h
+++ b/src/forwarding/forward_flow.h
@@ -124,6 +124,7 @@
     void releaseUnused();
     flow_actions run(const flow_context &context, instant now, const std::function<void()> &step);
     std::chrono::milliseconds silenceFor(endpoint_duty duty, const endpoint_id &endpoint) const;
+    token_count roomForOutput() const;
     token_count tokensFor(endpoint_duty duty) const;
     std::int64_t &counterOf(endpoint_duty duty);
 
--- a/tests/forwarding/forward_flow_test.cpp
+++ b/tests/forwarding/forward_flow_test.cpp
@@ -454,3 +454,22 @@
     const flow_actions later = flow.onDeadline(fixture.context(), fixture.now);
     CHECK(findAction<withdraw_attempt>(later) == nullptr);
 }
+
+// Room for the longest possible answer keeps a third of an engine's memory empty; a caller's estimate must not ask for more than that, nor for
+// next to nothing.
+TEST(forward_flow, setsRoomAsideForTheOutputThatIsExpected)
+{
+    plan_fixture fixture;
+    const auto roomFor = [&fixture](std::optional<token_count> expected) {
+        admitted_request request = fixture.flow("stream").request();
+        request.facts.outputTokens = token_count(1280);
+        request.facts.expectedOutput = expected;
+        forward_flow flow(request);
+        const flow_actions begun = flow.begin(fixture.context(), fixture.now);
+        return findAction<start_attempt>(begun)->tokens.value() - request.facts.promptTokens->value();
+    };
+    LONGS_EQUAL(1280, roomFor(std::nullopt));
+    LONGS_EQUAL(600, roomFor(token_count(400)));
+    LONGS_EQUAL(1280, roomFor(token_count(5000)));
+    LONGS_EQUAL(300, roomFor(token_count(1)));
+}
--- a/tests/platform/platform_test.cpp
+++ b/tests/platform/platform_test.cpp
@@ -32,6 +32,7 @@
         {"X-Deadline-Ms", "1000"},
         {"Authorization", "Bearer k1"},
         {"X-Token-Counts", "1460,80"},
+        {"X-Length-Hint", "60"},
         {"X-Tenant", "forged"},
         {"X-Kv-Source", "forged"},
         {"x-kv-hold", "forged"},
@@ -138,6 +139,7 @@
     STRCMP_EQUAL("k1", facts.key.c_str());
     LONGS_EQUAL(1460, facts.promptTokens->value());
     LONGS_EQUAL(80, facts.outputTokens.value());
+    LONGS_EQUAL(60, facts.expectedOutput->value());
     CHECK(facts.callerUntil == deadline::after(now, 1s));
 }
 
