Read the store's topics at a few instances, which pass them on

Cause: every instance read every topic at the store.

Ruled out: longer waits (a read that reaches the store during a write hears of it only at the end of its wait, CONFIG) and longer pauses (the bound on draining endpoints).

Change: holders of quota parts read the topics and answer over the mesh; an instance asks the holder of the part that its name's hash picks, one part for 16 instances. An answer carries its age; an instance whose reader is silent, too old or no longer reads goes to the store itself, within the same bounds. topic_reader answers, topic_reader_link asks, record_history keeps the latest records.

Checks of the newest records took records that were still to come for surprises and reset the topic for all askers; a check now resets only when nothing is still to come.

--- a/src/forwarding/quota_broker.cpp
+++ b/src/forwarding/quota_broker.cpp
@@ -27,12 +27,6 @@
 {
     m_shares.setPlan(plan, now);
     m_pool.setPlan(plan, now);
-    m_limited.clear();
-    for (const workspace_plan &workspace : plan.workspaces) {
-        if (workspace.ratePerSecond > 0.0) {
-            m_limited.push_back(workspace.id);
-        }
-    }
 }
 
 void quota_broker::setInstanceCount(std::int64_t count, instant now)
@@ -128,19 +122,6 @@
     return m_needsHolders;
 }
 
-std::vector<fleet_peer> quota_broker::peers() const
-{
-    std::vector<fleet_peer> peers;
-    for (const workspace_id &workspace : m_limited) {
-        const auto holder = m_holders.find(m_pool.partOf(workspace));
-        const bool isOther = holder != m_holders.end() && holder->second.instance != m_self;
-        if (isOther && std::find(peers.begin(), peers.end(), holder->second) == peers.end()) {
-            peers.push_back(holder->second);
-        }
-    }
-    return peers;
-}
-
 quota_decision quota_broker::useShare(const workspace_id &workspace, double cost, milliseconds retryAfter, instant now)
 {
     if (m_shares.take(workspace, cost, now)) {
--- a/src/forwarding/quota_broker.h
+++ b/src/forwarding/quota_broker.h
@@ -60,8 +60,6 @@
 
     /// The list of holders does not fit what was seen of them.
     bool needsHolders() const;
-    /// The holders that this instance may have to ask.
-    std::vector<fleet_peer> peers() const;
 
 private:
     quota_decision useShare(const workspace_id &workspace, double cost, std::chrono::milliseconds retryAfter, instant now);
@@ -72,7 +70,6 @@
     std::map<quota_part, fleet_peer> m_holders;
     /// Holders that did not answer are not asked before this.
     std::map<instance_id, deadline> m_silentUntil;
-    std::vector<workspace_id> m_limited;
     bool m_needsHolders = true;
 };
 
--- a/src/gateway/dispatch_task.cpp
+++ b/src/gateway/dispatch_task.cpp
@@ -256,6 +256,7 @@
     if (isCountNew) {
         m_repeats.setInstanceCount(m_fleet.instanceCount());
         toQuotas(instance_count_changed {m_fleet.instanceCount()});
+        toStore(instance_count_changed {m_fleet.instanceCount()});
     }
     if (isPlanNew || isCountNew) {
         announceConnectionBounds();
@@ -439,9 +440,7 @@
     announceChanges();
     if (m_reportSequence++ % reportsPerMemberReport == 0) {
         const member_report report = {m_settings.incarnation, m_reportSequence};
-        if (m_to.store.post(member_state {encodeMemberReport(report)}) != post_result::delivered) {
-            m_log.write(log_line("dispatch", "message_dropped").add("receiver", "store"));
-        }
+        toStore(member_state {encodeMemberReport(report)});
     }
     listEngines();
     m_metrics.gauges.push_back({{"endpoints", {}}, static_cast<double>(m_fleet.endpoints().size())});
@@ -510,6 +509,13 @@
     }
 }
 
+void dispatch_task::toStore(store_message message)
+{
+    if (m_to.store.post(std::move(message)) != post_result::delivered) {
+        m_log.write(log_line("dispatch", "message_dropped").add("receiver", "store"));
+    }
+}
+
 void dispatch_task::count(std::string_view metric, std::string_view label, std::string_view value)
 {
     m_metrics.counters.push_back({{std::string(metric), {{std::string(label), std::string(value)}}}, 1});
--- a/src/gateway/dispatch_task.h
+++ b/src/gateway/dispatch_task.h
@@ -111,6 +111,7 @@
     void toCallers(front_message message);
     void toEndpoints(endpoint_link_message message);
     void toQuotas(quota_broker_message message);
+    void toStore(store_message message);
     void count(std::string_view metric, std::string_view label, std::string_view value);
 
     dispatch_settings m_settings;
--- a/src/gateway/gateway_messages.h
+++ b/src/gateway/gateway_messages.h
@@ -180,6 +180,6 @@
 {
 };
 
-using store_message = std::variant<member_state, members_changed>;
+using store_message = std::variant<member_state, members_changed, instance_count_changed, holders_listed, peer_received, peer_answer>;
 
 } // namespace burdockshelf
--- a/src/gateway/gateway_tree.cpp
+++ b/src/gateway/gateway_tree.cpp
@@ -85,6 +85,7 @@
         {"mesh", [this, settings, incarnation] {
              mesh_outlets outlets;
              outlets.received.pool = makeSink<peer_received>(address(m_quotaBox));
+             outlets.received.topics = makeSink<peer_received>(address(m_storeBox));
              outlets.status = {makeSink<peer_status>(address(m_quotaBox))};
              outlets.listening = sink<mesh_listening>([this](const mesh_listening &bound) {
                  m_peerAddress = bound.address;
@@ -117,8 +118,8 @@
                               settings.instance,
                               {settings.configurationWithin, settings.silenceWithin, settings.drainWithin},
                           };
-                          return std::make_unique<store_task>(
-                              m_loop, m_storeBox, at, store, address(m_dispatchBox), m_log, random_source());
+                          const store_addresses to = {address(m_dispatchBox), address(m_groupBox), address(m_meshBox)};
+                          return std::make_unique<store_task>(m_loop, m_storeBox, at, store, to, m_log, random_source());
                       }});
     m_root->addChild({"duty", [this, settings, &endpoints = dialects.endpoints] {
                           const duty_settings duty = {settings.instance, settings.dutyTurn, settings.prefillPercent};
@@ -126,7 +127,7 @@
                       }});
     m_root->addChild({"group", [this, settings, &store = dialects.store] {
                           const group_settings group = {{settings.instance, m_peerAddress}, settings.storeAddress};
-                          const group_addresses to = {address(m_dutyBox), address(m_quotaBox), address(m_storeBox)};
+                          const group_addresses to = {address(m_dutyBox), address(m_quotaBox), address(m_storeBox), address(m_meshBox)};
                           return std::make_unique<group_task>(m_loop, m_groupBox, group, store, to, m_log);
                       }});
     m_root->addChild({"callers", [this, settings] {
--- a/src/gateway/group_task.cpp
+++ b/src/gateway/group_task.cpp
@@ -10,7 +10,7 @@
 
 using std::chrono::milliseconds;
 
-constexpr milliseconds joinPause {800};
+constexpr milliseconds joinPause {1000};
 constexpr milliseconds joinTime {600};
 constexpr milliseconds holdersTime {600};
 // Many requests may find the list wrong at the same time.
@@ -128,7 +128,19 @@
         m_log.write(log_line("group", "call_failed").add("call", "holders").add("cause", holders.error().message));
         return;
     }
-    noteUndelivered(m_to.quotas.post(holders_listed {std::move(holders.value())}), "quotas");
+    connectTo(holders.value());
+    m_log.write(log_line("group", "holders_listed").add("parts", holders.value().size()));
+    noteUndelivered(m_to.quotas.post(holders_listed {holders.value()}), "quotas");
+    noteUndelivered(m_to.store.post(holders_listed {std::move(holders.value())}), "store");
+}
+
+void group_task::connectTo(const std::vector<quota_part_holder> &holders)
+{
+    instance_list list;
+    for (const quota_part_holder &one : holders) {
+        list.instances.push_back({one.holder.instance, {}, {}, one.holder.address, instance_state::live});
+    }
+    noteUndelivered(m_to.mesh.post(std::move(list)), "mesh");
 }
 
 void group_task::noteUndelivered(post_result result, std::string_view receiver)
--- a/src/gateway/group_task.h
+++ b/src/gateway/group_task.h
@@ -23,6 +23,7 @@
     address<duty_message> duty;
     address<quota_broker_message> quotas;
     address<store_message> store;
+    address<mesh_supervisor_message> mesh;
 };
 
 /// Keeps this instance in the group among which the store deals the duties of the fleet, and tells the tasks that carry them out what this
@@ -50,6 +51,8 @@
     void noteChange(const duty_answer &joined);
     void readHolders();
     void takeHolders(const outcome<http_response> &answer);
+    /// Keeps connections to those who hold parts, and to nobody else.
+    void connectTo(const std::vector<quota_part_holder> &holders);
     void noteUndelivered(post_result result, std::string_view receiver);
 
     group_settings m_settings;
--- a/src/gateway/quota_broker_task.cpp
+++ b/src/gateway/quota_broker_task.cpp
@@ -50,7 +50,6 @@
 void quota_broker_task::apply(const quotas_changed &change)
 {
     m_broker.setPlan(change.plan->plan(), boot_clock::now());
-    connectToHolders();
 }
 
 void quota_broker_task::apply(const instance_count_changed &change)
@@ -75,8 +74,6 @@
 void quota_broker_task::apply(const holders_listed &listed)
 {
     m_broker.setHolders(listed.holders);
-    m_log.write(log_line("quotas", "holders_listed").add("parts", listed.holders.size()));
-    connectToHolders();
 }
 
 void quota_broker_task::apply(const duties_confirmed &confirmed)
@@ -171,20 +168,6 @@
     }
 }
 
-void quota_broker_task::connectToHolders()
-{
-    std::vector<fleet_peer> peers = m_broker.peers();
-    if (peers == m_peers) {
-        return;
-    }
-    m_peers = std::move(peers);
-    instance_list list;
-    for (const fleet_peer &one : m_peers) {
-        list.instances.push_back({one.instance, {}, {}, one.address, instance_state::live});
-    }
-    noteUndelivered(m_to.mesh.post(std::move(list)), "mesh");
-}
-
 void quota_broker_task::askForHolders()
 {
     noteUndelivered(m_to.group.post(holders_wanted {}), "group");
--- a/src/gateway/quota_broker_task.h
+++ b/src/gateway/quota_broker_task.h
@@ -65,7 +65,6 @@
     void perform(const pending_ask &ask, const quota_refused &refused);
     void answer(flow_id flow, std::variant<quota_granted, quota_refused> verdict);
     void post(const fleet_peer &to, std::uint64_t exchange, peer_message message);
-    void connectToHolders();
     void askForHolders();
     void noteUndelivered(post_result result, std::string_view receiver);
 
@@ -75,7 +74,6 @@
     quota_broker m_broker;
     std::map<std::uint64_t, pending_ask> m_pending;
     std::uint64_t m_lastExchange = 0;
-    std::vector<fleet_peer> m_peers;
     std::vector<quota_part> m_held;
 };
 
--- /dev/null
+++ b/src/gateway/record_history.cpp
@@ -0,0 +1,45 @@
+#include "gateway/record_history.h"
+
+namespace burdockshelf
+{
+
+namespace
+{
+
+// An instance that is further behind reads the newest records at the store.
+constexpr std::size_t mostRecords = 256;
+
+} // namespace
+
+void record_history::begin(store_offset end)
+{
+    m_records.clear();
+    m_end = end;
+}
+
+void record_history::append(const std::vector<store_record> &records)
+{
+    for (const store_record &record : records) {
+        m_records.push_back(record);
+        if (m_records.size() > mostRecords) {
+            m_records.pop_front();
+        }
+    }
+    m_end += store_offset(static_cast<std::int64_t>(records.size()));
+}
+
+store_offset record_history::end() const
+{
+    return m_end;
+}
+
+std::optional<std::vector<store_record>> record_history::from(store_offset offset) const
+{
+    const std::int64_t behind = (m_end - offset).value();
+    if (behind < 0 || behind > static_cast<std::int64_t>(m_records.size())) {
+        return std::nullopt;
+    }
+    return std::vector<store_record>(m_records.end() - behind, m_records.end());
+}
+
+} // namespace burdockshelf
--- a/src/gateway/store_task.h
+++ b/src/gateway/store_task.h
@@ -31,7 +31,16 @@
     store_bounds bounds;
 };
 
-/// The one client of the platform's store: follows the topics that concern a gateway and writes this instance's own state.
+/// Where the store's news and the questions of other instances go.
+struct store_addresses
+{
+    address<dispatch_message> dispatcher;
+    address<group_message> group;
+    address<mesh_supervisor_message> mesh;
+};
+
+/// Follows the topics of the platform's store that concern a gateway and writes this instance's own state. A few instances, holders of
+/// parts of the quotas' pool, read the topics at the store; the others read there.
 class store_task : public task<store_message>
 {
 public:
@@ -39,7 +48,7 @@
                std::shared_ptr<mailbox<store_message>> box,
                store_settings settings,
                const store_dialect &dialect,
-               address<dispatch_message> dispatcher,
+               store_addresses to,
                event_log log,
                random_source random);
 
@@ -49,15 +58,27 @@
     void handle(store_message &&message) override;
     void apply(member_state &&state);
     void apply(const members_changed &changed);
+    void apply(const instance_count_changed &change);
+    void apply(const holders_listed &listed);
+    void apply(const peer_received &received);
+    void apply(const peer_answer &answer);
+    /// Chooses the instance that reads the topics for this one.
+    void chooseReader();
+    void askForHolders();
     void noteContact(bool isReachable);
     void post(dispatch_message message);
 
     store_settings m_settings;
     const store_dialect &m_dialect;
-    address<dispatch_message> m_dispatcher;
+    store_addresses m_to;
     event_log m_log;
     random_source m_random;
     timed_call m_writer;
+    topic_reader m_readers;
+    topic_reader_link m_source;
+    std::vector<quota_part_holder> m_holders;
+    std::int64_t m_instanceCount = 1;
+    timer m_holdersTimer;
     std::vector<std::unique_ptr<topic_follower>> m_followers;
     bool m_isReachable = false;
 };
--- a/src/gateway/topic_follower.h
+++ b/src/gateway/topic_follower.h
@@ -2,31 +2,56 @@
 
 #include "gateway/gateway_messages.h"
 #include "gateway/timed_call.h"
+#include "gateway/topic_reader.h"
+#include "gateway/topic_reader_link.h"
 #include "logging/log_writer_task.h"
 #include "runtime/backoff.h"
 
 #include <functional>
 #include <map>
+#include <optional>
 
 namespace burdockshelf
 {
 
-/// How a topic is followed.
-struct follow_settings
+/// How often the store is called.
+struct call_rhythm
 {
-    store_topic topic = store_topic::operators;
     /// The store holds a call open for this long while there is nothing new.
     std::chrono::milliseconds wait {};
     /// Pause between two calls.
     std::chrono::milliseconds pause {};
+};
+
+/// How a topic is followed.
+struct follow_settings
+{
+    store_topic topic = store_topic::operators;
+    /// While this instance reads for itself.
+    call_rhythm own;
+    /// While other instances read the topic here.
+    call_rhythm forOthers;
+    /// Pause between two asks at the instance that reads at the store.
+    std::chrono::milliseconds askPause {};
+    /// What another instance has read counts as long as the store has answered it within this time.
+    std::chrono::milliseconds ageLimit {};
     /// Time that an answer may take beyond the wait.
     std::chrono::milliseconds answerTime {};
     /// How often everything is read anew, in case that records went without a trace.
     std::chrono::milliseconds rereadPause {};
 };
 
-/// Follows one topic: reads the newest record of each key, then the records behind them. Never reports a record that is older than one that
-/// it has reported. Owned by store_task.
+/// Where the records of a topic come from and whom they are handed on to, besides the store.
+struct topic_links
+{
+    /// Another instance that reads at the store.
+    topic_reader_link &source;
+    /// Instances that read here.
+    topic_reader &readers;
+};
+
+/// Follows one topic: reads the newest record of each key at the store, then the records behind them, at another instance if one reads them
+/// there, else at the store. Never reports a record that is older than one that it has reported. Owned by store_task.
 class topic_follower
 {
 public:
@@ -38,27 +63,59 @@
                    const socket_address &store,
                    const store_dialect &dialect,
                    follow_settings settings,
+                   topic_links links,
                    update_handler onUpdate,
                    contact_handler onContact,
                    event_log log,
                    random_source &random);
 
     void start();
-    /// Reads on at once, in place of the rest of a pause. A store that fails is left its time.
+    /// Reads on at the store at once, in place of the rest of a pause. A store that fails is left its time.
     void hurry();
+    /// Another instance reads at the store from now on.
+    void forgetReader();
 
 private:
     void next();
     void readNewest();
     void readOn();
+    void askReader();
     void takePage(const outcome<http_response> &answer);
+    void finishPages();
     void takeBatch(const outcome<http_response> &answer);
+    void takeRelayed(const outcome<records_answer> &answer);
+    /// Why an answer of another instance cannot be used; empty when it can.
+    std::string_view flawOf(const outcome<records_answer> &answer) const;
+    void takeRecords(std::vector<store_record> &&records);
+    /// Other instances read the topic here.
+    bool readsForOthers(instant now) const;
+    call_rhythm rhythm(instant now) const;
     void noteSuccess();
     void retryLater(std::string_view cause);
     void waitForNext(std::chrono::milliseconds pause);
 
+    /// The newest record of a key, as far as known.
+    struct newest_record
+    {
+        store_offset offset;
+        bool isDropped = false;
+    };
+
+    /// Why the newest records are read.
+    enum class newest_cause
+    {
+        /// Nothing is known yet, or records were missed.
+        needed,
+        /// To make sure that no change went without a record.
+        check,
+    };
+
+    /// The newest records say something that no record has told of.
+    bool isSurprise(const std::map<std::string, newest_record> &listed) const;
+
     const store_dialect &m_dialect;
     follow_settings m_settings;
+    topic_links m_links;
     update_handler m_onUpdate;
     contact_handler m_onContact;
     event_log m_log;
@@ -66,13 +123,17 @@
     timed_call m_call;
     timer m_next;
     backoff m_backoff;
-    bool m_readsNewest = true;
+    /// Set while the newest records are to be read.
+    std::optional<newest_cause> m_newestCause = newest_cause::needed;
     bool m_isFailing = false;
+    bool m_isAsking = false;
+    /// The reader's count of changes that no record told of, as it was last heard.
+    std::optional<std::int64_t> m_resets;
     std::vector<store_record> m_page;
     std::string m_afterKey;
     store_offset m_pageEnd;
     store_offset m_position;
-    std::map<std::string, store_offset> m_newest;
+    std::map<std::string, newest_record> m_newest;
     deadline m_rereadAt;
 };
 
--- a/src/mesh/peer_sinks.cpp
+++ b/src/mesh/peer_sinks.cpp
@@ -27,6 +27,8 @@
     &peer_sinks::pool, // pool_ask
     nullptr, // pool_answer
     &peer_sinks::pool, // pool_return
+    &peer_sinks::topics, // records_ask
+    nullptr, // records_answer
     nullptr, // acknowledgement
 };
 
--- a/src/mesh/peer_sinks.h
+++ b/src/mesh/peer_sinks.h
@@ -13,6 +13,7 @@
     sink<peer_received> quota;
     sink<peer_received> slots;
     sink<peer_received> pool;
+    sink<peer_received> topics;
 
     /// The sink for a kind of message; null for answers, which no peer may send unasked.
     const sink<peer_received> *find(const peer_message &message) const;
--- a/src/policy/peer_message.h
+++ b/src/policy/peer_message.h
@@ -6,6 +6,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -143,6 +144,39 @@
     token_count cost;
 };
 
+/// A topic of the platform's store, by its number.
+using relayed_topic = quantity<struct relayed_topic_tag>;
+
+/// Asks an instance that reads a topic at the store for the records behind an offset; it answers once there are some, or after the wait.
+struct records_ask
+{
+    relayed_topic topic;
+    log_offset from;
+    std::chrono::milliseconds wait {};
+};
+
+/// A record of a topic in which the newest of each key counts; no value when the key was dropped.
+struct relayed_record
+{
+    std::string key;
+    std::optional<std::string> value;
+};
+
+struct records_answer
+{
+    /// False when the one who was asked does not read the topic at the store itself.
+    bool isReader = false;
+    /// The records behind the offset are no longer there; the newest have to be read at the store.
+    bool isGone = false;
+    /// The records stand one behind the other from the offset of the ask on.
+    std::vector<relayed_record> records;
+    log_offset end;
+    /// How often the reader has found a change at the store that no record told of.
+    std::int64_t resets = 0;
+    /// Since the store has last answered the reader.
+    std::chrono::milliseconds age {};
+};
+
 /// An answer without content, or the refusal of a message.
 struct acknowledgement
 {
@@ -165,6 +199,8 @@
                                   pool_ask,
                                   pool_answer,
                                   pool_return,
+                                  records_ask,
+                                  records_answer,
                                   acknowledgement>;
 
 } // namespace burdockshelf
--- a/src/wire/peer_codec.cpp
+++ b/src/wire/peer_codec.cpp
@@ -56,6 +56,13 @@
         }
     }
 
+    void read(const char *name, std::int64_t &number)
+    {
+        if (const auto found = integer(name, 0)) {
+            number = *found;
+        }
+    }
+
     void read(const char *name, std::chrono::milliseconds &span)
     {
         if (const auto number = integer(name, 0)) {
@@ -354,6 +361,53 @@
     body.read("t", returned.cost);
 }
 
+json write(const records_ask &ask, const record_translator & /*records*/)
+{
+    return {{"t", ask.topic.value()}, {"f", ask.from.value()}, {"w", ask.wait.count()}};
+}
+
+void read(member_reader &body, records_ask &ask, const record_translator & /*records*/)
+{
+    body.read("t", ask.topic);
+    body.read("f", ask.from);
+    body.read("w", ask.wait);
+}
+
+json write(const records_answer &answer, const record_translator & /*records*/)
+{
+    json entries = json::array();
+    for (const relayed_record &record : answer.records) {
+        entries.push_back(record.value ? json::array({record.key, *record.value}) : json::array({record.key}));
+    }
+    return {{"d", answer.isReader},
+            {"g", answer.isGone},
+            {"r", std::move(entries)},
+            {"e", answer.end.value()},
+            {"s", answer.resets},
+            {"a", answer.age.count()}};
+}
+
+void read(member_reader &body, records_answer &answer, const record_translator & /*records*/)
+{
+    body.read("d", answer.isReader);
+    body.read("g", answer.isGone);
+    body.read("e", answer.end);
+    body.read("s", answer.resets);
+    body.read("a", answer.age);
+    for (const json &entry : body.elements("r")) {
+        const bool isEntry = entry.is_array() && !entry.empty() && entry.size() <= 2 && entry[0].is_string() && entry.back().is_string();
+        if (!isEntry) {
+            body.refuse("member 'r' holds something else than records");
+            return;
+        }
+        relayed_record record = {entry[0].get<std::string>(), std::nullopt};
+        if (entry.size() == 2) {
+            record.value = entry[1].get<std::string>();
+        }
+        answer.records.push_back(std::move(record));
+    }
+}
+
 json write(const acknowledgement &answer, const record_translator & /*records*/)
 {
     return {{"k", answer.isAccepted}};
@@ -426,6 +480,8 @@
     entryOf<pool_ask>("pool_ask"),
     entryOf<pool_answer>("pool_answer"),
     entryOf<pool_return>("pool_return"),
+    entryOf<records_ask>("records_ask"),
+    entryOf<records_answer>("records_answer"),
     entryOf<acknowledgement>("acknowledgement"),
 };
 
--- a/tests/forwarding/forward_flow_test.cpp
+++ b/tests/forwarding/forward_flow_test.cpp
@@ -455,8 +455,8 @@
     CHECK(findAction<withdraw_attempt>(later) == nullptr);
 }
 
-// Room for the longest possible answer keeps a third of an engine's memory empty; a caller's estimate must not ask for more than that, nor for
-// next to nothing.
+// Room for the longest possible answer keeps a third of an engine's memory empty; a caller's estimate must not ask for more than that, nor
+// for next to nothing.
 TEST(forward_flow, setsRoomAsideForTheOutputThatIsExpected)
 {
     plan_fixture fixture;
--- a/tests/gateway/quota_pool_test.cpp
+++ b/tests/gateway/fleet_test.cpp
@@ -4,8 +4,13 @@
 #include "platform/platform.h"
 #include "standins/users_platform/standin_backend.h"
 #include "standins/users_platform/standin_store.h"
+#include "support/scratch_folder.h"
+
+#include <fstream>
+#include <sstream>
 
 #include <fcntl.h>
+#include <sys/stat.h>
 #include <unistd.h>
 
 #include <CppUTest/TestHarness.h>
@@ -20,13 +25,17 @@
 // One request costs about a fifth of what the workspace may use at once.
 constexpr const char *requestTokens = "8000,1000";
 
-constexpr const char *configText = R"({"version":3,"routes":[
+std::string configText(int version, const std::string &key)
+{
+    return R"({"version":)" + std::to_string(version) + R"(,"routes":[
  {"name":"text","host":"127.0.0.1","path_prefix":"/text/","kind":"streaming","timeout_ms":5000,"service":"engine","max_attempts":1}],
  "services":[{"name":"engine","max_conns":100,"engine":{"slots":8,"kv_capacity":40000}}],
- "tenants":[{"name":"w","api_keys":["k1"],"unit":"tokens","plain_tokens":200,"rate_per_s":47000,"burst":47000}]})";
+ "tenants":[{"name":"w","api_keys":[")"
+        + key + R"("],"unit":"tokens","plain_tokens":200,"rate_per_s":47000,"burst":47000}]})";
+}
 
 /// Several gateways on one loop around one store and one pair of engines.
-struct gateway_pair
+struct gateway_fleet
 {
     event_loop loop;
     timer guard;
@@ -36,10 +45,11 @@
     standin_backend prefill;
     standin_backend decode;
     platform_adapter adapter;
-    int log = ::open("/dev/null", O_WRONLY);
+    scratch_folder scratch;
+    std::vector<int> logs;
     std::vector<std::unique_ptr<gateway_tree>> gateways;
 
-    gateway_pair()
+    gateway_fleet()
         : guard(loop,
                 [this] {
                     isTimedOut = true;
@@ -51,7 +61,7 @@
         , decode(loop, "d")
     {
         guard.start(deadline::after(boot_clock::now(), guardTime));
-        store.put("keyed.op", "config", configText);
+        store.put("keyed.op", "config", configText(3, "k1"));
         store.put("keyed.servers", "r", prefill.entry("engine", "z", "prefill"));
         store.put("keyed.servers", "d", decode.entry("engine", "z", "decode"));
         // Many more instances report than run, so that each has a small share of its own.
@@ -61,29 +71,34 @@
         for (const char *name : {"one", "two"}) {
             gateway_settings settings;
             settings.instance = instance_id(name);
+            // The second gateway can be cut off from the store alone.
+            const bool isSecond = !gateways.empty();
             settings.dataCentre = data_centre_id("z");
             settings.callerAddress = settings.readinessAddress = settings.metricsAddress = settings.peerAddress = {"127.0.0.1", 0};
-            settings.storeAddress = store.address();
+            settings.storeAddress = isSecond ? store.sideAddress() : store.address();
             settings.quotaParts = 4;
-            gateways.push_back(std::make_unique<gateway_tree>(loop, settings, adapter.dialects(), log, [](int) {}));
+            logs.push_back(::open(scratch.path(name).c_str(), O_WRONLY | O_CREAT, S_IRUSR | S_IWUSR));
+            gateways.push_back(std::make_unique<gateway_tree>(loop, settings, adapter.dialects(), logs.back(), [](int) {}));
             CHECK_TRUE(gateways.back()->start().has_value());
         }
     }
 
-    ~gateway_pair()
+    ~gateway_fleet()
     {
         gateways.clear();
-        ::close(log);
+        for (const int log : logs) {
+            ::close(log);
+        }
     }
 
-    int call(std::size_t gateway)
+    int call(std::size_t gateway, const std::string &key = "k1")
     {
         http_client client(loop, gateways[gateway]->callerAddress());
         http_request request;
         request.method = "POST";
         request.target = "/text/x";
         request.headers = {
-            {"X-Attempt-Id", "a"}, {"X-Deadline-Ms", "4000"}, {"Authorization", "Bearer k1"}, {"X-Token-Counts", requestTokens}};
+            {"X-Attempt-Id", "a"}, {"X-Deadline-Ms", "4000"}, {"Authorization", "Bearer " + key}, {"X-Token-Counts", requestTokens}};
         request.body = "prompt";
         int status = 0;
         http_call_handlers handlers;
@@ -96,11 +111,29 @@
         return status;
     }
 
+    std::string logOf(std::size_t gateway) const
+    {
+        std::ifstream file(scratch.path(gateway == 0 ? "one" : "two"));
+        std::ostringstream text;
+        text << file.rdbuf();
+        return text.str();
+    }
+
+    // Waits until the gateway's log says that it has another instance read for it.
+    void readAtOtherInstance(std::size_t gateway)
+    {
+        while (!isTimedOut && logOf(gateway).find("event=reader_chosen") == std::string::npos) {
+            pause.start(deadline::after(boot_clock::now(), 20ms));
+            loop.run();
+        }
+        CHECK_FALSE(isTimedOut);
+    }
+
     // What has to spread does so without sleeps of a fixed length.
-    bool callUntil(std::size_t gateway, int status)
+    bool callUntil(std::size_t gateway, int status, const std::string &key = "k1")
     {
         while (!isTimedOut) {
-            if (call(gateway) == status) {
+            if (call(gateway, key) == status) {
                 return true;
             }
             pause.start(deadline::after(boot_clock::now(), 20ms));
@@ -118,7 +151,7 @@
 // does, also after the store has dealt the parts to another.
 TEST(quota_pools, serveRequestsThatAreLargerThanAnInstancesShare)
 {
-    gateway_pair site;
+    gateway_fleet site;
     site.store.dealTo("one");
     CHECK_TRUE(site.callUntil(1, 200));
     CHECK_TRUE(site.callUntil(1, 200));
@@ -131,7 +164,7 @@
 // What the pool has paid for a request that was refused by the endpoints must be there for the next one.
 TEST(quota_pools, getBackWhatARefusedRequestHasNotUsed)
 {
-    gateway_pair site;
+    gateway_fleet site;
     site.store.dealTo("one");
     CHECK_TRUE(site.callUntil(1, 200));
     site.store.drop("keyed.servers", "d");
@@ -143,3 +176,30 @@
     // Twenty requests cost six times the workspace's burst.
     LONGS_EQUAL(20, refusals);
 }
+
+TEST_GROUP(read_topics) {};
+
+// An instance that the store turns away went on with withdrawn keys until the store served it again.
+TEST(read_topics, reachAnInstanceThatTheStoreTurnsAway)
+{
+    gateway_fleet site;
+    site.store.dealTo("one");
+    CHECK_TRUE(site.callUntil(1, 200));
+    site.readAtOtherInstance(1);
+    site.store.setSideRefusing(true);
+    site.store.put("keyed.op", "config", configText(5, "k2"));
+    CHECK_TRUE(site.callUntil(1, 401));
+    CHECK_TRUE(site.callUntil(1, 200, "k2"));
+}
+
+// When its reader has gone silent, an instance must notice changes by itself.
+TEST(read_topics, areReadAtTheStoreWhenTheReaderIsGone)
+{
+    gateway_fleet site;
+    site.store.dealTo("one");
+    CHECK_TRUE(site.callUntil(1, 200));
+    site.readAtOtherInstance(1);
+    site.gateways.front().reset();
+    site.store.put("keyed.op", "config", configText(5, "k2"));
+    CHECK_TRUE(site.callUntil(1, 401));
+}
--- a/tests/gateway/gateway_test.cpp
+++ b/tests/gateway/gateway_test.cpp
@@ -354,9 +354,23 @@
     for (const std::chrono::milliseconds bound : {500ms, 2000ms, 3000ms, 20000ms}) {
         for (const std::chrono::milliseconds silence : {700ms, 3000ms, 4000ms}) {
             for (const follow_settings &topic : followedTopics({bound, silence, bound})) {
-                CHECK(topic.wait < bound);
-                CHECK(topic.wait < silence);
-                CHECK(topic.topic == store_topic::members || topic.pause < bound);
+                CHECK(topic.own.wait < bound);
+                CHECK(topic.own.wait < silence);
+                CHECK(topic.topic == store_topic::members || topic.own.pause < bound);
+            }
+        }
+    }
+}
+
+// An instance that reads at another learns of a change after the age of what was read there, the time of its next ask, and a call of its
+// own.
+TEST(store_topics, keepTheBoundsWhenAnotherInstanceReads)
+{
+    for (const std::chrono::milliseconds bound : {2000ms, 3000ms, 20000ms}) {
+        for (const follow_settings &topic : followedTopics({bound, 4000ms, bound})) {
+            if (topic.topic != store_topic::members) {
+                CHECK(topic.ageLimit + topic.askPause + topic_reader_link::askTime < bound);
+                CHECK(topic.forOthers.wait + topic.forOthers.pause < topic.ageLimit);
             }
         }
     }
--- a/tests/standins/users_platform/standin_store.cpp
+++ b/tests/standins/users_platform/standin_store.cpp
@@ -73,6 +73,8 @@
     : m_loop(loop)
     , m_server(loop, {}, [this](const std::shared_ptr<http_exchange> &exchange) { answer(exchange); })
     , m_address(m_server.listen({"127.0.0.1", 0}).value())
+    , m_side(loop, {}, [this](const std::shared_ptr<http_exchange> &exchange) { answerSide(exchange); })
+    , m_sideAddress(m_side.listen({"127.0.0.1", 0}).value())
 {
 }
 
@@ -81,6 +83,25 @@
     return m_address;
 }
 
+const socket_address &standin_store::sideAddress() const
+{
+    return m_sideAddress;
+}
+
+void standin_store::setSideRefusing(bool isRefusing)
+{
+    m_isSideRefusing = isRefusing;
+}
+
+void standin_store::answerSide(const std::shared_ptr<http_exchange> &exchange)
+{
+    if (m_isSideRefusing) {
+        exchange->respond(plain(503));
+        return;
+    }
+    answer(exchange);
+}
+
 void standin_store::put(const std::string &topic, const std::string &key, const std::string &value)
 {
     append(topic, {key, value});
@@ -241,19 +262,16 @@
     std::size_t next = 0;
     for (auto &[part, holder] : m_parts) {
         holder = m_members.empty() ? std::string() : m_members[next++ % m_members.size()];
+        for (const std::string &member : m_members) {
+            holder = !m_dealtTo.empty() && member.starts_with(m_dealtTo) ? member : holder;
+        }
     }
 }
 
 void standin_store::dealTo(const std::string &memberPrefix)
 {
-    ++m_generation;
-    for (const std::string &member : m_members) {
-        if (member.starts_with(memberPrefix)) {
-            for (auto &[part, holder] : m_parts) {
-                holder = member;
-            }
-        }
-    }
+    m_dealtTo = memberPrefix;
+    dealAnew();
 }
 
 void standin_store::append(const std::string &topicName, record fresh)
--- a/tests/standins/users_platform/standin_store.h
+++ b/tests/standins/users_platform/standin_store.h
@@ -29,13 +29,16 @@
     explicit standin_store(event_loop &loop);
 
     const socket_address &address() const;
+    /// A second address, which can refuse its callers while the first serves.
+    const socket_address &sideAddress() const;
+    void setSideRefusing(bool isRefusing);
     void put(const std::string &topic, const std::string &key, const std::string &value);
     void drop(const std::string &topic, const std::string &key);
     /// Removes all records; the newest of each key stay readable as such.
     void forgetHistory(const std::string &topic);
     void setMood(mood now);
     std::size_t callCount() const;
-    /// Deals all partitions of the group to one member, by the begin of its name, as when the store deals them anew.
+    /// Deals all partitions of the group to one member, by the begin of its name, from now on.
     void dealTo(const std::string &memberPrefix);
 
 private:
@@ -61,6 +64,7 @@
     };
 
     void answer(const std::shared_ptr<http_exchange> &exchange);
+    void answerSide(const std::shared_ptr<http_exchange> &exchange);
     void answerNewest(http_exchange &exchange);
     void answerRead(const std::shared_ptr<http_exchange> &exchange);
     void answerAppend(http_exchange &exchange);
@@ -74,6 +78,9 @@
     event_loop &m_loop;
     http_server m_server;
     socket_address m_address;
+    http_server m_side;
+    socket_address m_sideAddress;
+    bool m_isSideRefusing = false;
     std::map<std::string, topic> m_topics;
     std::list<waiting_read> m_waiting;
     std::vector<std::shared_ptr<http_exchange>> m_unanswered;
@@ -81,6 +88,7 @@
     /// Topic and partition, and the member that holds it.
     std::map<std::pair<std::string, int>, std::string> m_parts;
     int m_generation = 0;
+    std::string m_dealtTo;
     mood m_mood = mood::serving;
     std::size_t m_calls = 0;
 };
--- a/tests/wire/peer_codec_test.cpp
+++ b/tests/wire/peer_codec_test.cpp
@@ -55,6 +55,13 @@
             pool_ask {workspace, tokens},
             pool_answer {anyFlag(), anyFlag(), 1ms * anyCount()},
             pool_return {workspace, tokens},
+            records_ask {relayed_topic(anyCount()), log_offset(anyCount()), 1ms * anyCount()},
+            records_answer {anyFlag(),
+                            anyFlag(),
+                            {{anyText(), anyText()}, {anyText(), std::nullopt}},
+                            log_offset(anyCount()),
+                            anyCount(),
+                            1ms * anyCount()},
             acknowledgement {anyFlag()}};
 }
 
