Keep endpoints for two seconds whose entries lapsed while the store was away

Ruled out: keeping every removed entry for two seconds (an endpoint that leaves while the store serves must get nothing after the bound).

Change: news of a topic say how long the store had said nothing of it. An entry that goes after more than silenceWithinMs is kept for two seconds, or for the bound on leaving endpoints if that is shorter; one that is leaving ends at once. lapsed_entries decides, the line entry_lapsed tells. An answer of the reading instance now also counts as contact with the store, so that store_regained is written.

Tests: keepsEndpointsWhoseEntriesLapsedUntilTheyCanBeBack and three tests of lapsed_entries were seen to fail with the keeping off.

--- a/src/gateway/dispatch_task.cpp
+++ b/src/gateway/dispatch_task.cpp
@@ -43,10 +43,11 @@
     , m_log(std::move(log))
     , m_random(random)
     , m_requests(m_log)
-    , m_fleet(m_settings.instance, m_settings.dataCentre, dialects.records, m_log)
+    , m_fleet(m_settings.instance, m_settings.dataCentre, m_settings.entries, dialects.records, m_log)
     , m_repeats(m_settings.repeats)
     , m_deadlines(loop, [this](flow_id due) { passDeadline(due); })
     , m_report(loop, [this] { reportState(); })
+    , m_lapses(loop, [this] { dropLapsedEndpoints(); })
 {
 }
 
@@ -218,13 +219,15 @@
 
 void dispatch_task::apply(const topic_reset &reset)
 {
-    m_fleet.reset(reset.topic, reset.records, boot_clock::now());
+    m_fleet.reset(reset.topic, reset.records, {boot_clock::now(), reset.silence});
+    dropLapsedEndpoints();
     announceChanges();
 }
 
 void dispatch_task::apply(const topic_changed &change)
 {
-    m_fleet.change(change.topic, change.records, boot_clock::now());
+    m_fleet.change(change.topic, change.records, {boot_clock::now(), change.silence});
+    dropLapsedEndpoints();
     announceChanges();
 }
 
@@ -245,6 +248,14 @@
     updateReadiness();
 }
 
+void dispatch_task::dropLapsedEndpoints()
+{
+    const deadline next = m_fleet.dropLapsed(boot_clock::now());
+    if (!next.isNever()) {
+        m_lapses.start(next);
+    }
+}
+
 void dispatch_task::announceChanges()
 {
     const bool isPlanNew = std::exchange(m_announcedPlan, m_fleet.planVersion()) != m_fleet.planVersion();
--- a/src/gateway/dispatch_task.h
+++ b/src/gateway/dispatch_task.h
@@ -23,6 +23,7 @@
     incarnation_id incarnation;
     data_centre_id dataCentre;
     repeat_limits repeats;
+    entry_bounds entries;
     /// From the begin of the shutdown until the process is ended by force.
     std::chrono::milliseconds grace {8000};
 };
@@ -82,6 +83,7 @@
     void returnQuota(const quota_grant &grant);
     /// Hands on what follows from a change of belief.
     void announceChanges();
+    void dropLapsedEndpoints();
     void announceConnectionBounds();
     void carryOut(active_flow &flow, flow_actions &&actions);
     void perform(active_flow &flow, start_attempt &&action);
@@ -129,6 +131,7 @@
     active_flows m_flows;
     flow_deadlines m_deadlines;
     timer m_report;
+    timer m_lapses;
     metric_batch m_metrics;
     bool m_isReady = false;
     deadline m_streamsUntil = deadline::never();
--- a/src/gateway/fleet_state.cpp
+++ b/src/gateway/fleet_state.cpp
@@ -8,10 +8,12 @@
 namespace burdockshelf
 {
 
-fleet_state::fleet_state(const instance_id &self, const data_centre_id &dataCentre, const record_dialect &records, event_log log)
+fleet_state::fleet_state(
+    const instance_id &self, const data_centre_id &dataCentre, entry_bounds bounds, const record_dialect &records, event_log log)
     : m_records(records)
     , m_log(std::move(log))
     , m_endpoints(endpoint_table_settings {dataCentre})
+    , m_lapsed(bounds)
     , m_members(self)
 {
 }
@@ -26,14 +28,14 @@
     return handlers.at(static_cast<std::size_t>(topic));
 }
 
-void fleet_state::reset(store_topic topic, const std::vector<store_record> &records, instant now)
+void fleet_state::reset(store_topic topic, const std::vector<store_record> &records, const record_arrival &arrival)
 {
-    (this->*handlerOf(topic).reset)(records, now);
+    (this->*handlerOf(topic).reset)(records, arrival);
 }
 
-void fleet_state::change(store_topic topic, const std::vector<store_record> &records, instant now)
+void fleet_state::change(store_topic topic, const std::vector<store_record> &records, const record_arrival &arrival)
 {
-    (this->*handlerOf(topic).change)(records, now);
+    (this->*handlerOf(topic).change)(records, arrival);
 }
 
 void fleet_state::countInstances(instant now)
@@ -75,20 +77,20 @@
     return m_instanceCount;
 }
 
-void fleet_state::resetOperators(const std::vector<store_record> &records, instant now)
+void fleet_state::resetOperators(const std::vector<store_record> &records, const record_arrival &arrival)
 {
     std::set<data_centre_id> evacuated;
     for (const store_record &record : records) {
-        takeOperatorRecord(record, evacuated, now);
+        takeOperatorRecord(record, evacuated, arrival.at);
     }
     setEvacuated(std::move(evacuated));
 }
 
-void fleet_state::changeOperators(const std::vector<store_record> &records, instant now)
+void fleet_state::changeOperators(const std::vector<store_record> &records, const record_arrival &arrival)
 {
     std::set<data_centre_id> evacuated = m_endpoints.evacuated();
     for (const store_record &record : records) {
-        takeOperatorRecord(record, evacuated, now);
+        takeOperatorRecord(record, evacuated, arrival.at);
     }
     setEvacuated(std::move(evacuated));
 }
@@ -152,7 +154,7 @@
     m_endpoints.setEvacuated(std::move(evacuated));
 }
 
-void fleet_state::resetEndpoints(const std::vector<store_record> &records, instant now)
+void fleet_state::resetEndpoints(const std::vector<store_record> &records, const record_arrival &arrival)
 {
     std::set<endpoint_id> listed;
     for (const store_record &record : records) {
@@ -168,30 +170,30 @@
     });
     std::erase_if(m_early, [&](const auto &entry) { return listed.count(entry.first) == 0; });
     for (const endpoint_id &endpoint : gone) {
-        removeEndpoint(endpoint, "not among the newest entries");
+        loseEntry(endpoint, "not among the newest entries", arrival);
     }
-    changeEndpoints(records, now);
+    changeEndpoints(records, arrival);
 }
 
-void fleet_state::changeEndpoints(const std::vector<store_record> &records, instant now)
+void fleet_state::changeEndpoints(const std::vector<store_record> &records, const record_arrival &arrival)
 {
     for (const store_record &record : records) {
         if (!record.value) {
-            removeEndpoint(endpoint_id(record.key), "its entry was dropped");
+            loseEntry(endpoint_id(record.key), "its entry was dropped", arrival);
             continue;
         }
         const auto decoded = m_records.decodeEndpoint(record.key, *record.value);
         if (!decoded) {
             logUnreadable(record, decoded.error());
         } else if (m_plan) {
-            putEndpoint(decoded.value(), now);
+            putEndpoint(decoded.value(), arrival.at);
         } else {
             m_early[decoded.value().id] = decoded.value();
         }
     }
 }
 
-void fleet_state::changeMembers(const std::vector<store_record> &records, instant now)
+void fleet_state::changeMembers(const std::vector<store_record> &records, const record_arrival &arrival)
 {
     for (const store_record &record : records) {
         const instance_id instance(record.key);
@@ -201,17 +203,18 @@
         }
         const auto report = decodeMemberReport(*record.value);
         if (report) {
-            m_members.put(instance, report.value(), now);
+            m_members.put(instance, report.value(), arrival.at);
         } else {
             logUnreadable(record, report.error());
         }
     }
     m_areMembersKnown = true;
-    countInstances(now);
+    countInstances(arrival.at);
 }
 
 void fleet_state::putEndpoint(const endpoint_entry &entry, instant now)
 {
+    m_lapsed.forget(entry.id);
     if (m_endpoints.put(entry, m_plan->findService(entry.service), now)) {
         m_log.write(log_line("dispatch", "endpoint_changed")
                         .add("endpoint", entry.id)
@@ -223,9 +226,28 @@
     }
 }
 
+void fleet_state::loseEntry(const endpoint_id &endpoint, std::string_view cause, const record_arrival &arrival)
+{
+    const endpoint_state *known = m_endpoints.find(endpoint);
+    if (known == nullptr || known->entry.isDraining || !m_lapsed.keep(endpoint, arrival.silence, arrival.at)) {
+        removeEndpoint(endpoint, cause);
+        return;
+    }
+    m_log.write(log_line("dispatch", "entry_lapsed").add("endpoint", endpoint).add("cause", cause).add("silence_ms", arrival.silence));
+}
+
+deadline fleet_state::dropLapsed(instant now)
+{
+    for (const endpoint_id &endpoint : m_lapsed.takeMissing(now)) {
+        removeEndpoint(endpoint, "its entry lapsed and has not come back");
+    }
+    return m_lapsed.next();
+}
+
 void fleet_state::removeEndpoint(const endpoint_id &endpoint, std::string_view cause)
 {
     m_early.erase(endpoint);
+    m_lapsed.forget(endpoint);
     if (m_endpoints.remove(endpoint)) {
         m_log.write(log_line("dispatch", "endpoint_gone").add("endpoint", endpoint).add("cause", cause));
     }
--- a/src/gateway/gateway_messages.h
+++ b/src/gateway/gateway_messages.h
@@ -139,12 +139,16 @@
 {
     store_topic topic = store_topic::operators;
     std::vector<store_record> records;
+    /// How long the store had said nothing of the topic before.
+    std::chrono::milliseconds silence {};
 };
 
 struct topic_changed
 {
     store_topic topic = store_topic::operators;
     std::vector<store_record> records;
+    /// How long the store had said nothing of the topic before.
+    std::chrono::milliseconds silence {};
 };
 
 struct store_reachability
--- a/src/gateway/topic_follower.cpp
+++ b/src/gateway/topic_follower.cpp
@@ -181,8 +181,9 @@
         m_newest = std::move(listed);
         m_position = m_pageEnd;
         m_links.readers.noteReset(m_settings.topic, m_position);
-        m_onUpdate(topic_reset {m_settings.topic, std::exchange(m_page, {})});
+        m_onUpdate(topic_reset {m_settings.topic, std::exchange(m_page, {}), silence(now)});
     }
+    noteUpToDate(now);
     waitForNext(milliseconds::zero());
 }
 
@@ -230,13 +231,16 @@
         return;
     }
     const instant now = boot_clock::now();
-    takeRecords(std::move(batch.value().records));
+    takeRecords(std::move(batch.value().records), now);
     m_links.readers.noteContact(m_settings.topic, now);
     const bool hasMore = m_position < batch.value().end;
+    if (!hasMore) {
+        noteUpToDate(now);
+    }
     waitForNext(hasMore ? milliseconds::zero() : rhythm(now).pause);
 }
 
-void topic_follower::takeRecords(std::vector<store_record> &&records)
+void topic_follower::takeRecords(std::vector<store_record> &&records, instant now)
 {
     if (records.empty()) {
         return;
@@ -247,7 +251,7 @@
         m_newest[record.key] = {record.offset, !record.value.has_value()};
     }
     m_links.readers.noteRecords(m_settings.topic, records);
-    m_onUpdate(topic_changed {m_settings.topic, std::move(records)});
+    m_onUpdate(topic_changed {m_settings.topic, std::move(records), silence(now)});
 }
 
 void topic_follower::takeRelayed(const outcome<records_answer> &answer)
@@ -278,7 +282,9 @@
     for (const relayed_record &record : read.records) {
         records.push_back({record.key, record.value, {}});
     }
-    takeRecords(std::move(records));
+    noteSuccess();
+    takeRecords(std::move(records), now);
+    noteUpToDate(now - read.age);
     waitForNext(m_settings.askPause);
 }
 
@@ -300,6 +306,16 @@
     m_onContact(true);
 }
 
+milliseconds topic_follower::silence(instant now) const
+{
+    return m_upToDateAt ? std::chrono::floor<milliseconds>(now - *m_upToDateAt) : milliseconds::zero();
+}
+
+void topic_follower::noteUpToDate(instant at)
+{
+    m_upToDateAt = std::max(m_upToDateAt.value_or(at), at);
+}
+
 void topic_follower::retryLater(std::string_view cause)
 {
     m_log.write(log_line("store", "call_failed").add("topic", topicName(m_settings.topic)).add("cause", cause).add("position", m_position));
--- a/src/gateway/topic_follower.h
+++ b/src/gateway/topic_follower.h
@@ -86,11 +86,15 @@
     void takeRelayed(const outcome<records_answer> &answer);
     /// Why an answer of another instance cannot be used; empty when it can.
     std::string_view flawOf(const outcome<records_answer> &answer) const;
-    void takeRecords(std::vector<store_record> &&records);
+    void takeRecords(std::vector<store_record> &&records, instant now);
     /// Other instances read the topic here.
     bool readsForOthers(instant now) const;
     call_rhythm rhythm(instant now) const;
     void noteSuccess();
+    /// How long the store has said nothing of the topic.
+    std::chrono::milliseconds silence(instant now) const;
+    /// All that the store had to say of the topic at a time is known.
+    void noteUpToDate(instant at);
     void retryLater(std::string_view cause);
     void waitForNext(std::chrono::milliseconds pause);
 
@@ -126,6 +130,8 @@
     /// Set while the newest records are to be read.
     std::optional<newest_cause> m_newestCause = newest_cause::needed;
     bool m_isFailing = false;
+    /// When the store had nothing more to say.
+    std::optional<instant> m_upToDateAt;
     bool m_isAsking = false;
     /// The reader's count of changes that no record told of, as it was last heard.
     std::optional<std::int64_t> m_resets;
--- a/tests/gateway/gateway_test.cpp
+++ b/tests/gateway/gateway_test.cpp
@@ -41,6 +41,7 @@
 struct deployment
 {
     static constexpr std::chrono::milliseconds grace {4000};
+    static constexpr std::chrono::milliseconds silence {1500};
 
     event_loop loop;
     timer guard;
@@ -77,6 +78,7 @@
         settings.callerAddress = settings.readinessAddress = settings.metricsAddress = settings.peerAddress = {"127.0.0.1", 0};
         settings.storeAddress = store.address();
         settings.grace = grace;
+        settings.silenceWithin = silence;
         settings.quotas.fixed = 190000;
         gateway = std::make_unique<gateway_tree>(loop, settings, adapter.dialects(), log, [this](int status) {
             ended = status;
@@ -92,6 +94,13 @@
         ::close(log);
     }
 
+    void pause(std::chrono::milliseconds time)
+    {
+        timer end(loop, [this] { loop.stop(); });
+        end.start(deadline::after(boot_clock::now(), time));
+        loop.run();
+    }
+
     http_request request(const std::string &method, const std::string &target) const
     {
         http_request made;
@@ -206,6 +215,24 @@
     site.callUntil(site.request("GET", "/safe/x"), 401);
 }
 
+// Entries lapse while the store is away. Taken for gone at its return, they left a whole service without endpoints until these had
+// registered again; one that does not must not be kept for long, however.
+TEST(gateway, keepsEndpointsWhoseEntriesLapsedUntilTheyCanBeBack)
+{
+    deployment site;
+    site.callUntil(site.request("GET", "/safe/x"), 200);
+    site.store.setMood(standin_store::mood::refusing);
+    // A call that the store held open before ends within the first second.
+    site.pause(deployment::silence + 1000ms);
+    site.store.drop("keyed.servers", "p");
+    site.store.setMood(standin_store::mood::serving);
+    const instant returned = boot_clock::now();
+    site.callUntil(site.request("GET", "/safe/x"), 503);
+    const auto kept = boot_clock::now() - returned;
+    CHECK(kept > 1500ms);
+    CHECK(kept < 2500ms);
+}
+
 // An instance that has lost the store goes on with what it last knew.
 TEST(gateway, servesWhileTheStoreIsSilent)
 {
@@ -329,22 +356,68 @@
 {
     platform_adapter adapter;
     const instant now = boot_clock::now();
-    fleet_state fleet(instance_id("me"), data_centre_id("z"), adapter.dialects().records, {});
-    fleet.reset(store_topic::operators, {{"config", configText(3), store_offset(1)}}, now);
+    fleet_state fleet(instance_id("me"), data_centre_id("z"), {}, adapter.dialects().records, {});
+    fleet.reset(store_topic::operators, {{"config", configText(3), store_offset(1)}}, {now});
     fleet.reset(store_topic::endpoints,
                 {{"p", R"({"service":"plain","address":"127.0.0.1:1","zone":"z","slots":8,"state":"ready"})", store_offset(1)}},
-                now);
+                {now});
     CHECK_FALSE(fleet.isInformed());
     std::vector<store_record> others;
     for (int i = 0; i < 9; ++i) {
         const member_report report = {incarnation_id("x" + std::to_string(i)), 1};
         others.push_back({"other-" + std::to_string(i), encodeMemberReport(report), store_offset(i)});
     }
-    fleet.reset(store_topic::members, others, now);
+    fleet.reset(store_topic::members, others, {now});
     CHECK_TRUE(fleet.isInformed());
     LONGS_EQUAL(10, fleet.instanceCount());
 }
 
+TEST_GROUP(lapsed_entries)
+{
+    const entry_bounds bounds = {3000ms, 2000ms};
+    const endpoint_id endpoint {"p"};
+    const instant now = boot_clock::now();
+    lapsed_entries lapsed {bounds};
+};
+
+// An entry that goes while the store serves means that its endpoint leaves; requests sent there later than the bound break a rule.
+TEST(lapsed_entries, keepNoEndpointThatLeftWhileTheStoreServed)
+{
+    CHECK_FALSE(lapsed.keep(endpoint, bounds.silence - 1ms, now));
+    CHECK_TRUE(lapsed.next().isNever());
+}
+
+// Even when the entry of a leaving endpoint went just before the store's return, requests must end within the bound.
+TEST(lapsed_entries, endWithinTheBoundOnLeavingEndpoints)
+{
+    for (const std::chrono::milliseconds drain : {300ms, 1000ms, 2000ms, 20000ms}) {
+        lapsed_entries bounded({3000ms, drain});
+        CHECK_TRUE(bounded.keep(endpoint, 5000ms, now));
+        CHECK_TRUE(bounded.next() < deadline::after(now, drain));
+        CHECK_TRUE(bounded.next() < deadline::after(now, 2000ms));
+    }
+}
+
+// Reading everything once more within the time must neither drop the endpoint early nor begin the time anew.
+TEST(lapsed_entries, areCountedFromTheFirstReading)
+{
+    CHECK_TRUE(lapsed.keep(endpoint, 4000ms, now));
+    const deadline until = lapsed.next();
+    CHECK_TRUE(lapsed.keep(endpoint, 0ms, now + 500ms));
+    CHECK_TRUE(lapsed.next() == until);
+    LONGS_EQUAL(0, lapsed.takeMissing(now + 500ms).size());
+    CHECK_FALSE(lapsed.keep(endpoint, 0ms, now + 2000ms));
+    LONGS_EQUAL(1, lapsed.takeMissing(now + 2000ms).size());
+    CHECK_TRUE(lapsed.next().isNever());
+}
+
+TEST(lapsed_entries, areForgottenOnceTheyAreBack)
+{
+    CHECK_TRUE(lapsed.keep(endpoint, 4000ms, now));
+    lapsed.forget(endpoint);
+    LONGS_EQUAL(0, lapsed.takeMissing(now + 5000ms).size());
+}
+
 TEST_GROUP(store_topics) {};
 
 // A long poll that had reached the store while a change was being written heard of it only at the end of its wait; with a wait above the
