Let only as many instances share a cold endpoint as may send it a request at once

Cause: an instance's share of a cold endpoint began with one request, whatever the number of instances. 65 instances could send 65 requests in the first moment and 15 more in the second, where the deployment allows 27 (15 x 1.5 + 5).

Ruled out: beginning empty (with 65 instances a share fills after 4.3 s, the cold phase lasts 3 s, so that nobody would use the endpoint).

Change: the sharers of an endpoint are the first instances in the order of a hash of endpoint and instance name, as many as the deployment tolerates above the rate (new settings coldOver and coldSlack). With up to 12 instances all share, as before. member_view lists the instances instead of counting them.

Test: keepsColdEndpointsToWhatTheyBearWithManyInstances, seen to fail with all instances sharing.

--- a/src/forwarding/endpoint_table.cpp
+++ b/src/forwarding/endpoint_table.cpp
@@ -1,5 +1,7 @@
 #include "forwarding/endpoint_table.h"
 
+#include "core/digest.h"
+
 #include <algorithm>
 #include <array>
 #include <utility>
@@ -142,9 +144,9 @@
     m_evacuated = std::move(dataCentres);
 }
 
-void endpoint_table::setInstanceCount(std::int64_t count)
+void endpoint_table::setInstances(std::vector<instance_id> instances)
 {
-    m_instanceCount = std::max<std::int64_t>(count, 1);
+    m_instances = std::move(instances);
 }
 
 const endpoint_state *endpoint_table::choose(const service_id &service,
@@ -403,11 +405,27 @@
 
 void endpoint_table::setColdShare(endpoint_state &endpoint, const traffic_service *service, instant now) const
 {
-    const double rate = service == nullptr ? 0.0 : service->coldPerSecond / static_cast<double>(m_instanceCount);
-    endpoint.coldShare.setBound(rate, 1.0, now);
+    const double rate = service == nullptr ? 0.0 : service->coldPerSecond;
     if (rate <= 0.0) {
         endpoint.coldUntil = deadline();
+        return;
     }
+    // Each sharer may send one request at once, besides the rate.
+    const auto burst = static_cast<std::int64_t>(rate * (m_settings.cold.over - 1.0)) + m_settings.cold.slack;
+    const auto known = std::max<std::int64_t>(static_cast<std::int64_t>(m_instances.size()), 1);
+    const std::int64_t sharers = std::clamp<std::int64_t>(burst, 1, known);
+    const bool isSharer = isAmongSharers(endpoint.entry.id, sharers);
+    endpoint.coldShare.setBound(isSharer ? rate / static_cast<double>(sharers) : 0.0, isSharer ? 1.0 : 0.0, now);
+}
+
+bool endpoint_table::isAmongSharers(const endpoint_id &endpoint, std::int64_t count) const
+{
+    // All instances come to the same order, which differs from endpoint to endpoint.
+    const std::uint64_t seed = stableHash(endpoint.value());
+    const std::uint64_t own = stableHash(m_settings.self.value(), seed);
+    const auto before = std::count_if(
+        m_instances.begin(), m_instances.end(), [&](const instance_id &other) { return stableHash(other.value(), seed) < own; });
+    return before < count;
 }
 
 } // namespace burdockshelf
--- a/src/forwarding/endpoint_table.h
+++ b/src/forwarding/endpoint_table.h
@@ -74,10 +74,21 @@
     bool isListed = true;
 };
 
+/// How far the arrivals at a cold endpoint in one second may exceed its cold rate, over all instances.
+struct cold_tolerance
+{
+    /// Factor on the rate.
+    double over = 1.0;
+    /// Requests on top.
+    std::int64_t slack = 1;
+};
+
 /// Bounds of all endpoint choices of an instance.
 struct endpoint_table_settings
 {
+    instance_id self;
     data_centre_id dataCentre;
+    cold_tolerance cold;
 };
 
 /// The endpoints, their health as far as the answers show it, and the choice among them. A pure value: time and random numbers are passed
@@ -92,8 +103,8 @@
     /// The endpoint has left or its entry has lapsed.
     bool remove(const endpoint_id &endpoint);
     void setEvacuated(std::set<data_centre_id> dataCentres);
-    /// Number of instances that share the cold rates.
-    void setInstanceCount(std::int64_t count);
+    /// The instances that share the cold rates, this one included.
+    void setInstances(std::vector<instance_id> instances);
 
     /// The best endpoint for a duty, excluding some. Nothing when none may get requests.
     const endpoint_state *choose(const service_id &service,
@@ -157,6 +168,8 @@
     static double
     load(const endpoint_state &candidate, endpoint_duty duty, token_count tokens, const traffic_service *profile, instant now);
     void setColdShare(endpoint_state &endpoint, const traffic_service *service, instant now) const;
+    /// Of a number of instances that share an endpoint, whether this is one.
+    bool isAmongSharers(const endpoint_id &endpoint, std::int64_t count) const;
 
     endpoint_table_settings m_settings;
     std::map<endpoint_id, std::unique_ptr<endpoint_state>> m_endpoints;
@@ -165,7 +178,7 @@
     std::map<data_centre_id, way_state> m_ways;
     /// Seconds that an idle reader of each service needs for a token, as far as seen; 0 while nothing was seen.
     std::map<service_id, double> m_secondsPerToken;
-    std::int64_t m_instanceCount = 1;
+    std::vector<instance_id> m_instances;
 };
 
 } // namespace burdockshelf
--- a/src/forwarding/member_view.cpp
+++ b/src/forwarding/member_view.cpp
@@ -1,6 +1,5 @@
 #include "forwarding/member_view.h"
 
-#include <algorithm>
 #include <utility>
 
 namespace burdockshelf
@@ -38,11 +37,15 @@
     m_members.erase(instance);
 }
 
-std::int64_t member_view::count(instant now) const
+std::vector<instance_id> member_view::instances(instant now) const
 {
-    const auto counted = std::count_if(
-        m_members.begin(), m_members.end(), [&](const auto &entry) { return entry.first != m_self && isCounted(entry.second, now); });
-    return static_cast<std::int64_t>(counted) + 1;
+    std::vector<instance_id> counted = {m_self};
+    for (const auto &[instance, one] : m_members) {
+        if (instance != m_self && isCounted(one, now)) {
+            counted.push_back(instance);
+        }
+    }
+    return counted;
 }
 
 bool member_view::isCounted(const member &one, instant now) const
--- a/src/forwarding/member_view.h
+++ b/src/forwarding/member_view.h
@@ -4,6 +4,7 @@
 #include "core/ids.h"
 
 #include <map>
+#include <vector>
 
 namespace burdockshelf
 {
@@ -26,7 +27,7 @@
     void remove(const instance_id &instance);
 
     /// Instances that may be serving, this one included.
-    std::int64_t count(instant now) const;
+    std::vector<instance_id> instances(instant now) const;
 
 private:
     struct member
--- a/src/gateway/dispatch_task.cpp
+++ b/src/gateway/dispatch_task.cpp
@@ -43,7 +43,7 @@
     , m_log(std::move(log))
     , m_random(random)
     , m_requests(m_log)
-    , m_fleet(m_settings.instance, m_settings.dataCentre, m_settings.entries, dialects.records, m_log)
+    , m_fleet({m_settings.instance, m_settings.dataCentre, m_settings.cold}, m_settings.entries, dialects.records, m_log)
     , m_repeats(m_settings.repeats)
     , m_deadlines(loop, [this](flow_id due) { passDeadline(due); })
     , m_report(loop, [this] { reportState(); })
--- a/src/gateway/dispatch_task.h
+++ b/src/gateway/dispatch_task.h
@@ -22,6 +22,7 @@
     instance_id instance;
     incarnation_id incarnation;
     data_centre_id dataCentre;
+    cold_tolerance cold;
     repeat_limits repeats;
     entry_bounds entries;
     /// From the begin of the shutdown until the process is ended by force.
--- a/src/gateway/fleet_state.cpp
+++ b/src/gateway/fleet_state.cpp
@@ -8,13 +8,12 @@
 namespace burdockshelf
 {
 
-fleet_state::fleet_state(
-    const instance_id &self, const data_centre_id &dataCentre, entry_bounds bounds, const record_dialect &records, event_log log)
+fleet_state::fleet_state(endpoint_table_settings endpoints, entry_bounds bounds, const record_dialect &records, event_log log)
     : m_records(records)
     , m_log(std::move(log))
-    , m_endpoints(endpoint_table_settings {dataCentre})
+    , m_endpoints(endpoints)
     , m_lapsed(bounds)
-    , m_members(self)
+    , m_members(std::move(endpoints.self))
 {
 }
 
@@ -40,11 +39,12 @@
 
 void fleet_state::countInstances(instant now)
 {
-    const std::int64_t before = std::exchange(m_instanceCount, m_members.count(now));
+    std::vector<instance_id> instances = m_members.instances(now);
+    const std::int64_t before = std::exchange(m_instanceCount, static_cast<std::int64_t>(instances.size()));
     if (m_instanceCount != before) {
         m_log.write(log_line("dispatch", "instances_changed").add("count", m_instanceCount).add("before", before));
-        m_endpoints.setInstanceCount(m_instanceCount);
     }
+    m_endpoints.setInstances(std::move(instances));
 }
 
 bool fleet_state::isInformed() const
--- a/src/gateway/fleet_state.h
+++ b/src/gateway/fleet_state.h
@@ -27,8 +27,7 @@
 class fleet_state
 {
 public:
-    fleet_state(
-        const instance_id &self, const data_centre_id &dataCentre, entry_bounds bounds, const record_dialect &records, event_log log);
+    fleet_state(endpoint_table_settings endpoints, entry_bounds bounds, const record_dialect &records, event_log log);
 
     /// All newest records of a topic, in place of what was known.
     void reset(store_topic topic, const std::vector<store_record> &records, const record_arrival &arrival);
--- a/src/gateway/gateway_settings.cpp
+++ b/src/gateway/gateway_settings.cpp
@@ -12,6 +12,8 @@
 {
 
 constexpr number_range slackRange = {0, 1'000'000};
+constexpr number_range coldSlackRange = {0, 1'000'000};
+constexpr double mostColdOver = 100.0;
 constexpr number_range quotaSlackRange = {0, 1'000'000'000};
 constexpr number_range shareRange = {0, 100};
 constexpr number_range partsRange = {1, 1000};
@@ -44,6 +46,8 @@
     settings.configurationWithin = std::chrono::milliseconds(reader.integer("configurationWithinMs", graceRange));
     settings.silenceWithin = std::chrono::milliseconds(reader.integer("silenceWithinMs", graceRange));
     settings.drainWithin = std::chrono::milliseconds(reader.integer("drainWithinMs", graceRange));
+    settings.cold.over = reader.factor("coldOver", mostColdOver);
+    settings.cold.slack = reader.integer("coldSlack", coldSlackRange);
     settings.repeats.perHundred = static_cast<std::int64_t>(reader.fraction("repeatRatio") * 100.0);
     settings.repeats.slack = reader.integer("repeatSlack", slackRange);
     settings.quotas.fixed = static_cast<double>(reader.integer("quotaSlack", quotaSlackRange));
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -3,6 +3,7 @@
 #include "core/ids.h"
 #include "core/outcome.h"
 #include "core/socket_address.h"
+#include "forwarding/endpoint_table.h"
 #include "forwarding/repeat_budget.h"
 #include "forwarding/workspace_shares.h"
 
@@ -31,6 +32,7 @@
     std::chrono::milliseconds silenceWithin {3000};
     /// An endpoint must get nothing more within this time of the store's acknowledgement that it leaves.
     std::chrono::milliseconds drainWithin {2000};
+    cold_tolerance cold;
     repeat_limits repeats;
     quota_tolerance quotas;
     /// Parts into which the quotas' pool is dealt; the same at all instances.
--- a/src/gateway/gateway_tree.cpp
+++ b/src/gateway/gateway_tree.cpp
@@ -99,20 +99,21 @@
                           const quota_broker_addresses to = {address(m_dispatchBox), address(m_groupBox), address(m_meshBox)};
                           return std::make_unique<quota_broker_task>(m_quotaBox, quotas, to, m_log);
                       }});
-    m_root->addChild({"dispatcher", [this, settings, dialects, incarnation] {
-                          const entry_bounds entries = {settings.silenceWithin, settings.drainWithin};
-                          const dispatch_settings dispatch = {
-                              settings.instance, incarnation, settings.dataCentre, settings.repeats, entries, settings.grace};
-                          dispatch_addresses to;
-                          to.callers = address(m_frontBox);
-                          to.endpoints = address(m_endpointBox);
-                          to.store = address(m_storeBox);
-                          to.quotas = address(m_quotaBox);
-                          to.duty = address(m_dutyBox);
-                          to.readiness = makeSink<readiness_report>(address(m_monitorBox));
-                          to.metrics = makeSink<metric_batch>(address(m_monitorBox));
-                          return std::make_unique<dispatch_task>(m_loop, m_dispatchBox, dispatch, dialects, to, m_log, random_source());
-                      }});
+    m_root->addChild(
+        {"dispatcher", [this, settings, dialects, incarnation] {
+             const entry_bounds entries = {settings.silenceWithin, settings.drainWithin};
+             const dispatch_settings dispatch = {
+                 settings.instance, incarnation, settings.dataCentre, settings.cold, settings.repeats, entries, settings.grace};
+             dispatch_addresses to;
+             to.callers = address(m_frontBox);
+             to.endpoints = address(m_endpointBox);
+             to.store = address(m_storeBox);
+             to.quotas = address(m_quotaBox);
+             to.duty = address(m_dutyBox);
+             to.readiness = makeSink<readiness_report>(address(m_monitorBox));
+             to.metrics = makeSink<metric_batch>(address(m_monitorBox));
+             return std::make_unique<dispatch_task>(m_loop, m_dispatchBox, dispatch, dialects, to, m_log, random_source());
+         }});
     m_root->addChild({"store", [this, settings, &store = dialects.store] {
                           const store_settings at = {
                               settings.storeAddress,
--- a/src/wire/json_reader.cpp
+++ b/src/wire/json_reader.cpp
@@ -210,6 +210,11 @@
     return number(key, 0.0, 1.0, "a number from 0 to 1").value_or(0.0);
 }
 
+double json_reader::factor(std::string_view key, double most)
+{
+    return number(key, 1.0, most, "a number from 1 to " + std::to_string(most)).value_or(1.0);
+}
+
 std::chrono::milliseconds json_reader::seconds(std::string_view key, number_range range)
 {
     constexpr double millisecondsPerSecond = 1000.0;
--- a/src/wire/json_reader.h
+++ b/src/wire/json_reader.h
@@ -58,6 +58,8 @@
     std::int64_t integer(std::string_view key, number_range range = {});
     /// A number from 0 to 1.
     double fraction(std::string_view key);
+    /// A number from 1 on.
+    double factor(std::string_view key, double most);
     /// A time in seconds, which may have a fraction. The range is in milliseconds.
     std::chrono::milliseconds seconds(std::string_view key, number_range range);
     std::int64_t integerOr(std::string_view key, std::int64_t fallback, number_range range = {});
--- a/tests/forwarding/endpoint_table_test.cpp
+++ b/tests/forwarding/endpoint_table_test.cpp
@@ -75,7 +75,7 @@
 {
     traffic_service service = plan_fixture::service("cold", false);
     service.coldPerSecond = 16.0;
-    fixture.endpoints.setInstanceCount(8);
+    fixture.setInstances(8);
     endpoint_entry cold = plan_fixture::entry("c1", "cold", std::nullopt);
     cold.coldLeft = 3s;
     fixture.endpoints.put(cold, &service, fixture.now);
@@ -90,6 +90,36 @@
     CHECK_TRUE(fixture.endpoints.takeColdShare(endpoint_id("c1"), fixture.now));
 }
 
+// Each of many instances may send one request at once, so that together they would send a cold endpoint more than it bears in a second.
+TEST(endpoint_table, keepsColdEndpointsToWhatTheyBearWithManyInstances)
+{
+    traffic_service service = plan_fixture::service("cold", false);
+    service.coldPerSecond = 15.0;
+    constexpr cold_tolerance tolerance = {1.5, 5};
+    for (const std::size_t instances : {1, 2, 8, 12, 13, 65, 300}) {
+        std::vector<instance_id> names;
+        for (std::size_t i = 0; i < instances; ++i) {
+            names.emplace_back("edge-" + std::to_string(i));
+        }
+        for (const char *name : {"c1", "c2", "c3"}) {
+            endpoint_entry cold = plan_fixture::entry(name, "cold", std::nullopt);
+            cold.coldLeft = 3s;
+            int taken = 0;
+            for (const instance_id &self : names) {
+                endpoint_table table({self, data_centre_id("dc-a"), tolerance});
+                table.setInstances(names);
+                table.put(cold, &service, fixture.now);
+                for (auto after = 0ms; after < 1000ms; after += 10ms) {
+                    taken += table.takeColdShare(cold.id, fixture.now + after) ? 1 : 0;
+                }
+            }
+            CHECK(taken <= service.coldPerSecond * tolerance.over + static_cast<double>(tolerance.slack));
+            // Nor may it stand idle.
+            CHECK(taken >= 12);
+        }
+    }
+}
+
 TEST(endpoint_table, avoidsEndpointsThatFailAndComesBackToThem)
 {
     for (int failure = 0; failure < 2; ++failure) {
--- a/tests/forwarding/forward_flow_test.cpp
+++ b/tests/forwarding/forward_flow_test.cpp
@@ -379,7 +379,7 @@
     plan_fixture fixture;
     traffic_service profile = plan_fixture::service("engine", true);
     profile.coldPerSecond = 8.0;
-    fixture.endpoints.setInstanceCount(8);
+    fixture.setInstances(8);
     for (const char *name : {"d1", "d2", "d3"}) {
         endpoint_entry cold = plan_fixture::entry(name, "engine", engine_stage::decode);
         cold.coldLeft = 3s;
--- a/tests/forwarding/plan_fixture.h
+++ b/tests/forwarding/plan_fixture.h
@@ -14,7 +14,7 @@
     static constexpr const char *host = "h.example";
 
     std::shared_ptr<const plan_index> plan;
-    endpoint_table endpoints {endpoint_table_settings {data_centre_id("dc-a")}};
+    endpoint_table endpoints {endpoint_table_settings {instance_id("i0"), data_centre_id("dc-a"), {1.5, 5}}};
     repeat_budget repeats {repeat_limits {100, 1000}};
     random_source random {7};
     instant now {std::chrono::seconds(1000)};
@@ -43,6 +43,16 @@
         }
     }
 
+    void setInstances(int count)
+    {
+        std::vector<instance_id> names;
+        names.reserve(static_cast<std::size_t>(count));
+        for (int i = 0; i < count; ++i) {
+            names.emplace_back("i" + std::to_string(i));
+        }
+        endpoints.setInstances(std::move(names));
+    }
+
     static traffic_service service(const std::string &name, bool isEngine)
     {
         traffic_service result;
--- a/tests/forwarding/shares_test.cpp
+++ b/tests/forwarding/shares_test.cpp
@@ -81,10 +81,10 @@
     instant now(1000s);
     member_view members(instance_id("me"));
     members.put(instance_id("other"), {incarnation_id("a"), 1}, now);
-    LONGS_EQUAL(2, members.count(now));
+    LONGS_EQUAL(2, members.instances(now).size());
     now += 40s;
     members.put(instance_id("other"), {incarnation_id("a"), 1}, now);
-    LONGS_EQUAL(1, members.count(now));
+    LONGS_EQUAL(1, members.instances(now).size());
     members.put(instance_id("other"), {incarnation_id("b"), 1}, now);
-    LONGS_EQUAL(2, members.count(now));
+    LONGS_EQUAL(2, members.instances(now).size());
 }
--- a/tests/gateway/gateway_test.cpp
+++ b/tests/gateway/gateway_test.cpp
@@ -356,7 +356,7 @@
 {
     platform_adapter adapter;
     const instant now = boot_clock::now();
-    fleet_state fleet(instance_id("me"), data_centre_id("z"), {}, adapter.dialects().records, {});
+    fleet_state fleet({instance_id("me"), data_centre_id("z"), {}}, {}, adapter.dialects().records, {});
     fleet.reset(store_topic::operators, {{"config", configText(3), store_offset(1)}}, {now});
     fleet.reset(store_topic::endpoints,
                 {{"p", R"({"service":"plain","address":"127.0.0.1:1","zone":"z","slots":8,"state":"ready"})", store_offset(1)}},
@@ -560,7 +560,8 @@
 {
     const std::string good = R"({"instance":"a","dataCentre":"z","callerAddress":"127.0.0.1:1","readinessAddress":"127.0.0.1:2",
  "metricsAddress":"127.0.0.1:3","storeAddress":"127.0.0.1:4","peerAddress":"127.0.0.1:5","graceSeconds":8,"configurationWithinMs":2000,
- "silenceWithinMs":3000,"drainWithinMs":2000,"quotaParts":12,"repeatRatio":0.2,"repeatSlack":56,"quotaSlack":190000,"quotaOver":0.1,"quotaWindowSeconds":8.0,"dutyTurnMs":3000,"prefillPercent":25})";
+ "silenceWithinMs":3000,"drainWithinMs":2000,"quotaParts":12,"coldOver":1.5,"coldSlack":5,
+ "repeatRatio":0.2,"repeatSlack":56,"quotaSlack":190000,"quotaOver":0.1,"quotaWindowSeconds":8.0,"dutyTurnMs":3000,"prefillPercent":25})";
     CHECK_TRUE(parseGatewaySettings(good).has_value());
     nlohmann::json document = nlohmann::json::parse(good);
     // The deployment's figures in seconds may have a fraction; a gateway that refused them would not start at all.
--- a/tests/soak/soak_site.cpp
+++ b/tests/soak/soak_site.cpp
@@ -122,6 +122,8 @@
         {"silenceWithinMs", 3000},
         {"drainWithinMs", configurationTime.count()},
         {"quotaParts", 4},
+        {"coldOver", 1.5},
+        {"coldSlack", 5},
         {"repeatRatio", 0.2},
         {"repeatSlack", 50},
         {"quotaSlack", 190000},
