Split the dispatcher's links and the ends of attempts from two long files

dispatch_links sends the dispatcher's messages and gathers its metrics; forward_flow_ends.cpp holds what follows when an attempt ends or stays silent. The tests of shares and of the quotas' pool use one plan. No behaviour changes.

--- a/src/forwarding/forward_flow.cpp
+++ b/src/forwarding/forward_flow.cpp
@@ -3,7 +3,6 @@
 #include "forwarding/answer_patience.h"
 
 #include <algorithm>
-#include <array>
 #include <utility>
 
 namespace burdockshelf
@@ -14,8 +13,6 @@
 
 using std::chrono::milliseconds;
 
-// Connections that may fail before the request is given up; no byte of it was sent to any of them.
-constexpr std::int64_t mostUnsentTries = 4;
 // A decode endpoint reads a prompt at half the speed, and other streams there have to wait meanwhile.
 constexpr double decodeReadFactor = 2.0;
 constexpr std::chrono::duration<double> decodeReadCost {0.12};
@@ -41,17 +38,6 @@
     m_events.setLastId(m_request.facts.resumeAfter);
 }
 
-const forward_flow::duty_rules &forward_flow::rulesOf(endpoint_duty duty)
-{
-    static constexpr std::array<duty_rules, 4> rules = {
-        duty_rules {&forward_flow::finishPlain, &forward_flow::passPlainSilence},
-        duty_rules {&forward_flow::finishReserve, &forward_flow::passReserveSilence},
-        duty_rules {&forward_flow::finishPrefill, &forward_flow::passPrefillSilence},
-        duty_rules {&forward_flow::finishDecode, &forward_flow::passDecodeSilence},
-    };
-    return rules.at(static_cast<std::size_t>(duty));
-}
-
 flow_actions forward_flow::begin(const flow_context &context, instant now)
 {
     return run(context, now, [this] {
@@ -203,200 +189,6 @@
     return m_attemptsUsed + m_prefillsSent;
 }
 
-void forward_flow::finishPlain(const flow_attempt &ended,
-                               attempt_end end,
-                               const answer_summary &answer,
-                               const std::optional<std::string> & /*handle*/)
-{
-    if (end == attempt_end::whole) {
-        const bool isFailure = answer.status >= firstServerErrorStatus;
-        if (isFailure && mayRepeat() && hasAttemptsLeft() && spendRepeat() && send(endpoint_duty::plain_call, std::nullopt)) {
-            return;
-        }
-        cancelAll();
-        m_actions.emplace_back(relay_whole {ended.number});
-        m_isFinal = true;
-        return;
-    }
-    if (!m_attempts.isEmpty()) {
-        return;
-    }
-    const bool mayHaveRunThere = end == attempt_end::lost;
-    const bool isFree = end == attempt_end::not_sent && m_unsentTries < mostUnsentTries;
-    const bool mayGoOn = isFree || ((!mayHaveRunThere || mayRepeat()) && hasAttemptsLeft() && spendRepeat());
-    if (mayGoOn && send(endpoint_duty::plain_call, std::nullopt)) {
-        return;
-    }
-    if (m_mayHaveRun) {
-        answerFailure(refusal_cause::endpoint_failed);
-    } else {
-        refuseNotRun(refusal_cause::overloaded);
-    }
-}
-
-void forward_flow::finishReserve(const flow_attempt &ended,
-                                 attempt_end end,
-                                 const answer_summary & /*answer*/,
-                                 const std::optional<std::string> &handle)
-{
-    const endpoint_state *endpoint = m_context->endpoints.find(ended.endpoint);
-    if (end == attempt_end::whole && handle && endpoint != nullptr) {
-        m_room = reserved_room {ended.endpoint, endpoint->entry.address, *handle};
-        continueWithRoom();
-        return;
-    }
-    if (end == attempt_end::whole || end == attempt_end::rejected) {
-        m_context->endpoints.noteFull(ended.endpoint, m_now);
-    }
-    m_roomSearch.noteFull(ended.endpoint);
-    findRoom();
-}
-
-void forward_flow::finishPrefill(const flow_attempt &ended,
-                                 attempt_end end,
-                                 const answer_summary & /*answer*/,
-                                 const std::optional<std::string> &handle)
-{
-    if (end == attempt_end::whole && handle) {
-        const endpoint_state *source = m_context->endpoints.find(ended.endpoint);
-        m_reader = ended.endpoint;
-        if (source != nullptr) {
-            sendDecode(prompt_handle {ended.endpoint, source->entry.address, *handle});
-            return;
-        }
-    }
-    if (end == attempt_end::not_sent && m_unsentTries < mostUnsentTries) {
-        sendPrefill();
-        return;
-    }
-    if (end == attempt_end::lost) {
-        m_reader = ended.endpoint;
-        repeatPrefill(ended.endpoint);
-        return;
-    }
-    if (end == attempt_end::rejected || end == attempt_end::misdirected) {
-        // Unlike the first call that an endpoint takes, a refused one counts against the route's bound.
-        ++m_attemptsUsed;
-        if (!hasAttemptsLeft() || !spendRepeat()) {
-            refuseNotRun(refusal_cause::overloaded);
-            return;
-        }
-    }
-    sendDecode(std::nullopt);
-}
-
-void forward_flow::finishDecode(const flow_attempt &ended,
-                                attempt_end end,
-                                const answer_summary & /*answer*/,
-                                const std::optional<std::string> & /*handle*/)
-{
-    if (end == attempt_end::whole && !ended.isAnswered) {
-        // An error, which comes in one piece.
-        if (mayRepeat() && hasAttemptsLeft() && spendRepeat() && send(endpoint_duty::decode, std::nullopt)) {
-            return;
-        }
-        if (m_isHeadRelayed) {
-            answerFailure(refusal_cause::endpoint_failed);
-            return;
-        }
-        m_actions.emplace_back(relay_whole {ended.number});
-        m_isFinal = true;
-        return;
-    }
-    if (end == attempt_end::whole && !(m_events.hasPartial() && mayRepeat())) {
-        if (!m_isHeadRelayed) {
-            m_actions.emplace_back(relay_head {ended.number});
-            m_isHeadRelayed = true;
-        }
-        std::string rest = m_events.takeRest();
-        if (!rest.empty()) {
-            m_actions.emplace_back(relay_piece {std::move(rest)});
-        }
-        m_actions.emplace_back(relay_end {});
-        m_isFinal = true;
-        return;
-    }
-    if (end == attempt_end::rejected && m_handle) {
-        // Room was set aside, so what the endpoint lacks is the prompt.
-        m_context->endpoints.noteHandleLapsed(m_handle->endpoint, m_now);
-    }
-    repeatDecode(ended);
-}
-
-void forward_flow::repeatDecode(const flow_attempt &ended)
-{
-    if (m_unsentTries == 0) {
-        m_handle.reset();
-    }
-    m_events.dropPartial();
-    const bool mayGoOn = (!m_mayHaveRun || mayRepeat()) && hasAttemptsLeft() && m_unsentTries < mostUnsentTries;
-    const bool isFree = m_unsentTries > 0 && m_attempts.isNewest(ended.number) && m_attemptsUsed == 0;
-    if (mayGoOn && (isFree || spendRepeat())) {
-        beginRoomSearch();
-        return;
-    }
-    if (m_mayHaveRun) {
-        answerFailure(refusal_cause::endpoint_failed);
-    } else {
-        refuseNotRun(refusal_cause::overloaded);
-    }
-}
-
-void forward_flow::passPlainSilence(const flow_attempt & /*silent*/)
-{
-    // The silent endpoint keeps its chance; the first whole answer counts.
-    if (mayRepeat() && hasAttemptsLeft() && spendRepeat()) {
-        send(endpoint_duty::plain_call, std::nullopt);
-    }
-}
-
-void forward_flow::passReserveSilence(const flow_attempt &silent)
-{
-    cancel(silent);
-    m_roomSearch.noteFull(silent.endpoint);
-    findRoom();
-}
-
-void forward_flow::passPrefillSilence(const flow_attempt &silent)
-{
-    const endpoint_state *reader = m_context->endpoints.find(silent.endpoint);
-    const bool isBusy = reader != nullptr && reader->lastAnswer > silent.sentAt && m_now - silent.sentAt < longestReadTime();
-    if (isBusy) {
-        if (flow_attempt *waiting = m_attempts.find(silent.number)) {
-            waiting->silentAt = deadline::after(m_now, silenceFor(endpoint_duty::prefill, silent.endpoint));
-        }
-        return;
-    }
-    cancel(silent);
-    repeatPrefill(std::nullopt);
-}
-
-void forward_flow::repeatPrefill(const std::optional<endpoint_id> &preferred)
-{
-    // A further prompt counts as an attempt, and another one must be left for the answer.
-    const bool mayRead = m_attemptsUsed + 1 < m_request.route->maxAttempts && spendRepeat();
-    const endpoint_state *again = preferred ? m_context->endpoints.find(*preferred) : nullptr;
-    const bool isAgain = again != nullptr && m_context->endpoints.mayReceive(*preferred);
-    if (mayRead && (isAgain ? sendTo(*again, endpoint_duty::prefill, std::nullopt) : send(endpoint_duty::prefill, std::nullopt))) {
-        ++m_attemptsUsed;
-        return;
-    }
-    sendDecode(std::nullopt);
-}
-
-void forward_flow::passDecodeSilence(const flow_attempt &silent)
-{
-    if (!mayRepeat() || !hasAttemptsLeft() || !spendRepeat()) {
-        return;
-    }
-    // The old run is ended first, so that two endpoints never work on one stream.
-    cancel(silent);
-    m_mayHaveRun = true;
-    m_handle.reset();
-    m_events.dropPartial();
-    beginRoomSearch();
-}
-
 bool forward_flow::mayRepeat() const
 {
     const traffic_route &route = *m_request.route;
--- a/src/gateway/dispatch_task.cpp
+++ b/src/gateway/dispatch_task.cpp
@@ -39,7 +39,7 @@
     : task(std::move(box))
     , m_settings(std::move(settings))
     , m_dialects(dialects)
-    , m_to(std::move(to))
+    , m_links(std::move(to), log)
     , m_log(std::move(log))
     , m_random(random)
     , m_requests(m_log)
@@ -69,7 +69,7 @@
     const forward_facts facts = m_dialects.callers.readRequest(arrived.request, arrived.arrived);
     if (arrived.hasCallerLeft) {
         m_requests.writeDropped(facts, "its caller left before it was read");
-        count("requests_total", "outcome", "dropped");
+        m_links.count("requests_total", "outcome", "dropped");
         return;
     }
     const admission_inputs inputs = {m_fleet.plan(), m_fleet.isInformed(), m_streamsUntil, m_callsUntil};
@@ -82,7 +82,7 @@
         begin(arrived.flow, std::move(arrived.request), std::move(*decided.request));
         return;
     }
-    toQuotas(quota_ask {arrived.flow, decided.limited->id, decided.cost});
+    m_links.toQuotas(quota_ask {arrived.flow, decided.limited->id, decided.cost});
     m_awaitingQuota.emplace(arrived.flow, awaiting_quota {std::move(arrived.request), std::move(decided)});
 }
 
@@ -123,7 +123,7 @@
 {
     if (const auto waiting = m_awaitingQuota.extract(gone.flow)) {
         m_requests.writeDropped(waiting.mapped().admission.request->facts, "its caller left before its quota was granted");
-        count("requests_total", "outcome", "dropped");
+        m_links.count("requests_total", "outcome", "dropped");
         return;
     }
     if (active_flow *target = find(gone.flow)) {
@@ -168,7 +168,7 @@
         if (ended.end != attempt_end::whole || ended.response.status >= firstFailureStatus) {
             noteFailure(*target, sent->second, ended);
         }
-        count("attempts_total", "end", attemptEndName(ended.end));
+        m_links.count("attempts_total", "end", attemptEndName(ended.end));
         if (ended.facts.load) {
             m_fleet.endpoints().noteLoad(sent->second.endpoint, *ended.facts.load, now);
         }
@@ -261,13 +261,13 @@
     const bool isPlanNew = std::exchange(m_announcedPlan, m_fleet.planVersion()) != m_fleet.planVersion();
     const bool isCountNew = std::exchange(m_announcedCount, m_fleet.instanceCount()) != m_fleet.instanceCount();
     if (isPlanNew) {
-        toCallers(limits_changed {m_fleet.plan()->plan().limits});
-        toQuotas(quotas_changed {m_fleet.plan()});
+        m_links.toCallers(limits_changed {m_fleet.plan()->plan().limits});
+        m_links.toQuotas(quotas_changed {m_fleet.plan()});
     }
     if (isCountNew) {
         m_repeats.setInstanceCount(m_fleet.instanceCount());
-        toQuotas(instance_count_changed {m_fleet.instanceCount()});
-        toStore(instance_count_changed {m_fleet.instanceCount()});
+        m_links.toQuotas(instance_count_changed {m_fleet.instanceCount()});
+        m_links.toStore(instance_count_changed {m_fleet.instanceCount()});
     }
     if (isPlanNew || isCountNew) {
         announceConnectionBounds();
@@ -286,7 +286,7 @@
     }
     if (mostConnections > 0) {
         const auto share = static_cast<std::size_t>(mostConnections / (m_fleet.instanceCount() + spareConnectionShares));
-        toEndpoints(connection_bounds {std::max(share, leastConnectionsPerEndpoint)});
+        m_links.toEndpoints(connection_bounds {std::max(share, leastConnectionsPerEndpoint)});
     }
 }
 
@@ -294,13 +294,13 @@
 {
     http_response response = m_dialects.callers.refusal({decision.cause, decision.retryAfter}, facts);
     m_requests.writeRefused(facts, decision, response.status, m_fleet.planVersion());
-    count("refusals_total", "cause", refusalName(decision.cause));
-    toCallers(answer_whole {flow, std::move(response)});
+    m_links.count("refusals_total", "cause", refusalName(decision.cause));
+    m_links.toCallers(answer_whole {flow, std::move(response)});
 }
 
 void dispatch_task::returnQuota(const quota_grant &grant)
 {
-    toQuotas(quota_returned {grant});
+    m_links.toQuotas(quota_returned {grant});
 }
 
 void dispatch_task::carryOut(active_flow &flow, flow_actions &&actions)
@@ -326,7 +326,7 @@
                                                           : m_dialects.endpoints.forward(flow.original, request, action, boot_clock::now());
     m_requests.writeSent(request, action, m_fleet.endpoints().find(action.endpoint), boot_clock::now());
     flow.sent[action.number] = std::move(action);
-    toEndpoints(std::move(order));
+    m_links.toEndpoints(std::move(order));
 }
 
 void dispatch_task::perform(active_flow &flow, const withdraw_attempt &action)
@@ -334,17 +334,17 @@
     const auto sent = flow.sent.find(action.number);
     const endpoint_id endpoint = sent == flow.sent.end() ? endpoint_id() : sent->second.endpoint;
     m_requests.writeCancelled(flow.flow.request(), action.number, endpoint, flow.isCallerGone);
-    toEndpoints(close_attempt {flow.id, action.number});
+    m_links.toEndpoints(close_attempt {flow.id, action.number});
 }
 
 void dispatch_task::perform(active_flow & /*flow*/, const release_handle &action)
 {
-    toEndpoints(call_and_forget {action.handle.address, m_dialects.endpoints.releaseHandle(action.handle.handle)});
+    m_links.toEndpoints(call_and_forget {action.handle.address, m_dialects.endpoints.releaseHandle(action.handle.handle)});
 }
 
 void dispatch_task::perform(active_flow & /*flow*/, const release_room &action)
 {
-    toEndpoints(call_and_forget {action.room.address, m_dialects.endpoints.releaseRoom(action.room.reservation)});
+    m_links.toEndpoints(call_and_forget {action.room.address, m_dialects.endpoints.releaseRoom(action.room.reservation)});
 }
 
 void dispatch_task::perform(active_flow &flow, const note_no_room &action)
@@ -356,7 +356,7 @@
 {
     noteFirstByte(flow, action.number);
     flow.end.status = flow.answers[action.number].status;
-    toCallers(answer_head {flow.id, flow.answers[action.number]});
+    m_links.toCallers(answer_head {flow.id, flow.answers[action.number]});
 }
 
 void dispatch_task::noteFirstByte(active_flow &flow, attempt_number number)
@@ -370,12 +370,12 @@
 {
     const instant before = std::exchange(flow.lastPieceAt, boot_clock::now());
     flow.end.longestPause = std::max(flow.end.longestPause, flow.lastPieceAt - before);
-    toCallers(answer_piece {flow.id, std::move(action.bytes)});
+    m_links.toCallers(answer_piece {flow.id, std::move(action.bytes)});
 }
 
 void dispatch_task::perform(active_flow &flow, const relay_end & /*action*/)
 {
-    toCallers(answer_end {flow.id});
+    m_links.toCallers(answer_end {flow.id});
     noteOutcome(flow, "answered", flow.end.status);
 }
 
@@ -384,7 +384,7 @@
     noteFirstByte(flow, action.number);
     http_response response = std::move(flow.answers[action.number]);
     const int status = response.status;
-    toCallers(answer_whole {flow.id, std::move(response)});
+    m_links.toCallers(answer_whole {flow.id, std::move(response)});
     noteOutcome(flow, "answered", status);
 }
 
@@ -396,14 +396,14 @@
     }
     http_response response = m_dialects.callers.refusal({action.cause, action.retryAfter}, request.facts);
     const int status = response.status;
-    toCallers(answer_whole {flow.id, std::move(response)});
-    count("refusals_total", "cause", refusalName(action.cause));
+    m_links.toCallers(answer_whole {flow.id, std::move(response)});
+    m_links.count("refusals_total", "cause", refusalName(action.cause));
     noteOutcome(flow, refusalName(action.cause), status);
 }
 
 void dispatch_task::perform(active_flow &flow, const break_answer & /*action*/)
 {
-    toCallers(answer_broken {flow.id});
+    m_links.toCallers(answer_broken {flow.id});
     noteOutcome(flow, "broken_off", flow.end.status);
 }
 
@@ -418,9 +418,8 @@
     if (flow.flow.isDone()) {
         const admitted_request &request = flow.flow.request();
         flow.end.took = boot_clock::now() - request.arrived;
-        count("requests_total", "outcome", flow.end.outcome);
-        m_metrics.latencies.push_back({{"request_seconds", {{"kind", std::string(requestKindName(request.route->kind))}}},
-                                       std::chrono::duration_cast<latency_sketch::duration>(flow.end.took)});
+        m_links.count("requests_total", "outcome", flow.end.outcome);
+        m_links.noteLatency("request_seconds", "kind", requestKindName(request.route->kind), flow.end.took);
         m_requests.writeDone(request, flow.flow.attemptCount(), flow.end);
         m_deadlines.remove(flow.id);
         m_flows.erase(flow.id);
@@ -451,15 +450,13 @@
     announceChanges();
     if (m_reportSequence++ % reportsPerMemberReport == 0) {
         const member_report report = {m_settings.incarnation, m_reportSequence};
-        toStore(member_state {encodeMemberReport(report)});
+        m_links.toStore(member_state {encodeMemberReport(report)});
     }
     listEngines();
-    m_metrics.gauges.push_back({{"endpoints", {}}, static_cast<double>(m_fleet.endpoints().size())});
-    m_metrics.gauges.push_back({{"instances", {}}, static_cast<double>(m_fleet.instanceCount())});
-    m_metrics.gauges.push_back({{"active_requests", {}}, static_cast<double>(m_flows.size())});
-    if (m_to.metrics.post(std::exchange(m_metrics, {})) != post_result::delivered) {
-        m_log.write(log_line("dispatch", "message_dropped").add("receiver", "monitor"));
-    }
+    m_links.setGauge("endpoints", static_cast<double>(m_fleet.endpoints().size()));
+    m_links.setGauge("instances", static_cast<double>(m_fleet.instanceCount()));
+    m_links.setGauge("active_requests", static_cast<double>(m_flows.size()));
+    m_links.sendMetrics();
 }
 
 void dispatch_task::listEngines()
@@ -471,9 +468,7 @@
             listed.engines.push_back({known.entry.id, known.entry.service, known.entry.address, *known.entry.stage, isUsable});
         }
     });
-    if (m_to.duty.post(std::move(listed)) != post_result::delivered) {
-        m_log.write(log_line("dispatch", "message_dropped").add("receiver", "duty"));
-    }
+    m_links.toDuty(std::move(listed));
 }
 
 void dispatch_task::updateReadiness()
@@ -489,9 +484,7 @@
                     .add("plan", m_fleet.planVersion())
                     .add("endpoints", m_fleet.endpoints().size())
                     .add("reason", isReady ? "" : reason));
-    if (m_to.readiness.post({isReady, isReady ? "" : reason}) != post_result::delivered) {
-        m_log.write(log_line("dispatch", "message_dropped").add("receiver", "monitor"));
-    }
+    m_links.reportReadiness({isReady, isReady ? "" : reason});
 }
 
 flow_context dispatch_task::context()
@@ -499,37 +492,4 @@
     return {m_fleet.endpoints(), m_repeats, m_random};
 }
 
-void dispatch_task::toCallers(front_message message)
-{
-    if (m_to.callers.post(std::move(message)) != post_result::delivered) {
-        m_log.write(log_line("dispatch", "message_dropped").add("receiver", "callers"));
-    }
-}
-
-void dispatch_task::toEndpoints(endpoint_link_message message)
-{
-    if (m_to.endpoints.post(std::move(message)) != post_result::delivered) {
-        m_log.write(log_line("dispatch", "message_dropped").add("receiver", "endpoints"));
-    }
-}
-
-void dispatch_task::toQuotas(quota_broker_message message)
-{
-    if (m_to.quotas.post(std::move(message)) != post_result::delivered) {
-        m_log.write(log_line("dispatch", "message_dropped").add("receiver", "quotas"));
-    }
-}
-
-void dispatch_task::toStore(store_message message)
-{
-    if (m_to.store.post(std::move(message)) != post_result::delivered) {
-        m_log.write(log_line("dispatch", "message_dropped").add("receiver", "store"));
-    }
-}
-
-void dispatch_task::count(std::string_view metric, std::string_view label, std::string_view value)
-{
-    m_metrics.counters.push_back({{std::string(metric), {{std::string(label), std::string(value)}}}, 1});
-}
-
 } // namespace burdockshelf
--- a/src/gateway/dispatch_task.h
+++ b/src/gateway/dispatch_task.h
@@ -1,11 +1,10 @@
 #pragma once
 
 #include "gateway/active_flow.h"
-#include "gateway/duty_messages.h"
+#include "gateway/dispatch_links.h"
 #include "gateway/fleet_state.h"
 #include "gateway/flow_deadlines.h"
 #include "gateway/gateway_messages.h"
-#include "gateway/monitor_messages.h"
 #include "gateway/request_log.h"
 #include "logging/log_writer_task.h"
 #include "runtime/task.h"
@@ -29,18 +28,6 @@
     std::chrono::milliseconds grace {8000};
 };
 
-/// Where the dispatcher sends its decisions.
-struct dispatch_addresses
-{
-    address<front_message> callers;
-    address<endpoint_link_message> endpoints;
-    address<store_message> store;
-    address<quota_broker_message> quotas;
-    address<duty_message> duty;
-    sink<readiness_report> readiness;
-    sink<metric_batch> metrics;
-};
-
 /// Decides on every request: admits it under the plan in force, runs its flow, and carries the flow's actions to the tasks that own the
 /// sockets. Owns all that this instance believes.
 class dispatch_task : public task<dispatch_message>
@@ -111,15 +98,10 @@
     void listEngines();
     void updateReadiness();
     flow_context context();
-    void toCallers(front_message message);
-    void toEndpoints(endpoint_link_message message);
-    void toQuotas(quota_broker_message message);
-    void toStore(store_message message);
-    void count(std::string_view metric, std::string_view label, std::string_view value);
 
     dispatch_settings m_settings;
     gateway_dialects m_dialects;
-    dispatch_addresses m_to;
+    dispatch_links m_links;
     event_log m_log;
     random_source m_random;
     request_log m_requests;
@@ -133,7 +115,6 @@
     flow_deadlines m_deadlines;
     timer m_report;
     timer m_lapses;
-    metric_batch m_metrics;
     bool m_isReady = false;
     deadline m_streamsUntil = deadline::never();
     deadline m_callsUntil = deadline::never();
--- a/tests/forwarding/quota_broker_test.cpp
+++ b/tests/forwarding/quota_broker_test.cpp
@@ -1,4 +1,5 @@
 #include "forwarding/quota_broker.h"
+#include "forwarding/quota_plan.h"
 
 #include <deque>
 #include <map>
@@ -21,18 +22,6 @@
 constexpr std::int64_t parts = 4;
 const workspace_id workspace("w");
 
-traffic_plan planWith(double ratePerSecond, double burstSize)
-{
-    traffic_plan plan;
-    workspace_plan one;
-    one.id = workspace;
-    one.ratePerSecond = ratePerSecond;
-    one.burst = burstSize;
-    one.countsTokens = true;
-    plan.workspaces = {one};
-    return plan;
-}
-
 instance_id nameOf(std::size_t index)
 {
     return instance_id("i" + std::to_string(index));
@@ -47,7 +36,7 @@
         for (std::size_t i = 0; i < count; ++i) {
             m_brokers.emplace_back(nameOf(i), quota_tolerance {fixedSlack, slackPart, window}, parts);
             m_brokers.back().setInstanceCount(static_cast<std::int64_t>(count), m_now);
-            m_brokers.back().setPlan(planWith(rate, burst), m_now);
+            m_brokers.back().setPlan(quotaPlan(rate, burst), m_now);
         }
         deal(0);
     }
@@ -167,7 +156,7 @@
     {
         quota_broker broker(instance_id(name), {}, parts);
         broker.setInstanceCount(instances, now);
-        broker.setPlan(planWith(rate, burst), now);
+        broker.setPlan(quotaPlan(rate, burst), now);
         return broker;
     }
 };
--- a/tests/forwarding/shares_test.cpp
+++ b/tests/forwarding/shares_test.cpp
@@ -1,4 +1,5 @@
 #include "forwarding/member_view.h"
+#include "forwarding/quota_plan.h"
 #include "forwarding/repeat_budget.h"
 #include "forwarding/workspace_shares.h"
 
@@ -14,18 +15,6 @@
 constexpr double burst = 1000.0;
 const workspace_id workspace("w");
 
-traffic_plan planWith(double ratePerSecond, double burstSize)
-{
-    traffic_plan plan;
-    workspace_plan one;
-    one.id = workspace;
-    one.ratePerSecond = ratePerSecond;
-    one.burst = burstSize;
-    one.countsTokens = true;
-    plan.workspaces = {one};
-    return plan;
-}
-
 } // namespace
 
 TEST_GROUP(shares) {};
@@ -35,7 +24,7 @@
 {
     const instant start(1000s);
     workspace_shares shares({});
-    shares.setPlan(planWith(rate, burst), start);
+    shares.setPlan(quotaPlan(rate, burst), start);
     shares.setInstanceCount(4, start);
     DOUBLES_EQUAL(0.1, shares.shareOf(workspace), 0.001);
 }
@@ -45,10 +34,10 @@
 {
     const instant start(1000s);
     workspace_shares shares({});
-    shares.setPlan(planWith(rate, burst), start);
+    shares.setPlan(quotaPlan(rate, burst), start);
     int taken = 0;
     for (int change = 0; change < 50; ++change) {
-        shares.setPlan(planWith(rate, burst + change % 2), start);
+        shares.setPlan(quotaPlan(rate, burst + change % 2), start);
         while (shares.take(workspace, 100.0, start)) {
             ++taken;
         }
