--- a/tests/soak/soak_judge.cpp
+++ b/tests/soak/soak_judge.cpp
@@ -59,7 +59,8 @@
         fail("every request is answered", request.id + " got no answer from gateway " + std::to_string(request.gateway));
     }
     if (request.status == statusUnavailable && !request.response.headers.has("Retry-After")) {
-        fail("refusals tell when to come back", request.id);
+        fail("refusals tell when to come back",
+             request.id + " got '" + request.response.body + "' from gateway " + std::to_string(request.gateway));
     }
     if (request.status != statusOk) {
         return;
