Tell when to come back when a request's time is over before anything was sent

Cause: such a request, as after its instance had been stopped, was refused with 503 and without Retry-After; the users ask for one whenever a request has not run.

Test: tellsWhenToComeBackWhenTheTimeIsOverBeforeAnythingIsSent, failed before.

--- a/src/forwarding/forward_flow.cpp
+++ b/src/forwarding/forward_flow.cpp
@@ -143,7 +143,7 @@
     if (mayHaveRun) {
         answerFailure(refusal_cause::timed_out);
     } else {
-        refuse(refusal_cause::expired, std::nullopt);
+        refuse(refusal_cause::expired, retryAfterOverload);
     }
 }
 
@@ -208,7 +208,7 @@
 void forward_flow::sendFirst()
 {
     if (m_until.hasPassed(m_now)) {
-        refuse(refusal_cause::expired, std::nullopt);
+        refuse(refusal_cause::expired, retryAfterOverload);
     } else if (usesEngine()) {
         beginRoomSearch();
     } else {
--- a/tests/forwarding/forward_flow_test.cpp
+++ b/tests/forwarding/forward_flow_test.cpp
@@ -309,6 +309,19 @@
     CHECK_TRUE(findAction<refuse_request>(refused)->isNotRun);
 }
 
+// A request whose time was over before anything was sent, as after its instance had been stopped, got a 503 without a time to come back
+// (soak, seed 417).
+TEST(forward_flow, tellsWhenToComeBackWhenTheTimeIsOverBeforeAnythingIsSent)
+{
+    plan_fixture fixture;
+    for (const char *route : {"safe", "unsafe", "stream", "resumed"}) {
+        forward_flow expired = fixture.flow(route);
+        const flow_actions refused = expired.begin(fixture.context(), fixture.now + 10s);
+        CHECK(findAction<refuse_request>(refused)->cause == refusal_cause::expired);
+        CHECK_TRUE(findAction<refuse_request>(refused)->retryAfter.has_value());
+    }
+}
+
 // A deadline that stays in the past makes the dispatcher spin on it; a booking whose caller had left did so until its time was over.
 TEST(forward_flow, movesItsDeadlineOnWheneverOneHasPassed)
 {
