Send crash reports to connected instances as well as to the store

While the store does not respond, each instance knew only the crashes that it had seen itself.

Change: a crash report also goes to the holders of quota partitions, to which every instance is connected. A report that is lost arrives through the store later.

--- a/src/gateway/store_task.cpp
+++ b/src/gateway/store_task.cpp
@@ -4,8 +4,11 @@
 
 #include <algorithm>
 #include <array>
+#include <set>
 #include <utility>
 
+#include <glog/logging.h>
+
 namespace burdockshelf
 {
 
@@ -158,12 +161,33 @@
 
 void store_task::apply(publish_crash_report &&report)
 {
+    sendCrashReport(report.value);
     m_crashReport = std::move(report.value);
     if (!m_crashReportWriter.isBusy() && !m_crashReportTimer.isArmed()) {
         writeCrashReport();
     }
 }
 
+void store_task::sendCrashReport(const std::string &report)
+{
+    std::set<instance_id> receivers;
+    for (const quota_partition_holder &one : m_holders) {
+        if (one.holder.instance != m_settings.instance) {
+            receivers.insert(one.holder.instance);
+        }
+    }
+    for (const instance_id &receiver : receivers) {
+        peer_request send;
+        send.message = peer_crash_report {report};
+        send.until = deadline::after(boot_clock::now(), writeTimeout);
+        // A report that is lost arrives through the store.
+        send.reply = sink<peer_response>([](peer_response &&) { return post_result::delivered; });
+        if (m_to.mesh.post(peer_envelope {receiver, std::move(send)}) != post_result::delivered) {
+            m_log.write(log_line("store", "message_dropped").add("receiver", receiver));
+        }
+    }
+}
+
 void store_task::writeCrashReport()
 {
     const std::string value = std::move(*m_crashReport);
@@ -204,6 +228,10 @@
 {
     if (const auto *request = std::get_if<peer_records_request>(&received.message)) {
         m_relay.handleRequest(*request, received.reply, boot_clock::now());
+    } else if (const auto *crashes = std::get_if<peer_crash_report>(&received.message)) {
+        post(topic_update {store_topic::crash_reports, {{received.from.instance.value(), crashes->report, {}}}, {}});
+        LOG_IF(WARNING, received.reply.post(acknowledgement {}) == post_result::full)
+            << "store: dropped an acknowledgement because the receiver's mailbox is full.";
     }
 }
 
--- a/src/gateway/store_task.h
+++ b/src/gateway/store_task.h
@@ -64,6 +64,8 @@
     void apply(const peer_message_received &received);
     void apply(const peer_response &response);
     void writeCrashReport();
+    /// Sends a crash report to the instances to which there are connections.
+    void sendCrashReport(const std::string &report);
     /// Chooses the instance from which this one requests records.
     void chooseReader();
     void requestHolders();
--- a/src/mesh/peer_sinks.cpp
+++ b/src/mesh/peer_sinks.cpp
@@ -29,6 +29,7 @@
     &peer_sinks::pool, // peer_pool_refund
     &peer_sinks::topics, // peer_records_request
     nullptr, // peer_records_response
+    &peer_sinks::topics, // peer_crash_report
     nullptr, // acknowledgement
 };
 
--- a/src/policy/peer_message.h
+++ b/src/policy/peer_message.h
@@ -180,6 +180,13 @@
     std::chrono::milliseconds age {};
 };
 
+/// Tells the receiver of the endpoint crashes that the sender has seen, in the encoding in which the sender publishes them in the
+/// platform's store. Sent directly as well, because the store may be unavailable.
+struct peer_crash_report
+{
+    std::string report;
+};
+
 /// A response without content, or the refusal of a message.
 struct acknowledgement
 {
@@ -204,6 +211,7 @@
                                   peer_pool_refund,
                                   peer_records_request,
                                   peer_records_response,
+                                  peer_crash_report,
                                   acknowledgement>;
 
 } // namespace burdockshelf
--- a/src/wire/peer_codec.cpp
+++ b/src/wire/peer_codec.cpp
@@ -408,6 +408,16 @@
     }
 }
 
+json write(const peer_crash_report &message, const record_codec_table & /*records*/)
+{
+    return {{"v", message.report}};
+}
+
+void read(member_reader &body, peer_crash_report &message, const record_codec_table & /*records*/)
+{
+    body.read("v", message.report);
+}
+
 json write(const acknowledgement &response, const record_codec_table & /*records*/)
 {
     return {{"k", response.isAccepted}};
@@ -482,6 +492,7 @@
     entryOf<peer_pool_refund>("pool_return"),
     entryOf<peer_records_request>("records_ask"),
     entryOf<peer_records_response>("records_answer"),
+    entryOf<peer_crash_report>("crash_report"),
     entryOf<acknowledgement>("acknowledgement"),
 };
 
--- a/tests/wire/peer_codec_test.cpp
+++ b/tests/wire/peer_codec_test.cpp
@@ -55,6 +55,7 @@
             peer_pool_request {workspace, tokens},
             peer_pool_response {anyFlag(), anyFlag(), 1ms * anyCount()},
             peer_pool_refund {workspace, tokens},
+            peer_crash_report {"{}"},
             peer_records_request {relayed_topic(anyCount()), log_offset(anyCount()), 1ms * anyCount()},
             peer_records_response {anyFlag(),
                                    anyFlag(),
