End exchanges whose response never begins, and read nothing after them

A faulty endpoint may write bytes that are no response to the request without end: interim (1xx) responses, responses to other requests, one of them with an endless body, or bytes after the response. The exchange read on until the deadline of its request. On an idle or finished connection the bytes were never taken out of the input buffer, which grew until the connection was destroyed: after 50 ms in the pool of an endpoint, at the next call in the store's and the engines' clients.

client_connection now counts the bytes before the exchange's own response head and ends the exchange as too_large above maxSkipped (1 MB). A connection that cannot be reused stops reading. A receiver can end an exchange with rejectResponse().

--- a/src/gateway/endpoint_client_task.cpp
+++ b/src/gateway/endpoint_client_task.cpp
@@ -210,6 +210,9 @@
     case exchange_outcome::broken:
         report(target, attempt_outcome::lost, "not an HTTP response");
         break;
+    case exchange_outcome::too_large:
+        report(target, attempt_outcome::lost, "response too large");
+        break;
     case exchange_outcome::complete: {
         const bool isSuccess = target.response.status < firstNonSuccessStatus;
         const bool isUsable = !target.facts.isBodyUnusable && (!isSuccess || !target.command.needsServerSeal || target.facts.hasServerSeal);
--- a/src/http1/client_connection.cpp
+++ b/src/http1/client_connection.cpp
@@ -34,6 +34,7 @@
 
 client_connection::client_connection(event_loop &loop, const socket_address &to, client_connection_settings settings)
     : m_server(to)
+    , m_maxSkipped(settings.maxSkipped)
     , m_parser(message_parser::direction::responses, settings.maxHead, *this)
 {
     byte_stream::handlers handlers;
@@ -58,6 +59,8 @@
     m_isBusy = true;
     m_isResponseAccepted = false;
     m_isComplete = false;
+    m_isTooLarge = false;
+    m_skipped = {};
     m_keepAliveTimeout = std::chrono::milliseconds(-1);
     m_parser.resume();
     m_parser.setNoBody(request.method == "HEAD");
@@ -77,6 +80,11 @@
     m_isUsable = false;
 }
 
+void client_connection::rejectResponse()
+{
+    m_isTooLarge = true;
+}
+
 bool client_connection::isOpen() const
 {
     return m_isUsable;
@@ -127,7 +135,7 @@
 
 void client_connection::onBody(std::string_view bytes)
 {
-    if (m_isResponseAccepted) {
+    if (m_isResponseAccepted && !m_isTooLarge) {
         m_handlers.onBody(bytes);
     }
 }
@@ -149,26 +157,47 @@
     if (!m_isBusy) {
         // Bytes without a request that they could respond to.
         m_isUsable = false;
+        stopReading();
         return;
     }
-    while (m_parser.state() == parse_state::reading) {
+    while (m_parser.state() == parse_state::reading && !m_isTooLarge) {
         const std::string_view bytes = m_stream->peek();
         if (bytes.empty()) {
             return;
         }
-        m_stream->drop(m_parser.take(bytes));
+        const std::size_t taken = m_parser.take(bytes);
+        m_stream->drop(taken);
+        countSkipped(taken);
         if (m_parser.state() == parse_state::complete && !m_isComplete) {
             // An interim (1xx) response or a response to another request.
             m_parser.resume();
         }
     }
-    if (m_parser.state() == parse_state::complete) {
+    if (m_isTooLarge || m_parser.state() == parse_state::head_too_large) {
+        finish(exchange_outcome::too_large);
+    } else if (m_parser.state() == parse_state::complete) {
         finish(exchange_outcome::complete);
     } else {
         finish(exchange_outcome::broken);
     }
 }
 
+void client_connection::countSkipped(std::size_t bytes)
+{
+    if (m_isResponseAccepted) {
+        return;
+    }
+    m_skipped += byte_count(static_cast<std::int64_t>(bytes));
+    m_isTooLarge = m_isTooLarge || m_skipped > m_maxSkipped;
+}
+
+void client_connection::stopReading()
+{
+    if (m_stream) {
+        m_stream->setReading(false);
+    }
+}
+
 void client_connection::onEnded(stream_end_cause end)
 {
     m_isUsable = false;
@@ -189,6 +218,9 @@
 {
     const bool isClean = end == exchange_outcome::complete && m_stream->peek().empty() && m_stream->unsentBytes() == 0;
     m_isUsable = m_isUsable && isClean;
+    if (!m_isUsable) {
+        stopReading();
+    }
     m_isBusy = false;
     m_idleSince = boot_clock::now();
     m_idleUntil = m_keepAliveTimeout < std::chrono::milliseconds::zero()
--- a/src/http1/client_connection.h
+++ b/src/http1/client_connection.h
@@ -22,6 +22,8 @@
     lost,
     /// The received bytes are not a valid HTTP response.
     broken,
+    /// The response is larger than the receiver accepts, or more than client_connection_settings::maxSkipped bytes came before it.
+    too_large,
 };
 
 /// Callbacks for the running exchange of a connection. The connection must not be destroyed inside a callback.
@@ -39,10 +41,13 @@
     byte_count maxHead {64 * 1024};
     /// TCP_USER_TIMEOUT: the connection is closed when sent bytes stay unacknowledged for this long.
     std::chrono::milliseconds userTimeout {4000};
+    /// Bytes of interim (1xx) responses and of responses to other requests that an exchange reads before it ends as too_large.
+    byte_count maxSkipped {1024 * 1024};
 };
 
 /// Client side of an HTTP/1.1 connection with one exchange at a time. It is reused only after a clean exchange: the request was sent
-/// completely, no surplus byte arrived after the response, and neither side closes the connection.
+/// completely, no surplus byte arrived after the response, and neither side closes the connection. A connection that cannot be reused reads
+/// nothing more, so that bytes without end do not accumulate.
 class client_connection : private message_handler
 {
 public:
@@ -53,6 +58,9 @@
     void send(const http_request &request, exchange_handlers handlers);
     /// Ends the exchange without calling its handlers. The connection cannot be reused.
     void abandon();
+    /// To be called by onHead or onBody when the response is larger than the receiver accepts. The exchange ends as too_large once the
+    /// handler has returned.
+    void rejectResponse();
     /// False if the connection has ended, could not be started or cannot be used for another exchange.
     bool isOpen() const;
     bool isConnected() const;
@@ -73,8 +81,12 @@
     void onReadable();
     void onEnded(stream_end_cause end);
     void finish(exchange_outcome end);
+    /// Counts bytes that were read before the exchange's own response.
+    void countSkipped(std::size_t bytes);
+    void stopReading();
 
     socket_address m_server;
+    byte_count m_maxSkipped;
     std::unique_ptr<byte_stream> m_stream;
     message_parser m_parser;
     exchange_handlers m_handlers;
@@ -83,6 +95,8 @@
     bool m_isBusy = false;
     bool m_isResponseAccepted = false;
     bool m_isComplete = false;
+    bool m_isTooLarge = false;
+    byte_count m_skipped;
     bool m_isUsable = true;
     bool m_isKeptAlive = true;
     deadline m_idleUntil = deadline::never();
