End streams whose event has no end

A faulty endpoint may write a stream whose event never ends. The part of the event that had arrived was kept without a limit and searched anew with every part, so that memory and processor time grew until the deadline of the request; no timeout applied, because bytes kept arriving.

event_splitter names the longest event (maxEventBytes, 64 KB). forward_flow cancels an attempt with a longer one, which closes its connection, counts it as a failure of the endpoint and handles it as a lost response: a resumable stream continues elsewhere, any other is broken off. The cancellation has a cause, which is logged with it (attempt_cancelled cause=event_too_long). The search for the end of an event continues where it stopped.

--- a/src/forwarding/event_splitter.cpp
+++ b/src/forwarding/event_splitter.cpp
@@ -1,5 +1,6 @@
 #include "forwarding/event_splitter.h"
 
+#include <algorithm>
 #include <charconv>
 #include <utility>
 
@@ -9,10 +10,13 @@
 namespace
 {
 
-// The position after the blank line that ends the first event, or npos.
-std::size_t endOfEvent(std::string_view text)
+// Longest part of the blank line after an event that may have arrived without its last byte.
+constexpr std::size_t maxSplitLineEnd = 2;
+
+// The position after the blank line that ends the first event, or npos. The search starts at the given position.
+std::size_t endOfEvent(std::string_view text, std::size_t from = 0)
 {
-    for (std::size_t at = text.find('\n'); at != std::string_view::npos; at = text.find('\n', at + 1)) {
+    for (std::size_t at = text.find('\n', from); at != std::string_view::npos; at = text.find('\n', at + 1)) {
         std::size_t next = at + 1;
         if (next < text.size() && text[next] == '\r') {
             ++next;
@@ -28,10 +32,12 @@
 
 std::string event_splitter::take(std::string_view bytes)
 {
+    // The bytes of earlier calls contain no whole event.
+    const std::size_t searchFrom = m_partial.size() - std::min(m_partial.size(), maxSplitLineEnd);
     m_partial.append(bytes);
     std::string complete;
     std::string_view rest = m_partial;
-    for (std::size_t end = endOfEvent(rest); end != std::string_view::npos; end = endOfEvent(rest)) {
+    for (std::size_t end = endOfEvent(rest, searchFrom); end != std::string_view::npos; end = endOfEvent(rest)) {
         const std::string_view event = rest.substr(0, end);
         const auto id = idOf(event);
         if (!id || !m_lastId || *id > *m_lastId) {
@@ -42,7 +48,7 @@
         }
         rest.remove_prefix(end);
     }
-    m_partial = std::string(rest);
+    m_partial.erase(0, m_partial.size() - rest.size());
     return complete;
 }
 
@@ -51,6 +57,11 @@
     return !m_partial.empty();
 }
 
+bool event_splitter::isPartialTooLong() const
+{
+    return m_partial.size() > maxEventBytes;
+}
+
 std::string event_splitter::takeRest()
 {
     return std::exchange(m_partial, {});
--- a/src/forwarding/event_splitter.h
+++ b/src/forwarding/event_splitter.h
@@ -14,10 +14,15 @@
 class event_splitter
 {
 public:
+    /// Longest event that is buffered, in bytes.
+    static constexpr std::size_t maxEventBytes = 64 * 1024;
+
     /// Adds bytes and returns the events that they complete. Events whose id is not greater than lastId() are left out.
     std::string take(std::string_view bytes);
     /// True while the start of an incomplete event is buffered.
     bool hasPartial() const;
+    /// True when the incomplete event is longer than maxEventBytes. The stream has to be ended then, because its event may have no end.
+    bool isPartialTooLong() const;
     /// takeRest() returns the buffered remainder when the stream has ended cleanly; dropPartial() discards it when the stream broke.
     std::string takeRest();
     void dropPartial();
--- a/src/forwarding/flow_messages.cpp
+++ b/src/forwarding/flow_messages.cpp
@@ -28,4 +28,10 @@
     return names.at(static_cast<std::size_t>(end));
 }
 
+std::string_view cancelCauseName(cancel_cause cause)
+{
+    static constexpr std::array<std::string_view, 2> names = {"superseded", "event_too_long"};
+    return names.at(static_cast<std::size_t>(cause));
+}
+
 } // namespace burdockshelf
--- a/src/forwarding/flow_messages.h
+++ b/src/forwarding/flow_messages.h
@@ -127,9 +127,21 @@
     bool isStreamed = false;
 };
 
+/// Why an attempt in progress is cancelled.
+enum class cancel_cause
+{
+    /// Its response is not needed any more, or has taken too long.
+    superseded,
+    /// Its response contains an event that is longer than event_splitter::maxEventBytes.
+    event_too_long,
+};
+
+std::string_view cancelCauseName(cancel_cause cause);
+
 struct cancel_flow_attempt
 {
     attempt_number number;
+    cancel_cause cause = cancel_cause::superseded;
 };
 
 struct release_handle
--- a/src/forwarding/forward_flow.cpp
+++ b/src/forwarding/forward_flow.cpp
@@ -80,6 +80,9 @@
         if (!whole.empty()) {
             m_actions.emplace_back(relay_body_data {std::move(whole)});
         }
+        if (m_events.isPartialTooLong()) {
+            endAsLost(number, cancel_cause::event_too_long);
+        }
     });
 }
 
--- a/src/forwarding/forward_flow_ends.cpp
+++ b/src/forwarding/forward_flow_ends.cpp
@@ -173,6 +173,20 @@
     }
 }
 
+void forward_flow::endAsLost(attempt_number number, cancel_cause cause)
+{
+    const std::optional<flow_attempt> ended = m_attempts.take(number);
+    if (!ended) {
+        return;
+    }
+    m_context->endpoints.noteEnded(
+        ended->endpoint, tokensFor(ended->attemptKind), ended->sentAt, ended->hasResponse, health_verdict::failed, m_now);
+    m_mayHaveExecuted = m_mayHaveExecuted || executesRequest(ended->attemptKind);
+    m_events.dropPartial();
+    m_actions.emplace_back(cancel_flow_attempt {number, cause});
+    (this->*rulesOf(ended->attemptKind).onEnd)(*ended, attempt_outcome::lost, {}, std::nullopt);
+}
+
 void forward_flow::onPlainCallTimeout(const flow_attempt & /*timedOut*/)
 {
     // The attempts that timed out go on in parallel. The first complete response is used, except that a server error (5xx) is retried
--- a/src/gateway/dispatch_task.cpp
+++ b/src/gateway/dispatch_task.cpp
@@ -334,7 +334,7 @@
 {
     const auto sent = flow.sent.find(action.number);
     const endpoint_id endpoint = sent == flow.sent.end() ? endpoint_id() : sent->second.endpoint;
-    m_requests.writeCancelled(flow.flow.request(), action.number, endpoint, flow.isCallerDisconnected);
+    m_requests.writeCancelled(flow.flow.request(), action, endpoint, flow.isCallerDisconnected);
     m_outbox.toEndpoints(close_attempt {flow.id, action.number});
 }
 
--- a/src/gateway/request_log.cpp
+++ b/src/gateway/request_log.cpp
@@ -131,7 +131,7 @@
 }
 
 void request_log::writeCancelled(const admitted_request &request,
-                                 attempt_number number,
+                                 const cancel_flow_attempt &cancelled,
                                  const endpoint_id &endpoint,
                                  bool isCallerDisconnected)
 {
@@ -140,8 +140,9 @@
     }
     m_to.write(log_line("dispatch", "attempt_cancelled")
                    .add("request", request.facts.id)
-                   .add("attempt", number)
+                   .add("attempt", cancelled.number)
                    .add("endpoint", endpoint)
+                   .add("cause", cancelCauseName(cancelled.cause))
                    .add("caller_gone", isCallerDisconnected));
 }
 
--- a/src/gateway/request_log.h
+++ b/src/gateway/request_log.h
@@ -45,7 +45,10 @@
     void writeSent(const admitted_request &request, const start_attempt &sent, const endpoint_state *endpoint, instant now);
     void writeFailed(const admitted_request &request, const start_attempt &sent, const attempt_ended &ended, token_count ownTokens);
     void writeFailedReservations(const admitted_request &request, const report_failed_reservations &round, instant now);
-    void writeCancelled(const admitted_request &request, attempt_number number, const endpoint_id &endpoint, bool isCallerDisconnected);
+    void writeCancelled(const admitted_request &request,
+                        const cancel_flow_attempt &cancelled,
+                        const endpoint_id &endpoint,
+                        bool isCallerDisconnected);
     void writeDone(const admitted_request &request, std::int64_t attempts, const request_summary &end);
     /// Starts a new report period. Logs how many lines were omitted in the previous one.
     void beginPeriod();
