End attempts whose buffered response is too large

An endpoint may write an endless body of a response that is buffered: that of a plain call, of a reservation or prefill, or an error. After 8 MB the attempt went on reading and dropping bytes until the deadline of its request, on a connection that stayed open. Ten such attempts held 80 MB, nearly the whole memory of a small instance.

endpoint_client_task ends an attempt above maxBufferedBytes as lost with the cause "response too large", which is logged once (attempt_failed) and counts against the endpoint, and closes its connection. The buffered bodies of all calls together are limited too (maxBufferedBytesOfAllCalls, 16 MB): above it the call with the largest body ends, so that ordinary responses are not affected.

--- a/src/gateway/endpoint_client_task.cpp
+++ b/src/gateway/endpoint_client_task.cpp
@@ -2,6 +2,7 @@
 
 #include "http1/message_writer.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace burdockshelf
@@ -24,6 +25,8 @@
 constexpr milliseconds maxIdleForNonRetryable {400};
 // Maximum size of a buffered response body; no service sends larger responses.
 constexpr std::size_t maxBufferedBytes = 8 * 1024 * 1024;
+// Maximum size of the buffered response bodies of all calls together, well below the memory of a small instance.
+constexpr std::size_t maxBufferedBytesOfAllCalls = 16 * 1024 * 1024;
 constexpr std::size_t defaultConnectionsPerEndpoint = 32;
 constexpr int firstNonSuccessStatus = 300;
 
@@ -87,9 +90,7 @@
     target.connection = takeConnection(target.command.address, target.command.isRetryable);
     if (!target.connection) {
         report(target, attempt_outcome::not_sent, "too many connections");
-        m_endedCalls.push_back(std::move(m_calls[key]));
-        m_calls.erase(key);
-        m_destroyTimer.start(deadline());
+        retire(key);
         return;
     }
     target.connection->send(target.command.request, handlersFor(target));
@@ -105,8 +106,7 @@
         return;
     }
     destroyLater(std::move(found->second->connection));
-    m_endedCalls.push_back(std::move(found->second));
-    m_calls.erase(found);
+    retire(found->first);
 }
 
 void endpoint_client_task::apply(const fire_and_forget_call &command)
@@ -185,10 +185,8 @@
     handlers.onBody = [this, &target](std::string_view bytes) {
         if (target.isRelayed) {
             post(attempt_body_data {target.command.flow, target.command.number, std::string(bytes)});
-        } else if (target.response.body.size() + bytes.size() <= maxBufferedBytes) {
-            target.response.body.append(bytes);
         } else {
-            target.facts.isBodyUnusable = true;
+            buffer(target, bytes);
         }
     };
     handlers.onEnd = [this, &target](exchange_outcome end) {
@@ -197,6 +195,43 @@
     return handlers;
 }
 
+void endpoint_client_task::buffer(call &target, std::string_view bytes)
+{
+    if (target.response.body.size() + bytes.size() > maxBufferedBytes) {
+        target.connection->rejectResponse();
+        return;
+    }
+    target.response.body.append(bytes);
+    m_bufferedBytes += bytes.size();
+    if (m_bufferedBytes <= maxBufferedBytesOfAllCalls) {
+        return;
+    }
+    call &largest = findLargestCall();
+    if (&largest == &target) {
+        // Its connection is in a handler and ends the exchange afterwards.
+        target.connection->rejectResponse();
+    } else {
+        finishExchange(largest, exchange_outcome::too_large);
+    }
+}
+
+endpoint_client_task::call &endpoint_client_task::findLargestCall()
+{
+    const auto largest = std::max_element(m_calls.begin(), m_calls.end(), [](const auto &left, const auto &right) {
+        return left.second->response.body.size() < right.second->response.body.size();
+    });
+    return *largest->second;
+}
+
+void endpoint_client_task::retire(const call_key &key)
+{
+    const auto found = m_calls.find(key);
+    m_bufferedBytes -= found->second->response.body.size();
+    m_endedCalls.push_back(std::move(found->second));
+    m_calls.erase(found);
+    m_destroyTimer.start(deadline());
+}
+
 void endpoint_client_task::finishExchange(call &target, exchange_outcome end)
 {
     const call_key key = {target.command.flow, target.command.number};
@@ -211,6 +246,8 @@
         report(target, attempt_outcome::lost, "not an HTTP response");
         break;
     case exchange_outcome::too_large:
+        m_bufferedBytes -= target.response.body.size();
+        target.response.body = {};
         report(target, attempt_outcome::lost, "response too large");
         break;
     case exchange_outcome::complete: {
@@ -228,11 +265,8 @@
         break;
     }
     }
-    const auto found = m_calls.find(key);
-    release(std::move(found->second->connection));
-    m_endedCalls.push_back(std::move(found->second));
-    m_calls.erase(found);
-    m_destroyTimer.start(deadline());
+    release(std::move(target.connection));
+    retire(key);
 }
 
 void endpoint_client_task::report(const call &target, attempt_outcome end, std::string detail)
@@ -286,8 +320,7 @@
         const call_key key = {target->command.flow, target->command.number};
         report(*target, attempt_outcome::not_sent, "connect timeout");
         destroyLater(std::move(target->connection));
-        m_endedCalls.push_back(std::move(m_calls[key]));
-        m_calls.erase(key);
+        retire(key);
     }
     std::vector<std::unique_ptr<client_connection>> expired;
     for (auto &[to, connections] : m_pools) {
--- a/src/gateway/endpoint_client_task.h
+++ b/src/gateway/endpoint_client_task.h
@@ -45,7 +45,13 @@
     void apply(const connection_limits &limits);
     std::unique_ptr<client_connection> takeConnection(const socket_address &to, bool isRetryable);
     exchange_handlers handlersFor(call &target);
+    /// Buffers a part of a response that is not relayed. Ends the attempt when its response is too large, or the attempt with the largest
+    /// response when all buffered responses together are.
+    void buffer(call &target, std::string_view bytes);
+    call &findLargestCall();
     void finishExchange(call &target, exchange_outcome end);
+    /// Removes a call that has ended; its connection has been released before.
+    void retire(const call_key &key);
     void report(const call &target, attempt_outcome end, std::string detail);
     void release(std::unique_ptr<client_connection> connection);
     void destroyLater(std::unique_ptr<client_connection> connection);
@@ -59,6 +65,8 @@
     std::map<socket_address, pool> m_pools;
     std::map<call_key, std::unique_ptr<call>> m_calls;
     std::size_t m_maxPerEndpoint;
+    /// Size of the buffered responses of all calls.
+    std::size_t m_bufferedBytes = 0;
     // Connections and calls are destroyed from the event loop, never inside one of their own handlers.
     std::vector<std::unique_ptr<client_connection>> m_pendingDestruction;
     std::vector<std::unique_ptr<call>> m_endedCalls;
