Fail serial calls whose response is too large

The clients of the store and of the engines' status kept a response of any size. Now a body over maxBodyBytes (4 MB) fails the call with error_code::too_large, and its connection is closed. A page or batch of the store has a megabyte of records, 1.4 MB in base64.

--- a/src/gateway/serial_http_client.cpp
+++ b/src/gateway/serial_http_client.cpp
@@ -5,6 +5,26 @@
 namespace burdockshelf
 {
 
+namespace
+{
+
+error failureOf(exchange_outcome end)
+{
+    switch (end) {
+    case exchange_outcome::not_sent:
+        return {error_code::connection_refused, "cannot connect"};
+    case exchange_outcome::too_large:
+        return {error_code::too_large, "the response is too large"};
+    case exchange_outcome::complete:
+    case exchange_outcome::lost:
+    case exchange_outcome::broken:
+        break;
+    }
+    return {error_code::connection_lost, "the call failed before a complete response was received"};
+}
+
+} // namespace
+
 serial_http_client::serial_http_client(event_loop &loop, const socket_address &server)
     : m_loop(loop)
     , m_server(server)
@@ -45,7 +65,11 @@
         m_response = std::move(head);
     };
     handlers.onBody = [this](std::string_view bytes) {
-        m_response.body.append(bytes);
+        if (m_response.body.size() + bytes.size() > maxBodyBytes) {
+            m_connection->rejectResponse();
+        } else {
+            m_response.body.append(bytes);
+        }
     };
     handlers.onEnd = [this](exchange_outcome end) {
         if (end == exchange_outcome::complete) {
@@ -53,8 +77,7 @@
             return;
         }
         discardConnection();
-        finish(failure(end == exchange_outcome::not_sent ? error_code::connection_refused : error_code::connection_lost,
-                       "the call failed before a complete response was received"));
+        finish(failureOf(end));
     };
     // If the connection attempt fails immediately, the call ends at its deadline.
     m_connection->send(request, std::move(handlers));
--- a/src/gateway/serial_http_client.h
+++ b/src/gateway/serial_http_client.h
@@ -11,12 +11,16 @@
 {
 
 /// HTTP client that makes one call at a time, each with a deadline, on a persistent connection to one server. Replaces the connection after
-/// a failed call, because it may have become unresponsive. Owned by one task.
+/// a failed call, because it may have become unresponsive. A response with a longer body than maxBodyBytes fails the call with
+/// error_code::too_large. Owned by one task.
 class serial_http_client
 {
 public:
     using handler = std::function<void(outcome<http_response>)>;
 
+    /// The store sends at most a megabyte of records in one response, which the encoding of values in base64 makes larger by a third.
+    static constexpr std::size_t maxBodyBytes = 4 * 1024 * 1024;
+
     serial_http_client(event_loop &loop, const socket_address &server);
     ~serial_http_client();
     serial_http_client(const serial_http_client &) = delete;
