End calls whose response nothing waits for

Calls that release a handle or a reservation have no deadline. When an endpoint did not respond to one, or responded without end, the call and its connection stayed until the endpoint closed it, and took one of the connections that the instance may have to that endpoint.

Such a call now ends fireAndForgetTimeout (2 s) after it began, and its connection is closed.

Evidence: endsCallsWhoseResponseIsIgnored in tests/gateway/endless_body_test.cpp, with a silent endpoint and with one that writes an endless body. On the code before:

TEST(endless_body, endsCallsWhoseResponseIsIgnored) LONGS_EQUAL(0, site.endpoint.openConnectionCount()) failed expected <0 (0x0)> but was <1 (0x1)> - 3998 ms

Now the test passes.

--- a/src/gateway/endpoint_client_task.cpp
+++ b/src/gateway/endpoint_client_task.cpp
@@ -27,6 +27,8 @@
 constexpr std::size_t maxBufferedBytes = 8 * 1024 * 1024;
 // Maximum size of the buffered response bodies of all calls together, well below the memory of a small instance.
 constexpr std::size_t maxBufferedBytesOfAllCalls = 16 * 1024 * 1024;
+// Longest time for the response to a call that nothing waits for.
+constexpr milliseconds fireAndForgetTimeout {2000};
 constexpr std::size_t defaultConnectionsPerEndpoint = 32;
 constexpr int firstNonSuccessStatus = 300;
 
@@ -38,6 +40,8 @@
     open_attempt command;
     std::unique_ptr<client_connection> connection;
     deadline connectDeadline;
+    /// When a call that nothing waits for is ended; all others are ended by the dispatcher.
+    deadline endAt = deadline::never();
     http_response response;
     response_facts facts;
     bool hasHead = false;
@@ -123,6 +127,7 @@
     const auto started = m_calls.find(key);
     if (started != m_calls.end()) {
         started->second->isFireAndForget = true;
+        started->second->endAt = deadline::after(boot_clock::now(), fireAndForgetTimeout);
     }
 }
 
@@ -312,7 +317,8 @@
     const instant now = boot_clock::now();
     std::vector<call *> overdue;
     for (const auto &[key, target] : m_calls) {
-        if (!target->connection->isConnected() && target->connectDeadline.hasPassed(now)) {
+        const bool isConnectOverdue = !target->connection->isConnected() && target->connectDeadline.hasPassed(now);
+        if (isConnectOverdue || target->endAt.hasPassed(now)) {
             overdue.push_back(target.get());
         }
     }
