Disconnect callers that leave too much of a stream unread

An endpoint may write whole events without end. They are passed on at once, and what a caller does not read stayed in the output buffer of its connection, without a limit, until the deadline of the request.

A caller that leaves more than maxUnreadStreamBytes (1 MB) of a stream unread is now disconnected: the attempt ends, as it does when the caller closes its connection, and caller_too_slow is logged.

--- a/src/gateway/caller_server_task.cpp
+++ b/src/gateway/caller_server_task.cpp
@@ -29,6 +29,8 @@
 constexpr int listenBacklog = 1024;
 // Pipelined requests are buffered up to this size while a response is pending; then reading from the connection pauses.
 constexpr std::size_t maxPipelinedBytes = 64 * 1024;
+// A caller that leaves more bytes of a stream unread than this is disconnected. A language model needs minutes for as much text.
+constexpr std::size_t maxUnreadStreamBytes = 1024 * 1024;
 
 constexpr int statusRequestTimeout = 408;
 constexpr int statusBadRequest = 400;
@@ -99,6 +101,11 @@
         m_stream->write(chunkBytes(bytes));
     }
 
+    bool isTooSlow() const
+    {
+        return m_stream->unsentBytes() > maxUnreadStreamBytes;
+    }
+
     void writeResponseEnd()
     {
         m_stream->write(lastChunk());
@@ -365,6 +372,11 @@
 {
     if (connection *target = findByFlow(data.flow)) {
         target->writeBodyData(data.bytes);
+        if (target->isTooSlow()) {
+            m_log.write(log_line("callers", "caller_too_slow").add("flow", data.flow));
+            reportCallerDisconnected(*target);
+            destroyLater(*target);
+        }
     }
 }
 
