Take only a response with the request's id for its response

A faulty endpoint may write an earlier refusal once more on a kept connection. Calls for reservations carry no id, nor do the refusals of them, and a response without an id was taken for the response to any request. So a decode on the same connection was counted as refused while the endpoint ran it: the caller was answered 503, which promises that the request has not run (REFUSED), or the request ran at a second endpoint (TWICE).

- A response counts only if it carries the id of the request, and one without an id only for a call without one.
Others are dropped, and the exchange waits for its own response.
- The id does not tell two attempts of one request at one address apart.
That occurs when a lost prefill is repeated at its endpoint, and when an endpoint's address is taken over by another; decodes, plain calls and resumed streams exclude the endpoints that were tried.
The later attempt uses a new connection.
A connection whose response was unusable is closed.
- For calls without an id, when several responses have arrived at once, the last one counts, and the connection is closed.
So a granted reservation is not given up because of an earlier refusal in front of it.

Two tests of tests/gateway answered requests without their id, which the users' endpoints never do (below), and expected that to count. They now answer with the id and check the same: a success without the seal is answered 502, and a refusal without execution 503 with Retry-After.

So endpoints return the id in all responses to requests, refusals included, and never for reservations, also when they get one.

--- a/src/gateway/active_flow.h
+++ b/src/gateway/active_flow.h
@@ -3,6 +3,7 @@
 #include "gateway/gateway_messages.h"
 #include "gateway/request_log.h"
 
+#include <algorithm>
 #include <map>
 #include <utility>
 
@@ -19,6 +20,14 @@
     {
     }
 
+    /// True if an attempt with the id of the request was sent to the address. Calls for reservations carry no id.
+    bool hasSentRequestTo(const socket_address &address) const
+    {
+        return std::any_of(sent.begin(), sent.end(), [&](const auto &attempt) {
+            return attempt.second.attemptKind != attempt_kind::reserve && attempt.second.address == address;
+        });
+    }
+
     flow_id id;
     http_request original;
     forward_flow flow;
--- a/src/gateway/dispatch_task.cpp
+++ b/src/gateway/dispatch_task.cpp
@@ -318,13 +318,16 @@
     command.flow = flow.id;
     command.number = action.number;
     command.address = action.address;
-    command.expected = request.facts.id;
     command.isStreamed = action.isStreamed;
     command.needsServerSeal = executesRequest(action.attemptKind);
     command.isRetryable = request.route->kind == request_kind::idempotent || !executesRequest(action.attemptKind);
-    command.request = action.attemptKind == attempt_kind::reserve
-        ? m_dialects.endpoints.reserve(action)
-        : m_dialects.endpoints.forward(flow.original, request, action, boot_clock::now());
+    if (action.attemptKind == attempt_kind::reserve) {
+        command.request = m_dialects.endpoints.reserve(action);
+    } else {
+        command.expected = request.facts.id;
+        command.needsNewConnection = flow.hasSentRequestTo(action.address);
+        command.request = m_dialects.endpoints.forward(flow.original, request, action, boot_clock::now());
+    }
     m_requests.writeSent(request, action, m_fleet.endpoints().find(action.endpoint), boot_clock::now());
     flow.sent[action.number] = std::move(action);
     m_outbox.toEndpoints(std::move(command));
--- a/src/gateway/endpoint_client_task.cpp
+++ b/src/gateway/endpoint_client_task.cpp
@@ -91,7 +91,7 @@
     created->connectDeadline = deadline::after(boot_clock::now(), connectTimeout);
     call &target = *created;
     m_calls[key] = std::move(created);
-    target.connection = takeConnection(target.command.address, target.command.isRetryable);
+    target.connection = takeConnection(target.command);
     if (!target.connection) {
         report(target, attempt_outcome::not_sent, "too many connections");
         retire(key);
@@ -136,19 +136,25 @@
     m_maxPerEndpoint = limits.maxPerEndpoint;
 }
 
-std::unique_ptr<client_connection> endpoint_client_task::takeConnection(const socket_address &to, bool isRetryable)
+std::unique_ptr<client_connection> endpoint_client_task::takeConnection(const open_attempt &command)
 {
+    const socket_address &to = command.address;
     pool &connections = m_pools[to];
     const instant now = boot_clock::now();
-    while (!connections.idle.empty()) {
+    while (!connections.idle.empty() && !command.needsNewConnection) {
         auto candidate = std::move(connections.idle.front());
         connections.idle.pop_front();
-        const bool isFresh = isRetryable || now - candidate->idleSince() < maxIdleForNonRetryable || !candidate->idleUntil().isNever();
+        const bool isFresh =
+            command.isRetryable || now - candidate->idleSince() < maxIdleForNonRetryable || !candidate->idleUntil().isNever();
         if (isFresh && candidate->isReusable(now)) {
             return candidate;
         }
         destroyLater(std::move(candidate));
     }
+    if (connections.open >= m_maxPerEndpoint && !connections.idle.empty()) {
+        destroyLater(std::move(connections.idle.back()));
+        connections.idle.pop_back();
+    }
     if (connections.open >= m_maxPerEndpoint) {
         return nullptr;
     }
@@ -164,9 +170,10 @@
 exchange_handlers endpoint_client_task::handlersFor(call &target)
 {
     exchange_handlers handlers;
+    handlers.takesLastResponse = target.command.expected.isEmpty();
     handlers.acceptsResponse = [this, &target](const http_response &head) {
         const response_facts facts = m_dialect.decodeResponseHead(head);
-        const bool acceptsResponse = facts.answered.isEmpty() || facts.answered == target.command.expected;
+        const bool acceptsResponse = facts.answered == target.command.expected;
         if (!acceptsResponse) {
             m_log.write(log_line("endpoints", "foreign_answer_dropped")
                             .add("request", target.command.expected)
@@ -177,6 +184,8 @@
     };
     handlers.onHead = [this, &target](http_response &&head, const message_framing & /*framing*/) {
         target.hasHead = true;
+        m_bufferedBytes -= target.response.body.size();
+        target.response.body.clear();
         target.facts = m_dialect.decodeResponseHead(head);
         target.response.status = head.status;
         target.response.headers = endToEndHeaders(head.headers);
@@ -240,6 +249,8 @@
 void endpoint_client_task::finishExchange(call &target, exchange_outcome end)
 {
     const call_key key = {target.command.flow, target.command.number};
+    // A connection whose response cannot be used carries no further request.
+    bool isReliable = true;
     switch (end) {
     case exchange_outcome::not_sent:
         report(target, attempt_outcome::not_sent, "cannot connect");
@@ -266,11 +277,16 @@
             report(target,
                    isUsable ? attempt_outcome::whole : attempt_outcome::lost,
                    isUsable ? "" : "response without server seal or with an unusable body");
+            isReliable = isUsable;
         }
         break;
     }
     }
-    release(std::move(target.connection));
+    if (isReliable) {
+        release(std::move(target.connection));
+    } else {
+        destroyLater(std::move(target.connection));
+    }
     retire(key);
 }
 
--- a/src/gateway/endpoint_client_task.h
+++ b/src/gateway/endpoint_client_task.h
@@ -43,7 +43,7 @@
     void apply(const close_attempt &command);
     void apply(const fire_and_forget_call &command);
     void apply(const connection_limits &limits);
-    std::unique_ptr<client_connection> takeConnection(const socket_address &to, bool isRetryable);
+    std::unique_ptr<client_connection> takeConnection(const open_attempt &command);
     exchange_handlers handlersFor(call &target);
     /// Buffers a part of a response that is not relayed. Ends the attempt when its response is too large, or the attempt with the largest
     /// response when all buffered responses together are.
--- a/src/gateway/gateway_messages.h
+++ b/src/gateway/gateway_messages.h
@@ -74,13 +74,17 @@
     attempt_number number;
     socket_address address;
     http_request request;
-    /// Responses with another id belong to other requests and are ignored.
+    /// The id in the response; empty for a call without an id. A response with another id, or one without an id to a request that has one,
+    /// belongs to another request and is ignored.
     attempt_id expected;
     bool isStreamed = false;
     /// A successful response without the endpoint's seal is not accepted.
     bool needsServerSeal = true;
     /// The call may be retried, so it may use an idle connection that the endpoint might be closing.
     bool isRetryable = false;
+    /// An earlier attempt with the same id was sent to this address. A late response to it cannot be told from the response to this one, so
+    /// no kept connection is used.
+    bool needsNewConnection = false;
 };
 
 struct close_attempt
--- a/src/http1/client_connection.cpp
+++ b/src/http1/client_connection.cpp
@@ -167,6 +167,12 @@
         }
         const std::size_t taken = m_parser.take(bytes);
         m_stream->drop(taken);
+        if (isSuperseded()) {
+            // Not reused, because the server may repeat a response again.
+            m_isUsable = false;
+            m_isComplete = false;
+            m_isResponseAccepted = false;
+        }
         countSkipped(taken);
         if (m_parser.state() == parse_state::complete && !m_isComplete) {
             // An interim (1xx) response or a response to another request.
@@ -182,6 +188,11 @@
     }
 }
 
+bool client_connection::isSuperseded()
+{
+    return m_handlers.takesLastResponse && m_isComplete && !m_stream->peek().empty();
+}
+
 void client_connection::countSkipped(std::size_t bytes)
 {
     if (m_isResponseAccepted) {
--- a/src/http1/client_connection.h
+++ b/src/http1/client_connection.h
@@ -31,6 +31,9 @@
 {
     /// Decides whether a response belongs to this exchange. If not, the response is discarded and the next one is read. Optional.
     std::function<bool(const http_response &)> acceptsResponse;
+    /// For requests whose responses carry no id. When several responses have arrived at once, the last one belongs to this exchange: those
+    /// before it are repeated responses to earlier requests. onHead is called for each of them.
+    bool takesLastResponse = false;
     std::function<void(http_response &&, const message_framing &)> onHead;
     std::function<void(std::string_view)> onBody;
     std::function<void(exchange_outcome)> onEnd;
@@ -81,6 +84,8 @@
     void onReadable();
     void onEnded(stream_end_cause end);
     void finish(exchange_outcome end);
+    /// True if the complete response is followed by another one that belongs to the exchange instead.
+    bool isSuperseded();
     /// Counts bytes that were read before the exchange's own response.
     void countSkipped(std::size_t bytes);
     void stopReading();
--- a/tests/gateway/gateway_test.cpp
+++ b/tests/gateway/gateway_test.cpp
@@ -249,8 +249,9 @@
 {
     deployment site;
     site.callUntil(site.request("GET", "/safe/x"), 200);
-    site.plain.setRequestHandler([](const std::shared_ptr<http_exchange> &exchange) {
-        http_response response;
+    site.plain.setRequestHandler([&site](const std::shared_ptr<http_exchange> &exchange) {
+        http_response response = site.plain.success(exchange->request());
+        response.headers.remove("X-Server-Seal");
         response.body = "somebody's";
         exchange->respond(response);
     });
@@ -280,6 +281,7 @@
     site.plain.setRequestHandler([](const std::shared_ptr<http_exchange> &exchange) {
         http_response response;
         response.status = 503;
+        response.headers.add("X-Attempt-Id", std::string(exchange->request().headers.value("X-Attempt-Id")));
         response.headers.add("X-Not-Executed", "1");
         exchange->respond(response);
     });
