Break off streams that end inside an event

A stream without a length ends with its connection. When an endpoint ended inside an event and its connection was closed cleanly, the caller of a route that is not resumable got the part of the event and a complete end. The same held for a connection that ended right after the head of a stream.

A stream that ends inside an event counts as broken off on all routes: a resumable one continues elsewhere, any other ends without its last chunk. One that ends after its head is a lost response (502). Line breaks after the last event belong to no event. A reset connection was never complete before either; the tests keep that.

--- a/src/forwarding/event_splitter.cpp
+++ b/src/forwarding/event_splitter.cpp
@@ -54,7 +54,7 @@
 
 bool event_splitter::hasPartial() const
 {
-    return !m_partial.empty();
+    return m_partial.find_first_not_of("\r\n") != std::string::npos;
 }
 
 bool event_splitter::isPartialTooLong() const
--- a/src/forwarding/event_splitter.h
+++ b/src/forwarding/event_splitter.h
@@ -9,8 +9,8 @@
 {
 
 /// Splits a stream of server-sent events into complete events and tracks the highest event id. When a stream breaks, the caller has thus
-/// received no partial event, and the stream can resume after the last complete one. Only at the clean end of a stream may a partial event
-/// be passed on, see takeRest().
+/// received no partial event, and the stream can resume after the last complete one. A stream that ends inside an event has been broken
+/// off, however its connection ended.
 class event_splitter
 {
 public:
@@ -19,11 +19,11 @@
 
     /// Adds bytes and returns the events that they complete. Events whose id is not greater than lastId() are left out.
     std::string take(std::string_view bytes);
-    /// True while the start of an incomplete event is buffered.
+    /// True while the start of an incomplete event is buffered. Line breaks after an event belong to no event.
     bool hasPartial() const;
     /// True when the incomplete event is longer than maxEventBytes. The stream has to be ended then, because its event may have no end.
     bool isPartialTooLong() const;
-    /// takeRest() returns the buffered remainder when the stream has ended cleanly; dropPartial() discards it when the stream broke.
+    /// takeRest() returns what is buffered when the stream has ended cleanly; dropPartial() discards it when the stream broke.
     std::string takeRest();
     void dropPartial();
     /// Highest id among the complete events so far and the id from setLastId(); unset before there is either.
--- a/src/forwarding/forward_flow.h
+++ b/src/forwarding/forward_flow.h
@@ -137,6 +137,8 @@
     void failRequest(refusal_cause cause);
     void refuse(refusal_cause cause, std::optional<std::chrono::milliseconds> retryAfter);
     void cancel(const flow_attempt &target);
+    /// Relays the clean end of a streamed response.
+    void relayStreamEnd(attempt_number number);
     /// Cancels an attempt whose response cannot be used any further, as if its endpoint had broken it off.
     void endAsLost(attempt_number number, cancel_cause cause);
     void cancelAll();
--- a/src/forwarding/forward_flow_ends.cpp
+++ b/src/forwarding/forward_flow_ends.cpp
@@ -132,17 +132,8 @@
         m_isFinal = true;
         return;
     }
-    if (outcome == attempt_outcome::whole && !(m_events.hasPartial() && mayRetry())) {
-        if (!m_isHeadRelayed) {
-            m_actions.emplace_back(relay_response_head {ended.number});
-            m_isHeadRelayed = true;
-        }
-        std::string rest = m_events.takeRest();
-        if (!rest.empty()) {
-            m_actions.emplace_back(relay_body_data {std::move(rest)});
-        }
-        m_actions.emplace_back(relay_response_end {});
-        m_isFinal = true;
+    if (outcome == attempt_outcome::whole && !m_events.hasPartial()) {
+        relayStreamEnd(ended.number);
         return;
     }
     if (outcome == attempt_outcome::rejected && m_handle) {
@@ -154,6 +145,20 @@
     retryDecode(ended);
 }
 
+void forward_flow::relayStreamEnd(attempt_number number)
+{
+    if (!m_isHeadRelayed) {
+        m_actions.emplace_back(relay_response_head {number});
+        m_isHeadRelayed = true;
+    }
+    std::string rest = m_events.takeRest();
+    if (!rest.empty()) {
+        m_actions.emplace_back(relay_body_data {std::move(rest)});
+    }
+    m_actions.emplace_back(relay_response_end {});
+    m_isFinal = true;
+}
+
 void forward_flow::retryDecode(const flow_attempt &ended)
 {
     if (m_connectFailures == 0) {
--- a/src/gateway/endpoint_client_task.cpp
+++ b/src/gateway/endpoint_client_task.cpp
@@ -45,6 +45,8 @@
     http_response response;
     response_facts facts;
     bool hasHead = false;
+    bool hasBody = false;
+    bool endsAtConnectionClose = false;
     bool isRelayed = false;
     bool isFireAndForget = false;
 };
@@ -182,8 +184,9 @@
         }
         return acceptsResponse;
     };
-    handlers.onHead = [this, &target](http_response &&head, const message_framing & /*framing*/) {
+    handlers.onHead = [this, &target](http_response &&head, const message_framing &framing) {
         target.hasHead = true;
+        target.endsAtConnectionClose = framing.endsAtConnectionClose;
         m_bufferedBytes -= target.response.body.size();
         target.response.body.clear();
         target.facts = m_dialect.decodeResponseHead(head);
@@ -197,6 +200,7 @@
         }
     };
     handlers.onBody = [this, &target](std::string_view bytes) {
+        target.hasBody = true;
         if (target.isRelayed) {
             post(attempt_body_data {target.command.flow, target.command.number, std::string(bytes)});
         } else {
@@ -273,6 +277,8 @@
             report(target, attempt_outcome::misdirected, "the address belongs to another endpoint");
         } else if (target.facts.isNotExecuted) {
             report(target, attempt_outcome::rejected, "rejected by the endpoint without execution");
+        } else if (target.isRelayed && target.endsAtConnectionClose && !target.hasBody) {
+            report(target, attempt_outcome::lost, "connection ended after the head of a stream");
         } else {
             report(target,
                    isUsable ? attempt_outcome::whole : attempt_outcome::lost,
