End streams of services without engines once

A route with streams may lead to a service without engines; the example configuration of the platform splits one so. Its stream was relayed as it came, and at its end the response was written to the caller once more as a complete one: a second head in the middle of the chunks. Callers got no usable response. When the endpoint paused, a second attempt of a resumable stream was started beside the first, and the events of both were mixed.

The end of a relayed plain call ends the stream, or breaks it off when it ended inside an event. A stream that times out is cancelled before it is repeated, as decodes are.

Evidence: tests/gateway/response_without_length_test.cpp. On the code before:

TEST(response_without_length, isRelayedOnceFromAServiceWithoutEngines) LONGS_EQUAL(200, stream.status) failed expected <200 (0xc8)> but was < 0 (0x0)>

Now OK (53 tests, 53 ran). The parallel attempt was found by reading; it has no test of its own.

--- a/src/forwarding/forward_flow_ends.cpp
+++ b/src/forwarding/forward_flow_ends.cpp
@@ -36,7 +36,13 @@
                                   const response_summary &response,
                                   const std::optional<std::string> & /*handle*/)
 {
-    if (outcome == attempt_outcome::whole) {
+    const bool isStreamCut = outcome == attempt_outcome::whole && m_events.hasPartial();
+    if (outcome == attempt_outcome::whole && m_isHeadRelayed && ended.hasResponse && !isStreamCut) {
+        relayStreamEnd(ended.number);
+        return;
+    }
+    m_events.dropPartial();
+    if (outcome == attempt_outcome::whole && !m_isHeadRelayed) {
         const bool isFailure = response.status >= firstServerErrorStatus;
         if (isFailure && mayRetry() && hasAttemptsLeft() && spendRetry() && send(attempt_kind::plain_call, std::nullopt)) {
             return;
@@ -49,7 +55,7 @@
     if (!m_attempts.isEmpty()) {
         return;
     }
-    const bool mayHaveExecutedThere = outcome == attempt_outcome::lost;
+    const bool mayHaveExecutedThere = outcome == attempt_outcome::lost || outcome == attempt_outcome::whole;
     const bool needsNoRetryBudget = outcome == attempt_outcome::not_sent && m_connectFailures < maxConnectFailures;
     const bool mayContinue = needsNoRetryBudget || ((!mayHaveExecutedThere || mayRetry()) && hasAttemptsLeft() && spendRetry());
     if (mayContinue && send(attempt_kind::plain_call, std::nullopt)) {
@@ -192,13 +198,24 @@
     (this->*rulesOf(ended->attemptKind).onEnd)(*ended, attempt_outcome::lost, {}, std::nullopt);
 }
 
-void forward_flow::onPlainCallTimeout(const flow_attempt & /*timedOut*/)
+void forward_flow::onPlainCallTimeout(const flow_attempt &timedOut)
 {
+    if (!mayRetry() || !hasAttemptsLeft() || !spendRetry()) {
+        return;
+    }
+    if (m_request.route->kind == request_kind::streaming) {
+        // The old attempt is cancelled first, so that two endpoints never generate the same stream.
+        cancel(timedOut);
+        m_mayHaveExecuted = true;
+        m_events.dropPartial();
+        if (!send(attempt_kind::plain_call, std::nullopt)) {
+            failRequest(refusal_cause::endpoint_failed);
+        }
+        return;
+    }
     // The attempts that timed out go on in parallel. The first complete response is used, except that a server error (5xx) is retried
     // while that is possible.
-    if (mayRetry() && hasAttemptsLeft() && spendRetry()) {
-        send(attempt_kind::plain_call, std::nullopt);
-    }
+    send(attempt_kind::plain_call, std::nullopt);
 }
 
 void forward_flow::onReserveTimeout(const flow_attempt &timedOut)
