Relay records between instances byte by byte

Instances relay the records of the store's topics to each other as JSON strings. Bytes of a key or value that are no UTF-8 were replaced on the way. An entry that the reading instance rejects as unreadable, for example with such a byte in its zone, then became readable at the others, which sent requests to the endpoint that it names. Nothing threw: the replacement was the error handler.

Such bytes are relayed in hexadecimal.

--- a/src/wire/bytes_codec.cpp
+++ b/src/wire/bytes_codec.cpp
@@ -13,6 +13,8 @@
 constexpr std::string_view hexDigits = "0123456789abcdef";
 constexpr std::string_view hexSuffix = "_hex";
 
+} // namespace
+
 // The JSON library drops invalid UTF-8 in the one mode and replaces it in the other, so the results differ only for invalid UTF-8.
 bool isUtf8(std::string_view bytes)
 {
@@ -31,13 +33,11 @@
     return text;
 }
 
-bool isHex(std::string_view text)
-{
-    return text.size() % 2 == 0 && text.find_first_not_of(hexDigits) == std::string_view::npos;
-}
-
-std::string fromHex(std::string_view text)
+std::optional<std::string> fromHex(std::string_view text)
 {
+    if (text.size() % 2 != 0 || text.find_first_not_of(hexDigits) != std::string_view::npos) {
+        return std::nullopt;
+    }
     std::string bytes;
     for (std::size_t i = 0; i < text.size(); i += 2) {
         bytes.push_back(static_cast<char>(hexDigits.find(text[i]) << 4 | hexDigits.find(text[i + 1])));
@@ -45,8 +45,6 @@
     return bytes;
 }
 
-} // namespace
-
 void writeBytes(json_writer &writer, std::string_view key, std::string_view bytes)
 {
     if (isUtf8(bytes)) {
@@ -62,12 +60,11 @@
     if (!reader.has(hexKey)) {
         return reader.text(key);
     }
-    const std::string text = reader.text(hexKey);
-    if (!isHex(text)) {
+    const std::optional<std::string> bytes = fromHex(reader.text(hexKey));
+    if (!bytes) {
         reader.reject(hexKey, "an even number of the digits 0123456789abcdef");
-        return {};
     }
-    return fromHex(text);
+    return bytes.value_or(std::string());
 }
 
 } // namespace burdockshelf
--- a/src/wire/peer_codec.cpp
+++ b/src/wire/peer_codec.cpp
@@ -1,5 +1,7 @@
 #include "wire/peer_codec.h"
 
+#include "wire/bytes_codec.h"
+
 #include <array>
 #include <cstdint>
 #include <limits>
@@ -23,6 +25,23 @@
     return body.dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
+// Bytes of a record as a string, or as an array with their hexadecimal form when they are no UTF-8.
+json encodeBytes(const std::string &bytes)
+{
+    return isUtf8(bytes) ? json(bytes) : json::array({toHex(bytes)});
+}
+
+std::optional<std::string> decodeBytes(const json &encoded)
+{
+    if (encoded.is_string()) {
+        return encoded.get<std::string>();
+    }
+    if (!encoded.is_array() || encoded.size() != 1 || !encoded[0].is_string()) {
+        return std::nullopt;
+    }
+    return fromHex(encoded[0].get<std::string>());
+}
+
 error invalid(std::string message)
 {
     return {error_code::invalid_message, std::move(message)};
@@ -377,7 +396,11 @@
 {
     json entries = json::array();
     for (const relayed_record &record : response.records) {
-        entries.push_back(record.value ? json::array({record.key, *record.value}) : json::array({record.key}));
+        json entry = json::array({encodeBytes(record.key)});
+        if (record.value) {
+            entry.push_back(encodeBytes(*record.value));
+        }
+        entries.push_back(std::move(entry));
     }
     return {{"d", response.isReader},
             {"g", response.isTruncated},
@@ -395,16 +418,14 @@
     body.read("s", response.resyncCount);
     body.read("a", response.age);
     for (const json &entry : body.elements("r")) {
-        const bool isEntry = entry.is_array() && !entry.empty() && entry.size() <= 2 && entry[0].is_string() && entry.back().is_string();
-        if (!isEntry) {
+        const bool hasSize = entry.is_array() && !entry.empty() && entry.size() <= 2;
+        const std::optional<std::string> key = hasSize ? decodeBytes(entry.front()) : std::nullopt;
+        const std::optional<std::string> value = hasSize && entry.size() == 2 ? decodeBytes(entry.back()) : std::nullopt;
+        if (!key || (entry.size() == 2 && !value)) {
             body.reject("member 'r' must contain only records");
             return;
         }
-        relayed_record record = {entry[0].get<std::string>(), std::nullopt};
-        if (entry.size() == 2) {
-            record.value = entry[1].get<std::string>();
-        }
-        response.records.push_back(std::move(record));
+        response.records.push_back({*key, value});
     }
 }
 
