Correct the quarantine's judgement and sharing after a review

A reviewer who had not seen the work traced sequences in which the quarantine of prompt parts would refuse sound requests, let deadly ones through, or say "not run" of a request that may run:

- Connections lost in the same moment count as one crash (100 ms), so that the reset connections of one instance do not refuse a part everywhere.
- A survival counts from when the output began, not from when it ended: the end of an old stream no longer clears a part that has turned deadly.
- The instances end a quarantine up to 30 s apart, so that a part which still crashes endpoints is tried once and not by all at once.
- Reports carry their writer and a sequence; an older one is ignored, and one that is read again does not make its crashes younger.
The report of the process before the last start is adopted once, with its verdicts.
- The Unix time ages only reports that are read back from the store, so that a clock step neither hides nor renews live ones.
Known suspects change nothing.
- A request that is ended by a quarantine counts as possibly run while one of its attempts runs.
The repeat of a prefill asks the quarantine too.
- A request is held back as a suspect only after two separate crashes of two prompts.

Tests: ignoresOlderReportsAndKeepsTheTimeOfKnownCrashes (failed first: the sequence of an empty report was forgotten), endsAtDifferentTimesOnThe Instances, isNotClearedByOutputThatBeganBeforeTheCrashes, ignoresALossOfManyEndpointsAtOnce with a part that never survived. endsAMinuteAfterTheLastCrash... is now endsAfterTheLastCrash..., because the end lies 60 to 90 s after it.

Not changed: an endpoint that crashes silently gives no evidence; a crash between two events of a response without length gives none either.

--- a/src/forwarding/crash_report.h
+++ b/src/forwarding/crash_report.h
@@ -21,14 +21,14 @@
     friend auto operator<=>(const endpoint_run &, const endpoint_run &) = default;
 };
 
-/// A request that an endpoint was beginning to generate output for when its connection was lost.
+/// A request that waited for output, or whose output had just begun, when its connection to the endpoint was lost.
 struct crash_suspect
 {
     attempt_id request;
     prompt_parts parts;
 };
 
-/// The crash of an endpoint as one instance has seen it, with the requests that may have caused it.
+/// The crash of an endpoint as one instance has seen it, with the requests that may have caused it. A lost connection is taken for a crash.
 struct endpoint_crash
 {
     endpoint_run run;
--- a/src/forwarding/forward_flow.cpp
+++ b/src/forwarding/forward_flow.cpp
@@ -352,6 +352,9 @@
 
 bool forward_flow::sendTo(const endpoint_state &chosen, attempt_kind attemptKind, std::optional<prompt_handle> source)
 {
+    if (attemptKind != attempt_kind::reserve && m_context->quarantine.find(m_request.facts.parts, m_now) != nullptr) {
+        return false;
+    }
     // The reservation has taken the request from the cold endpoint's share already.
     const bool usesReservation = attemptKind == attempt_kind::decode && m_reservation && m_reservation->endpoint == chosen.entry.id;
     if (!usesReservation && !m_context->endpoints.takeColdStartToken(chosen.entry.id, m_now)) {
@@ -401,8 +404,9 @@
     if (part == nullptr) {
         return false;
     }
+    const bool mayHaveExecuted = m_mayHaveExecuted || m_attempts.mayBeRunning();
     cancelAll();
-    if (m_mayHaveExecuted) {
+    if (mayHaveExecuted) {
         failRequest(refusal_cause::suspected);
     } else {
         refuse(refusal_cause::quarantined, std::chrono::ceil<milliseconds>(part->until.remaining(m_now)));
@@ -421,7 +425,7 @@
     }
     // A response that ends with its connection may have been cut between two events.
     if (outcome == attempt_outcome::whole && !response.hasConnectionEnded && ended.firstOutputAt) {
-        m_context->quarantine.recordSurvival(m_request.facts.parts, m_now);
+        m_context->quarantine.recordSurvival(m_request.facts.parts, *ended.firstOutputAt, m_now);
     }
 }
 
@@ -432,7 +436,7 @@
     }
     if (!attempt.hasSurvived && m_now - *attempt.firstOutputAt >= prompt_quarantine::minSurvivalTime) {
         attempt.hasSurvived = true;
-        m_context->quarantine.recordSurvival(m_request.facts.parts, m_now);
+        m_context->quarantine.recordSurvival(m_request.facts.parts, *attempt.firstOutputAt, m_now);
     }
 }
 
--- a/src/forwarding/forward_flow_ends.cpp
+++ b/src/forwarding/forward_flow_ends.cpp
@@ -171,7 +171,7 @@
         m_handle.reset();
     }
     m_events.dropPartial();
-    if (m_mayHaveExecuted && m_context->quarantine.isSuspect(m_request.facts.parts)) {
+    if (m_mayHaveExecuted && m_context->quarantine.isSuspect(m_request.facts.parts, m_now)) {
         failRequest(refusal_cause::suspected);
         return;
     }
--- a/src/forwarding/prompt_quarantine.cpp
+++ b/src/forwarding/prompt_quarantine.cpp
@@ -1,5 +1,7 @@
 #include "forwarding/prompt_quarantine.h"
 
+#include "core/digest.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -12,23 +14,25 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-// Crashes that convict a part for which no endpoint is known to have generated output.
+// Separate crashes after which a part is refused if no endpoint is known to have survived it. Connections that are lost together may be the
+// doing of the network.
 constexpr std::size_t minCrashes = 3;
-// A part that many requests share is often present at crashes for other reasons, such as the loss of several endpoints at once. It takes
-// this many crashes at separate moments, with no survival in between.
-constexpr std::size_t minSeparateCrashes = 6;
-constexpr milliseconds minCrashSeparation {250};
+constexpr milliseconds minCrashSeparation {100};
+// A part that many requests share is often present at crashes for other reasons. If it is known to have survived, it takes this many.
+constexpr std::size_t minCrashesOfSurvivor = 6;
+constexpr milliseconds minCrashSeparationOfSurvivor {250};
 // Crashes from which a request with the part is not repeated.
 constexpr std::size_t minCrashesToSuspect = 2;
 constexpr std::size_t minPrompts = 2;
-// A quarantine ends this long after the last crash, because the model may have been fixed.
+// A quarantine ends this long after the last crash, because the model may have been fixed, and at each instance by up to the spread later.
 constexpr seconds quarantineTime {60};
+constexpr milliseconds quarantineSpread {30000};
 // Crashes are remembered for longer, so that one more is enough to renew the quarantine.
 constexpr seconds evidenceLifetime {300};
-constexpr seconds familiarisationTime {10};
+constexpr seconds warmUpTime {10};
 // Bounds of a report, which every other instance keeps in memory.
 constexpr std::size_t maxCrashes = 16;
-constexpr std::size_t maxSuspectsPerCrash = 4;
+constexpr std::size_t maxSuspectsPerCrash = 8;
 constexpr std::size_t maxPartsPerSuspect = 16;
 constexpr std::size_t maxReporters = 1024;
 
@@ -43,25 +47,27 @@
         crash.suspects.begin(), crash.suspects.end(), [&](const crash_suspect &suspect) { return contains(suspect.parts, part); });
 }
 
-void addSuspect(endpoint_crash &crash, const crash_suspect &suspect)
+// Returns whether the suspect is new.
+bool addSuspect(endpoint_crash &crash, const crash_suspect &suspect)
 {
     const bool isKnown = std::any_of(
         crash.suspects.begin(), crash.suspects.end(), [&](const crash_suspect &known) { return known.request == suspect.request; });
     if (isKnown || crash.suspects.size() >= maxSuspectsPerCrash) {
-        return;
+        return false;
     }
     crash.suspects.push_back(suspect);
     std::vector<prompt_part_id> &shared = crash.suspects.back().parts.shared;
     shared.resize(std::min(shared.size(), maxPartsPerSuspect));
+    return true;
 }
 
-std::size_t countSeparate(std::vector<instant> times)
+std::size_t countSeparate(std::vector<instant> times, milliseconds separation)
 {
     std::sort(times.begin(), times.end());
     std::size_t count = 0;
     instant last;
     for (const instant time : times) {
-        if (count == 0 || time - last >= minCrashSeparation) {
+        if (count == 0 || time - last >= separation) {
             ++count;
             last = time;
         }
@@ -73,7 +79,7 @@
 
 prompt_quarantine::prompt_quarantine(instance_id self, instant startedAt)
     : m_self(std::move(self))
-    , m_unfamiliarUntil(deadline::after(startedAt, familiarisationTime))
+    , m_warmUpUntil(deadline::after(startedAt, warmUpTime))
 {
 }
 
@@ -82,17 +88,18 @@
     if (suspect.parts.shared.empty()) {
         return;
     }
-    addOwnCrash(run, suspect, now);
-    m_hasOwnObservations = true;
-    m_isReportChanged = true;
-    review(now);
+    m_hasOwnReport = true;
+    if (addOwnCrash(run, suspect, now)) {
+        m_isReportChanged = true;
+        review(now);
+    }
 }
 
-void prompt_quarantine::recordSurvival(const prompt_parts &parts, instant now)
+void prompt_quarantine::recordSurvival(const prompt_parts &parts, instant outputBeganAt, instant now)
 {
     bool isUnderSuspicion = false;
     for (const prompt_part_id &part : parts.shared) {
-        m_survivals.record(part, now);
+        m_survivals.record(part, outputBeganAt);
         isUnderSuspicion = isUnderSuspicion || m_evidence.count(part) > 0 || m_quarantined.count(part) > 0;
     }
     if (isUnderSuspicion) {
@@ -105,32 +112,71 @@
     report.crashes.resize(std::min(report.crashes.size(), maxCrashes));
     report.quarantined.resize(std::min(report.quarantined.size(), maxCrashes));
     if (reporter == m_self) {
-        // After its first own observation this process reads back what it has published itself, possibly with parts cleared since.
-        if (!m_hasOwnObservations) {
-            m_own.crashes = std::move(report.crashes);
+        if (std::exchange(m_hasOwnReport, true)) {
+            return;
         }
-    } else if (m_reports.count(reporter) > 0 || m_reports.size() < maxReporters) {
-        m_reports[reporter] = std::move(report);
+        adoptPredecessor(std::move(report));
+        review(now);
+        return;
+    }
+    const auto known = m_reports.find(reporter);
+    if (known == m_reports.end() && !hasRoomForReporter()) {
+        return;
     }
+    if (known != m_reports.end()) {
+        if (known->second.writer == report.writer && report.sequence < known->second.sequence) {
+            return;
+        }
+        // A report that is read again must not make its crashes younger.
+        for (endpoint_crash &crash : report.crashes) {
+            for (const endpoint_crash &earlier : known->second.crashes) {
+                crash.at = earlier.run == crash.run ? std::min(crash.at, earlier.at) : crash.at;
+            }
+        }
+    }
+    m_reports[reporter] = std::move(report);
     review(now);
 }
 
+bool prompt_quarantine::hasRoomForReporter()
+{
+    if (m_reports.size() >= maxReporters) {
+        // An empty report is kept only for its sequence number.
+        std::erase_if(m_reports, [](const auto &entry) { return entry.second.crashes.empty() && entry.second.quarantined.empty(); });
+    }
+    return m_reports.size() < maxReporters;
+}
+
+void prompt_quarantine::adoptPredecessor(crash_report report)
+{
+    m_own.crashes = report.crashes;
+    // The verdicts are kept like those of another instance; the crashes are this instance's own now.
+    report.crashes.clear();
+    m_reports[m_self] = std::move(report);
+}
+
+std::map<prompt_part_id, quarantined_part> prompt_quarantine::reportedVerdicts(instant now) const
+{
+    std::map<prompt_part_id, quarantined_part> verdicts;
+    if (m_warmUpUntil.hasPassed(now)) {
+        return verdicts;
+    }
+    for (const auto &[reporter, report] : m_reports) {
+        for (const quarantined_part &reported : report.quarantined) {
+            if (!m_survivals.lastSurvival(reported.part) && !reported.until.hasPassed(now)) {
+                verdicts.emplace(reported.part, quarantined_part {reported.part, reported.until, {}});
+            }
+        }
+    }
+    return verdicts;
+}
+
 void prompt_quarantine::review(instant now)
 {
     dropExpired(now);
     dropClearedParts();
     crashes_by_run unexplained = mergeCrashes();
-    std::map<prompt_part_id, quarantined_part> quarantined;
-    if (!m_unfamiliarUntil.hasPassed(now)) {
-        for (const auto &[reporter, report] : m_reports) {
-            for (const quarantined_part &reported : report.quarantined) {
-                const bool hasSurvived = m_survivals.lastSurvival(reported.part).has_value();
-                if (!hasSurvived && !reported.until.hasPassed(now)) {
-                    quarantined.emplace(reported.part, quarantined_part {reported.part, reported.until, {}});
-                }
-            }
-        }
-    }
+    std::map<prompt_part_id, quarantined_part> quarantined = reportedVerdicts(now);
     evidence_by_part evidence = collectEvidence(unexplained);
     for (auto part = selectPart(evidence, now); part; part = selectPart(evidence, now)) {
         quarantined.insert_or_assign(*part, quarantine(*part, unexplained));
@@ -154,12 +200,15 @@
     return nullptr;
 }
 
-bool prompt_quarantine::isSuspect(const prompt_parts &parts) const
+bool prompt_quarantine::isSuspect(const prompt_parts &parts, instant now) const
 {
-    return std::any_of(parts.shared.begin(), parts.shared.end(), [this](const prompt_part_id &part) {
+    return std::any_of(parts.shared.begin(), parts.shared.end(), [&](const prompt_part_id &part) {
+        if (m_quarantined.count(part) > 0) {
+            return true;
+        }
         const auto found = m_evidence.find(part);
-        const bool hasCrashed = found != m_evidence.end() && found->second.crashTimes.size() >= minCrashesToSuspect;
-        return m_quarantined.count(part) > 0 || (hasCrashed && !m_survivals.lastSurvival(part));
+        return found != m_evidence.end() && !mayHaveSurvived(part, now) && found->second.prompts.size() >= minPrompts
+            && countSeparate(found->second.crashTimes, minCrashSeparation) >= minCrashesToSuspect;
     });
 }
 
@@ -178,13 +227,12 @@
     return std::exchange(m_changes, {});
 }
 
-void prompt_quarantine::addOwnCrash(const endpoint_run &run, const crash_suspect &suspect, instant now)
+bool prompt_quarantine::addOwnCrash(const endpoint_run &run, const crash_suspect &suspect, instant now)
 {
     std::vector<endpoint_crash> &crashes = m_own.crashes;
     const auto known = std::find_if(crashes.begin(), crashes.end(), [&](const endpoint_crash &crash) { return crash.run == run; });
     if (known != crashes.end()) {
-        addSuspect(*known, suspect);
-        return;
+        return addSuspect(*known, suspect);
     }
     if (crashes.size() >= maxCrashes) {
         // A flood of other crashes must not displace the evidence against a quarantined part.
@@ -195,7 +243,7 @@
         crashes.erase(leastUseful == crashes.end() ? crashes.begin() : leastUseful);
     }
     crashes.push_back({run, now, {}});
-    addSuspect(crashes.back(), suspect);
+    return addSuspect(crashes.back(), suspect);
 }
 
 void prompt_quarantine::dropExpired(instant now)
@@ -207,7 +255,6 @@
     for (auto &[reporter, report] : m_reports) {
         std::erase_if(report.crashes, hasExpired);
     }
-    std::erase_if(m_reports, [](const auto &entry) { return entry.second.crashes.empty() && entry.second.quarantined.empty(); });
 }
 
 void prompt_quarantine::dropClearedParts()
@@ -216,7 +263,7 @@
         for (crash_suspect &suspect : crash.suspects) {
             const std::size_t dropped = std::erase_if(suspect.parts.shared, [&](const prompt_part_id &part) {
                 const auto survivedAt = m_survivals.lastSurvival(part);
-                return survivedAt && *survivedAt > crash.at;
+                return survivedAt && *survivedAt >= crash.at;
             });
             m_isReportChanged = m_isReportChanged || dropped > 0;
         }
@@ -251,7 +298,7 @@
             for (std::size_t position = 0; position < suspect.parts.shared.size(); ++position) {
                 const prompt_part_id &part = suspect.parts.shared[position];
                 const auto survivedAt = m_survivals.lastSurvival(part);
-                if (survivedAt && *survivedAt > crash.at) {
+                if (survivedAt && *survivedAt >= crash.at) {
                     continue;
                 }
                 part_evidence &evidence = collected[part];
@@ -266,17 +313,18 @@
     return collected;
 }
 
-bool prompt_quarantine::isFamiliar(const prompt_part_id &part, instant now) const
+bool prompt_quarantine::mayHaveSurvived(const prompt_part_id &part, instant now) const
 {
-    return !m_unfamiliarUntil.hasPassed(now) || m_survivals.lastSurvival(part).has_value();
+    return !m_warmUpUntil.hasPassed(now) || m_survivals.lastSurvival(part).has_value();
 }
 
-bool prompt_quarantine::isConvicted(const prompt_part_id &part, const part_evidence &evidence, instant now) const
+bool prompt_quarantine::hasEnoughEvidence(const prompt_part_id &part, const part_evidence &evidence, instant now) const
 {
     if (evidence.prompts.size() < minPrompts) {
         return false;
     }
-    return isFamiliar(part, now) ? countSeparate(evidence.crashTimes) >= minSeparateCrashes : evidence.crashTimes.size() >= minCrashes;
+    return mayHaveSurvived(part, now) ? countSeparate(evidence.crashTimes, minCrashSeparationOfSurvivor) >= minCrashesOfSurvivor
+                                      : countSeparate(evidence.crashTimes, minCrashSeparation) >= minCrashes;
 }
 
 std::optional<prompt_part_id> prompt_quarantine::selectPart(const evidence_by_part &evidence, instant now) const
@@ -284,11 +332,11 @@
     const prompt_part_id *selected = nullptr;
     std::tuple<bool, std::size_t, std::size_t> selectedRank;
     for (const auto &[part, against] : evidence) {
-        if (!isConvicted(part, against, now)) {
+        if (!hasEnoughEvidence(part, against, now)) {
             continue;
         }
         // Of parts that occur in the same prompts, a later one is contained in fewer prompts than an earlier one.
-        const std::tuple rank(!isFamiliar(part, now), against.crashTimes.size(), against.position);
+        const std::tuple rank(!mayHaveSurvived(part, now), against.crashTimes.size(), against.position);
         if (selected == nullptr || rank > selectedRank) {
             selected = &part;
             selectedRank = rank;
@@ -297,7 +345,7 @@
     return selected == nullptr ? std::nullopt : std::optional(*selected);
 }
 
-quarantined_part prompt_quarantine::quarantine(const prompt_part_id &part, crashes_by_run &unexplained)
+quarantined_part prompt_quarantine::quarantine(const prompt_part_id &part, crashes_by_run &unexplained) const
 {
     quarantined_part result {part, deadline(), {}};
     for (auto crash = unexplained.begin(); crash != unexplained.end();) {
@@ -305,7 +353,7 @@
             ++crash;
             continue;
         }
-        result.until = std::max(result.until, deadline::after(crash->second.at, quarantineTime));
+        result.until = std::max(result.until, quarantineEnd(part, crash->second.at));
         result.crashes.push_back(std::move(crash->second));
         // The crash says nothing against the other requests that were at the endpoint.
         crash = unexplained.erase(crash);
@@ -313,6 +361,12 @@
     return result;
 }
 
+deadline prompt_quarantine::quarantineEnd(const prompt_part_id &part, instant lastCrashAt) const
+{
+    const auto spread = static_cast<std::int64_t>(stableHash(part.value() + m_self.value()) % quarantineSpread.count());
+    return deadline::after(lastCrashAt, quarantineTime + milliseconds(spread));
+}
+
 void prompt_quarantine::recordChanges(const std::map<prompt_part_id, quarantined_part> &before, instant now)
 {
     std::vector<quarantined_part> active;
--- a/src/forwarding/prompt_quarantine.h
+++ b/src/forwarding/prompt_quarantine.h
@@ -4,6 +4,7 @@
 #include "forwarding/survival_history.h"
 
 #include <cstddef>
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <set>
@@ -25,6 +26,9 @@
 /// What an instance tells the others: the crashes that it has seen and the parts that it refuses.
 struct crash_report
 {
+    incarnation_id writer;
+    /// Rises with every report of the same writer.
+    std::int64_t sequence = 0;
     std::vector<endpoint_crash> crashes;
     std::vector<quarantined_part> quarantined;
 };
@@ -50,9 +54,10 @@
 
     /// The connection to an endpoint was lost before the request's output had lasted for minSurvivalTime.
     void recordLoss(const endpoint_run &run, const crash_suspect &suspect, instant now);
-    /// An endpoint has completed the request's output, or has been generating it for minSurvivalTime.
-    void recordSurvival(const prompt_parts &parts, instant now);
-    /// Replaces what an instance has reported before. A report of this instance itself was written before its restart.
+    /// An endpoint has completed the request's output, or has been generating it for minSurvivalTime, since it began at the given time.
+    void recordSurvival(const prompt_parts &parts, instant outputBeganAt, instant now);
+    /// Replaces what another instance has reported before, unless the report is older. The first report with this instance's own id was
+    /// written by its process before the last start and is adopted; later ones are its own and are ignored.
     void setReport(const instance_id &reporter, crash_report report, instant now);
     /// Applies the deadlines that have passed.
     void review(instant now);
@@ -60,9 +65,9 @@
     /// The quarantined part that a prompt contains; null when there is none.
     const quarantined_part *find(const prompt_parts &parts, instant now) const;
     /// True when a prompt contains a part that is suspected of two crashes or more. Such a request must not be repeated after a loss.
-    bool isSuspect(const prompt_parts &parts) const;
+    bool isSuspect(const prompt_parts &parts, instant now) const;
 
-    /// This instance's report to the others.
+    /// This instance's report to the others; the caller sets the writer and the sequence.
     const crash_report &report() const;
     /// True once after each change of report().
     bool takeReportChanged();
@@ -73,7 +78,7 @@
     struct part_evidence
     {
         std::vector<instant> crashTimes;
-        /// Distinct prompts among the suspects. A single prompt that its caller retries does not convict the parts that it shares.
+        /// Distinct prompts among the suspects. A single prompt that its caller retries is not enough.
         std::set<prompt_part_id> prompts;
         /// Position of the part in its prompt, the last one of several.
         std::size_t position = 0;
@@ -82,21 +87,30 @@
     using evidence_by_part = std::map<prompt_part_id, part_evidence>;
     using crashes_by_run = std::map<endpoint_run, endpoint_crash>;
 
-    void addOwnCrash(const endpoint_run &run, const crash_suspect &suspect, instant now);
+    /// Returns whether the crash or the suspect is new.
+    bool addOwnCrash(const endpoint_run &run, const crash_suspect &suspect, instant now);
     void dropExpired(instant now);
     void dropClearedParts();
     crashes_by_run mergeCrashes() const;
     evidence_by_part collectEvidence(const crashes_by_run &crashes) const;
-    bool isFamiliar(const prompt_part_id &part, instant now) const;
-    bool isConvicted(const prompt_part_id &part, const part_evidence &evidence, instant now) const;
+    /// True when output is known to have survived for the part, or when this instance has not run for long enough to know.
+    bool mayHaveSurvived(const prompt_part_id &part, instant now) const;
+    bool hasEnoughEvidence(const prompt_part_id &part, const part_evidence &evidence, instant now) const;
+    bool hasRoomForReporter();
+    void adoptPredecessor(crash_report report);
+    /// The verdicts of the other instances that this one relies on while it has just started.
+    std::map<prompt_part_id, quarantined_part> reportedVerdicts(instant now) const;
     /// The part that explains the crashes best among those with enough evidence; nothing when there is none.
     std::optional<prompt_part_id> selectPart(const evidence_by_part &evidence, instant now) const;
-    static quarantined_part quarantine(const prompt_part_id &part, crashes_by_run &unexplained);
+    quarantined_part quarantine(const prompt_part_id &part, crashes_by_run &unexplained) const;
+    /// When this instance tries the part again. The instances do so one after the other, so that a part which still crashes endpoints does
+    /// so once.
+    deadline quarantineEnd(const prompt_part_id &part, instant lastCrashAt) const;
     void recordChanges(const std::map<prompt_part_id, quarantined_part> &before, instant now);
 
     instance_id m_self;
     /// Before this, the instance has seen too little traffic to tell a rare part from a common one.
-    deadline m_unfamiliarUntil;
+    deadline m_warmUpUntil;
     survival_history m_survivals;
     crash_report m_own;
     std::map<instance_id, crash_report> m_reports;
@@ -104,7 +118,7 @@
     std::map<prompt_part_id, quarantined_part> m_quarantined;
     evidence_by_part m_evidence;
     std::vector<quarantine_change> m_changes;
-    bool m_hasOwnObservations = false;
+    bool m_hasOwnReport = false;
     bool m_isReportChanged = false;
 };
 
--- a/src/forwarding/survival_history.h
+++ b/src/forwarding/survival_history.h
@@ -11,13 +11,14 @@
 namespace burdockshelf
 {
 
-/// Remembers for each prompt part when an endpoint last generated output for a prompt with that part without crashing. Bounded: old entries
-/// are dropped first.
+/// Remembers for each prompt part when an endpoint last began to generate output for a prompt with that part and stayed alive. Bounded: old
+/// entries are dropped first.
 class survival_history
 {
 public:
-    void record(const prompt_part_id &part, instant now);
-    /// When the part last survived; nothing when that is unknown or longer ago than the history reaches.
+    void record(const prompt_part_id &part, instant outputBeganAt);
+    /// When the output of the last survival began; nothing when that is unknown or longer ago
+    /// than the history reaches.
     std::optional<instant> lastSurvival(const prompt_part_id &part) const;
 
 private:
--- a/src/gateway/crash_report_codec.cpp
+++ b/src/gateway/crash_report_codec.cpp
@@ -18,6 +18,8 @@
 // this instance has started since.
 constexpr std::chrono::seconds maxClockDifference {30};
 constexpr number_range ageRange = {0, 86'400'000};
+// Up to the year 9999, in Unix milliseconds.
+constexpr number_range writtenRange = {0, 253'402'300'799'999};
 
 std::string boundedId(const std::string &id)
 {
@@ -49,6 +51,30 @@
     return suspect;
 }
 
+// The delay is the time between the writing of the report and now.
+outcome<crash_report> decodeReport(json_reader &reader, instant now, milliseconds delay)
+{
+    crash_report report;
+    report.writer = incarnation_id(reader.text("incarnation"));
+    report.sequence = reader.integer("sequence");
+    for (json_reader &entry : reader.objects("crashes")) {
+        endpoint_crash crash;
+        crash.run.endpoint = endpoint_id(entry.text("endpoint"));
+        crash.run.startTime = endpoint_start_time(entry.integer("started"));
+        crash.at = now - delay - milliseconds(entry.integer("age_ms", ageRange));
+        for (json_reader &suspect : entry.objects("suspects")) {
+            crash.suspects.push_back(decodeSuspect(suspect));
+        }
+        report.crashes.push_back(std::move(crash));
+    }
+    for (json_reader &entry : reader.objects("quarantined")) {
+        const milliseconds left(entry.integer("left_ms", ageRange));
+        report.quarantined.push_back({prompt_part_id(entry.text("part")), deadline::after(now, left - delay), {}});
+    }
+    BOOST_OUTCOME_TRYV(reader.result());
+    return report;
+}
+
 } // namespace
 
 std::string encodeCrashReport(const crash_report &report, instant now, milliseconds unixNow)
@@ -68,32 +94,25 @@
     for (const quarantined_part &part : report.quarantined) {
         quarantined.push_back({{"part", boundedId(part.part.value())}, {"left_ms", millisecondsBetween(now, part.until.at())}});
     }
-    const json text = {{"written_ms", unixNow.count()}, {"crashes", std::move(crashes)}, {"quarantined", std::move(quarantined)}};
+    const json text = {{"written_ms", unixNow.count()},
+                       {"incarnation", report.writer.value()},
+                       {"sequence", report.sequence},
+                       {"crashes", std::move(crashes)},
+                       {"quarantined", std::move(quarantined)}};
     return text.dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
-outcome<crash_report> decodeCrashReport(std::string_view text, instant now, milliseconds unixNow)
+outcome<crash_report> decodeCrashReport(std::string_view text, instant now)
 {
     BOOST_OUTCOME_TRY(reader, json_reader::parse(text));
-    const milliseconds sinceWritten = unixNow - milliseconds(reader.integer("written_ms"));
-    const milliseconds delay = sinceWritten > maxClockDifference ? sinceWritten : milliseconds::zero();
-    crash_report report;
-    for (json_reader &entry : reader.objects("crashes")) {
-        endpoint_crash crash;
-        crash.run.endpoint = endpoint_id(entry.text("endpoint"));
-        crash.run.startTime = endpoint_start_time(entry.integer("started"));
-        crash.at = now - delay - milliseconds(entry.integer("age_ms", ageRange));
-        for (json_reader &suspect : entry.objects("suspects")) {
-            crash.suspects.push_back(decodeSuspect(suspect));
-        }
-        report.crashes.push_back(std::move(crash));
-    }
-    for (json_reader &entry : reader.objects("quarantined")) {
-        const milliseconds left(entry.integer("left_ms", ageRange));
-        report.quarantined.push_back({prompt_part_id(entry.text("part")), deadline::after(now, left - delay), {}});
-    }
-    BOOST_OUTCOME_TRYV(reader.result());
-    return report;
+    return decodeReport(reader, now, milliseconds::zero());
+}
+
+outcome<crash_report> decodeStoredCrashReport(std::string_view text, instant now, milliseconds unixNow)
+{
+    BOOST_OUTCOME_TRY(reader, json_reader::parse(text));
+    const milliseconds sinceWritten = unixNow - milliseconds(reader.integer("written_ms", writtenRange));
+    return decodeReport(reader, now, sinceWritten > maxClockDifference ? sinceWritten : milliseconds::zero());
 }
 
 } // namespace burdockshelf
--- a/src/gateway/dispatch_task.cpp
+++ b/src/gateway/dispatch_task.cpp
@@ -487,7 +487,10 @@
         return;
     }
     m_fleet.logQuarantineChanges();
-    m_outbox.toStore(publish_crash_report {encodeCrashReport(quarantine.report(), boot_clock::now(), unixTime())});
+    crash_report report = quarantine.report();
+    report.writer = m_settings.incarnation;
+    report.sequence = ++m_crashReportSequence;
+    m_outbox.toStore(publish_crash_report {encodeCrashReport(report, boot_clock::now(), unixTime())});
     m_outbox.setGauge("quarantined_prompt_parts", static_cast<double>(quarantine.report().quarantined.size()));
 }
 
--- a/src/gateway/dispatch_task.h
+++ b/src/gateway/dispatch_task.h
@@ -112,6 +112,7 @@
     std::int64_t m_publishedInstanceCount = 1;
     service_retry_budget m_retryBudget;
     std::int64_t m_reportSequence = 0;
+    std::int64_t m_crashReportSequence = 0;
     std::map<flow_id, awaiting_quota> m_awaitingQuota;
     active_flows m_flows;
     flow_deadlines m_deadlines;
--- a/src/gateway/fleet_state.cpp
+++ b/src/gateway/fleet_state.cpp
@@ -28,7 +28,7 @@
         topic_handler {&fleet_state::resetOperators, &fleet_state::changeOperators},
         topic_handler {&fleet_state::resetEndpoints, &fleet_state::changeEndpoints},
         topic_handler {&fleet_state::changeMembers, &fleet_state::changeMembers},
-        topic_handler {&fleet_state::changeCrashReports, &fleet_state::changeCrashReports},
+        topic_handler {&fleet_state::resetCrashReports, &fleet_state::changeCrashReports},
     };
     return handlers.at(static_cast<std::size_t>(topic));
 }
@@ -218,22 +218,33 @@
     refreshInstanceCount(arrival.at);
 }
 
-void fleet_state::changeCrashReports(const std::vector<store_record> &records, const record_arrival &arrival)
+void fleet_state::resetCrashReports(const std::vector<store_record> &records, const record_arrival &arrival)
 {
     for (const store_record &record : records) {
-        if (!record.value) {
-            m_quarantine.setReport(instance_id(record.key), {}, arrival.at);
-            continue;
+        if (record.value) {
+            applyCrashReport(record, decodeStoredCrashReport(*record.value, arrival.at, unixTime()), arrival.at);
         }
-        auto report = decodeCrashReport(*record.value, arrival.at, unixTime());
-        if (report) {
-            m_quarantine.setReport(instance_id(record.key), std::move(report.value()), arrival.at);
-        } else {
-            logUnreadable(record, report.error());
+    }
+}
+
+void fleet_state::changeCrashReports(const std::vector<store_record> &records, const record_arrival &arrival)
+{
+    for (const store_record &record : records) {
+        if (record.value) {
+            applyCrashReport(record, decodeCrashReport(*record.value, arrival.at), arrival.at);
         }
     }
 }
 
+void fleet_state::applyCrashReport(const store_record &record, outcome<crash_report> &&report, instant now)
+{
+    if (report) {
+        m_quarantine.setReport(instance_id(record.key), std::move(report.value()), now);
+    } else {
+        logUnreadable(record, report.error());
+    }
+}
+
 prompt_quarantine &fleet_state::quarantine()
 {
     return m_quarantine;
--- a/src/gateway/fleet_state.h
+++ b/src/gateway/fleet_state.h
@@ -68,7 +68,9 @@
     void changeOperators(const std::vector<store_record> &records, const record_arrival &arrival);
     void resetEndpoints(const std::vector<store_record> &records, const record_arrival &arrival);
     void changeEndpoints(const std::vector<store_record> &records, const record_arrival &arrival);
+    void resetCrashReports(const std::vector<store_record> &records, const record_arrival &arrival);
     void changeCrashReports(const std::vector<store_record> &records, const record_arrival &arrival);
+    void applyCrashReport(const store_record &record, outcome<crash_report> &&report, instant now);
     void changeMembers(const std::vector<store_record> &records, const record_arrival &arrival);
     void applyOperatorRecord(const store_record &record, std::set<data_centre_id> &evacuated, instant now);
     void applyPlan(traffic_plan plan, instant now);
--- a/src/gateway/store_task.cpp
+++ b/src/gateway/store_task.cpp
@@ -112,6 +112,7 @@
     , m_writer(loop, m_settings.address)
     , m_crashReportWriter(loop, m_settings.address)
     , m_crashReportTimer(loop, [this] { writeCrashReport(); })
+    , m_sendCrashReportTimer(loop, [this] { sendCrashReport(); })
     , m_relay(loop)
     , m_relayClient(m_to.mesh, makeSink<peer_response>(self()), m_log)
     , m_holdersTimer(loop, [this] { requestHolders(); })
@@ -161,15 +162,24 @@
 
 void store_task::apply(publish_crash_report &&report)
 {
-    sendCrashReport(report.value);
+    m_unsentCrashReport = report.value;
+    if (!m_sendCrashReportTimer.isArmed()) {
+        sendCrashReport();
+    }
     m_crashReport = std::move(report.value);
     if (!m_crashReportWriter.isBusy() && !m_crashReportTimer.isArmed()) {
         writeCrashReport();
     }
 }
 
-void store_task::sendCrashReport(const std::string &report)
+void store_task::sendCrashReport()
 {
+    if (!m_unsentCrashReport) {
+        return;
+    }
+    const std::string report = std::move(*m_unsentCrashReport);
+    m_unsentCrashReport.reset();
+    m_sendCrashReportTimer.start(deadline::after(boot_clock::now(), crashReportInterval));
     std::set<instance_id> receivers;
     for (const quota_partition_holder &one : m_holders) {
         if (one.holder.instance != m_settings.instance) {
@@ -198,7 +208,7 @@
         const auto written = response ? m_dialect.decodeWriteResult(response.value()) : outcome<void>(response.error());
         if (!written) {
             m_log.write(log_line("store", "write_failed").add("topic", "crash_reports").add("cause", written.error().message));
-            // Nothing newer is known, so the same report is written again.
+            // The report is written again, unless there is a newer one.
             m_crashReport = m_crashReport ? std::move(m_crashReport) : std::optional(value);
         }
         if (m_crashReport) {
--- a/src/gateway/store_task.h
+++ b/src/gateway/store_task.h
@@ -64,8 +64,8 @@
     void apply(const peer_message_received &received);
     void apply(const peer_response &response);
     void writeCrashReport();
-    /// Sends a crash report to the instances to which there are connections.
-    void sendCrashReport(const std::string &report);
+    /// Sends the latest crash report directly to the holders of the quota pool's partitions, to which every instance is connected.
+    void sendCrashReport();
     /// Chooses the instance from which this one requests records.
     void chooseReader();
     void requestHolders();
@@ -82,6 +82,9 @@
     timer m_crashReportTimer;
     /// The newest crash report that has not been written yet.
     std::optional<std::string> m_crashReport;
+    /// The newest crash report that has not been sent yet.
+    std::optional<std::string> m_unsentCrashReport;
+    timer m_sendCrashReportTimer;
     topic_relay m_relay;
     topic_relay_client m_relayClient;
     std::vector<quota_partition_holder> m_holders;
