Log what tells lost requests apart

Nothing in the logs separated the hypotheses of docs/incidents/lost-requests.md. flow_deadlines logs deadlines_late when a check runs more than 200 ms late, because nothing was read meanwhile; caller_server_task logs response_cut when it closes a connection with a pending or unsent response; the gauge requests_awaiting_quota counts the requests that wait for the quota broker.

No logic changes.

--- a/src/gateway/caller_server_task.cpp
+++ b/src/gateway/caller_server_task.cpp
@@ -119,6 +119,12 @@
         m_stream->finishWriting();
     }
 
+    /// Bytes of responses that the caller has not been sent yet.
+    std::size_t unsentBytes() const
+    {
+        return m_stream->unsentBytes();
+    }
+
     /// Enforces the idle, request and linger timeouts. Returns true if the connection should be destroyed.
     bool checkTimeouts(instant now)
     {
@@ -448,6 +454,7 @@
         }
     }
     for (connection *candidate : ended) {
+        logIfCut(*candidate, "linger timeout");
         destroyLater(*candidate);
     }
     if (m_isShuttingDown) {
@@ -474,11 +481,25 @@
     const bool isGraceOver = elapsed > m_settings.gracePeriod - shutdownMargin;
     if ((areResponsesWritten || isGraceOver) && !m_isFinished) {
         m_isFinished = true;
+        for (const auto &[key, candidate] : m_connections) {
+            logIfCut(*candidate, "shutdown");
+        }
         m_listener.reset();
         finish();
     }
 }
 
+void caller_server_task::logIfCut(const connection &ended, std::string_view cause)
+{
+    if (ended.isResponsePending() || ended.unsentBytes() > 0) {
+        m_log.write(log_line("callers", "response_cut")
+                        .add("flow", ended.flow())
+                        .add("cause", cause)
+                        .add("is_response_pending", ended.isResponsePending())
+                        .add("unsent_bytes", ended.unsentBytes()));
+    }
+}
+
 void caller_server_task::armSweep()
 {
     if (!m_sweepTimer.isArmed()) {
--- a/src/gateway/caller_server_task.h
+++ b/src/gateway/caller_server_task.h
@@ -9,6 +9,7 @@
 
 #include <map>
 #include <memory>
+#include <string_view>
 #include <vector>
 
 struct evconnlistener;
@@ -70,6 +71,8 @@
     void destroyLater(connection &ended);
     void sweep();
     void continueShutdown();
+    /// Logs a connection that is about to be closed while a response on it is incomplete.
+    void logIfCut(const connection &ended, std::string_view cause);
     void armSweep();
 
     event_loop &m_loop;
--- a/src/gateway/dispatch_task.cpp
+++ b/src/gateway/dispatch_task.cpp
@@ -45,7 +45,8 @@
     , m_requests(m_log)
     , m_fleet({m_settings.instance, m_settings.dataCentre, m_settings.cold}, m_settings.entries, dialects.records, m_log)
     , m_retryBudget(m_settings.retryBudget)
-    , m_deadlines(loop, [this](flow_id due) { handleDeadline(due); })
+    , m_deadlines(
+          loop, [this](flow_id due) { handleDeadline(due); }, m_log)
     , m_reportTimer(loop, [this] { reportState(); })
     , m_overdueTimer(loop, [this] { removeOverdueRegistrations(); })
 {
@@ -458,6 +459,7 @@
     m_outbox.setGauge("endpoints", static_cast<double>(m_fleet.endpoints().size()));
     m_outbox.setGauge("instances", static_cast<double>(m_fleet.instanceCount()));
     m_outbox.setGauge("active_requests", static_cast<double>(m_flows.size()));
+    m_outbox.setGauge("requests_awaiting_quota", static_cast<double>(m_awaitingQuota.size()));
     m_outbox.sendMetrics();
 }
 
--- a/src/gateway/flow_deadlines.cpp
+++ b/src/gateway/flow_deadlines.cpp
@@ -1,10 +1,21 @@
 #include "gateway/flow_deadlines.h"
 
+#include <algorithm>
+
 namespace burdockshelf
 {
 
-flow_deadlines::flow_deadlines(event_loop &loop, std::function<void(flow_id)> onDue)
+namespace
+{
+
+// Shorter delays are usual on a small instance.
+constexpr std::chrono::milliseconds lateCheckThreshold {200};
+
+} // namespace
+
+flow_deadlines::flow_deadlines(event_loop &loop, std::function<void(flow_id)> onDue, event_log log)
     : m_onDue(std::move(onDue))
+    , m_log(std::move(log))
     , m_timer(loop, [this] { checkDue(); })
 {
 }
@@ -53,6 +64,7 @@
 void flow_deadlines::checkDue()
 {
     const instant now = boot_clock::now();
+    logIfLate(now);
     while (!m_flowsByDeadline.empty() && m_flowsByDeadline.begin()->first <= now) {
         const flow_id due = m_flowsByDeadline.begin()->second;
         m_flowsByDeadline.erase(m_flowsByDeadline.begin());
@@ -62,4 +74,14 @@
     arm();
 }
 
+void flow_deadlines::logIfLate(instant now)
+{
+    if (m_flowsByDeadline.empty() || now - m_flowsByDeadline.begin()->first <= lateCheckThreshold) {
+        return;
+    }
+    const auto due =
+        std::count_if(m_flowsByDeadline.begin(), m_flowsByDeadline.end(), [now](const auto &entry) { return entry.first <= now; });
+    m_log.write(log_line("dispatch", "deadlines_late").add("late_ms", now - m_flowsByDeadline.begin()->first).add("requests", due));
+}
+
 } // namespace burdockshelf
