Keep a silent stream until its replacement can be sent

Callers saw resumable streams end in the middle of an answer (LOST) whose endpoint had only paused.

The search for a replacement now runs beside the silent decode. The decode is cancelled in the same step in which the replacement is sent with its reservation, so that two endpoints never generate the same stream. When the search fails, or the endpoint speaks again, the decode goes on; a reservation that arrives too late is released. The retry budget is charged when the replacement is sent.

--- a/src/forwarding/attempt_list.cpp
+++ b/src/forwarding/attempt_list.cpp
@@ -86,6 +86,11 @@
     return number == m_newest;
 }
 
+attempt_number attempt_list::newest() const
+{
+    return m_newest;
+}
+
 deadline attempt_list::nextTimeout() const
 {
     deadline next = deadline::never();
--- a/src/forwarding/attempt_list.h
+++ b/src/forwarding/attempt_list.h
@@ -45,6 +45,7 @@
     /// True when an attempt in progress may be executing the request.
     bool mayBeRunning() const;
     bool isNewest(attempt_number number) const;
+    attempt_number newest() const;
     /// The earliest timeout of all attempts; never when there is none.
     deadline nextTimeout() const;
     /// Endpoints that a plain call, prefill or decode of the request was sent to; reservations are not included.
--- a/src/forwarding/forward_flow.cpp
+++ b/src/forwarding/forward_flow.cpp
@@ -56,6 +56,9 @@
         if (attempt == nullptr || attempt->hasResponse) {
             return;
         }
+        if (m_silentDecode == number) {
+            keepSilentDecode();
+        }
         attempt->hasResponse = true;
         attempt->timeoutAt = deadline::after(m_now, streamIdleTimeout());
         m_context->endpoints.noteResponse(attempt->endpoint, attempt->sentAt, m_now);
@@ -69,6 +72,9 @@
         if (attempt == nullptr || m_isFinal) {
             return;
         }
+        if (m_silentDecode == number) {
+            keepSilentDecode();
+        }
         attempt->timeoutAt = deadline::after(m_now, streamIdleTimeout());
         if (!m_isHeadRelayed) {
             // The head is relayed with the first bytes of the body, so that a stream that breaks before them can be restarted at another
@@ -111,6 +117,13 @@
             ++m_connectFailures;
             counterOf(ended->attemptKind) -= 1;
         }
+        if (m_silentDecode == number) {
+            stopReservationSearch();
+        }
+        if (ended->attemptKind == attempt_kind::reserve && m_awaitedReserve != number) {
+            releaseLateReservation(*ended, handle);
+            return;
+        }
         if (m_isFinal || m_isCallerDisconnected) {
             return;
         }
@@ -256,7 +269,9 @@
     }
     if (!sendTo(*chosen, attempt_kind::reserve, std::nullopt)) {
         endReservationRound();
+        return;
     }
+    m_awaitedReserve = m_attempts.newest();
 }
 
 void forward_flow::endReservationRound()
@@ -265,6 +280,10 @@
     if (m_reservationSearch.scheduleNextRound(m_now)) {
         return;
     }
+    if (m_silentDecode) {
+        keepSilentDecode();
+        return;
+    }
     if (m_mayHaveExecuted) {
         // A stream that has begun waits in an endpoint's queue rather than being aborted.
         continueAfterReservation();
@@ -275,6 +294,10 @@
 
 void forward_flow::continueAfterReservation()
 {
+    if (m_silentDecode) {
+        replaceSilentDecode();
+        return;
+    }
     if (m_prefillsSent == 0 && !m_mayHaveExecuted) {
         if (m_reservation) {
             sendPrefill();
--- a/src/forwarding/forward_flow.h
+++ b/src/forwarding/forward_flow.h
@@ -114,10 +114,18 @@
     void startReservationSearch();
     void sendNextReservation();
     void endReservationRound();
-    /// Continues once capacity is reserved, or when no reservation could be made. As long as no prefill has been sent and the request
-    /// cannot have been executed, sends the prefill, or refuses the request if there is no reservation. Otherwise sends the decode, with or
-    /// without a reservation and the result of a prefill. A prefill that could not be sent because the connection failed does not count as
-    /// sent.
+    /// Cancels the silent decode and sends its replacement, for which capacity has just been reserved. Without a reservation that can be
+    /// used the silent decode goes on.
+    void replaceSilentDecode();
+    /// Ends the search for a replacement. The decode goes on, and a replacement is searched again after the next silence.
+    void keepSilentDecode();
+    void stopReservationSearch();
+    /// Releases the reservation of an attempt whose result is not awaited any more.
+    void releaseLateReservation(const flow_attempt &ended, const std::optional<std::string> &handle);
+    /// Continues once capacity is reserved, or when no reservation could be made. A silent decode is replaced or kept. Otherwise, as long
+    /// as no prefill has been sent and the request cannot have been executed, sends the prefill, or refuses the request if there is no
+    /// reservation. Otherwise sends the decode, with or without a reservation and the result of a prefill. A prefill that could not be sent
+    /// because the connection failed does not count as sent.
     void continueAfterReservation();
     void sendPrefill();
     /// True when there is a reservation and either its decode endpoint is expected to process the prompt sooner than the prefill endpoint,
@@ -166,6 +174,10 @@
     std::optional<endpoint_id> m_lastPrefillEndpoint;
     std::optional<capacity_reservation> m_reservation;
     reservation_search m_reservationSearch;
+    /// The reservation attempt whose result the search waits for. Reservations that other attempts still return are released.
+    std::optional<attempt_number> m_awaitedReserve;
+    /// The decode that is silent while capacity for a replacement is searched. It goes on until the replacement can be sent.
+    std::optional<attempt_number> m_silentDecode;
     // Valid only while an event is being handled.
     const flow_context *m_context = nullptr;
     instant m_now;
--- a/src/forwarding/forward_flow_ends.cpp
+++ b/src/forwarding/forward_flow_ends.cpp
@@ -185,6 +185,9 @@
 void forward_flow::onReserveTimeout(const flow_attempt &timedOut)
 {
     cancel(timedOut);
+    if (m_awaitedReserve != timedOut.number) {
+        return;
+    }
     m_reservationSearch.noteFull(timedOut.endpoint);
     sendNextReservation();
 }
@@ -221,15 +224,55 @@
 
 void forward_flow::onDecodeTimeout(const flow_attempt &timedOut)
 {
-    if (!mayRetry() || !hasAttemptsLeft() || !spendRetry()) {
+    if (!mayRetry() || !hasAttemptsLeft()) {
+        return;
+    }
+    // A pause is no failure: the decode goes on until its replacement can be sent.
+    m_silentDecode = timedOut.number;
+    startReservationSearch();
+}
+
+void forward_flow::replaceSilentDecode()
+{
+    const flow_attempt *silent = m_attempts.find(*m_silentDecode);
+    const bool isReserved = m_reservation && m_context->endpoints.mayReceive(m_reservation->endpoint);
+    if (silent == nullptr || !isReserved || !spendRetry()) {
+        keepSilentDecode();
         return;
     }
     // The old decode is cancelled first, so that two endpoints never generate the same stream.
-    cancel(timedOut);
+    cancel(flow_attempt(*silent));
+    stopReservationSearch();
     m_mayHaveExecuted = true;
     m_handle.reset();
     m_events.dropPartial();
-    startReservationSearch();
+    continueAfterReservation();
+}
+
+void forward_flow::keepSilentDecode()
+{
+    if (flow_attempt *silent = m_attempts.find(*m_silentDecode)) {
+        silent->timeoutAt = deadline::after(m_now, streamIdleTimeout());
+    }
+    stopReservationSearch();
+    if (m_reservation) {
+        m_actions.emplace_back(release_reservation {*std::exchange(m_reservation, std::nullopt)});
+    }
+}
+
+void forward_flow::stopReservationSearch()
+{
+    m_silentDecode.reset();
+    m_awaitedReserve.reset();
+    m_reservationSearch.stop();
+}
+
+void forward_flow::releaseLateReservation(const flow_attempt &ended, const std::optional<std::string> &handle)
+{
+    const endpoint_state *endpoint = m_context->endpoints.find(ended.endpoint);
+    if (handle && endpoint != nullptr) {
+        m_actions.emplace_back(release_reservation {{ended.endpoint, endpoint->entry.address, *handle}});
+    }
 }
 
 } // namespace burdockshelf
--- a/src/forwarding/reservation_search.cpp
+++ b/src/forwarding/reservation_search.cpp
@@ -20,6 +20,11 @@
     m_nextRoundAt = deadline::never();
 }
 
+void reservation_search::stop()
+{
+    m_nextRoundAt = deadline::never();
+}
+
 void reservation_search::noteFull(const endpoint_id &endpoint)
 {
     m_excluded.push_back(endpoint);
--- a/src/forwarding/reservation_search.h
+++ b/src/forwarding/reservation_search.h
@@ -13,6 +13,8 @@
 public:
     /// Starts a new search. Endpoints that the request was sent to before are not asked.
     void begin(const std::vector<endpoint_id> &tried, deadline until);
+    /// Ends the search; no further round is due.
+    void stop();
     void noteFull(const endpoint_id &endpoint);
 
     /// Endpoints that are not to be asked any more in this round.
