Give requests that wait for their quota a deadline

A request whose quota request or response was lost got neither an answer nor a refusal, and the time of its route did not hold: dispatch_task kept it in m_awaitingQuota until its caller left. The response is lost when the mailbox of the quota broker is full or when the broker is restarted between the two messages; a full mailbox was only logged.

The wait now has a deadline in the same table as requests in progress: 500 ms, or the caller's deadline if that is earlier. The request is then refused with 503 and Retry-After, which is true because nothing has been sent; a grant that arrives later is returned. A quota request that cannot be posted is refused at once.

tests/gateway/dispatch_test.cpp, before:

dispatch_test.cpp:19: Failure in TEST(dispatcher, refusesRequestsWhoseQuotaRequestIsNotAnswered) CHECK(refused != nullptr) failed Errors (1 failures, 38 tests, 1 ran, 7 checks, 0 ignored, 37 filtered out, 1323 ms)

after, with two more tests:

OK (40 tests, 3 ran, 205 checks, 0 ignored, 37 filtered out, 2250 ms)

--- a/src/gateway/dispatch_outbox.cpp
+++ b/src/gateway/dispatch_outbox.cpp
@@ -27,9 +27,9 @@
     noteUndelivered(m_to.store.post(std::move(message)), "store");
 }
 
-void dispatch_outbox::toQuotas(quota_broker_message message)
+bool dispatch_outbox::toQuotas(quota_broker_message message)
 {
-    noteUndelivered(m_to.quotas.post(std::move(message)), "quotas");
+    return noteUndelivered(m_to.quotas.post(std::move(message)), "quotas");
 }
 
 void dispatch_outbox::toStageControl(stage_control_message message)
@@ -63,11 +63,13 @@
     noteUndelivered(m_to.metrics.post(std::exchange(m_metrics, {})), "monitor");
 }
 
-void dispatch_outbox::noteUndelivered(post_result result, std::string_view receiver)
+bool dispatch_outbox::noteUndelivered(post_result result, std::string_view receiver)
 {
-    if (result != post_result::delivered) {
-        m_log.write(log_line("dispatch", "message_dropped").add("receiver", receiver));
+    if (result == post_result::delivered) {
+        return true;
     }
+    m_log.write(log_line("dispatch", "message_dropped").add("receiver", receiver));
+    return false;
 }
 
 } // namespace burdockshelf
--- a/src/gateway/dispatch_outbox.h
+++ b/src/gateway/dispatch_outbox.h
@@ -31,7 +31,8 @@
     void toCallers(caller_server_message message);
     void toEndpoints(endpoint_client_message message);
     void toStore(store_message message);
-    void toQuotas(quota_broker_message message);
+    /// False when the message was dropped.
+    bool toQuotas(quota_broker_message message);
     void toStageControl(stage_control_message message);
     void reportReadiness(readiness_report report);
 
@@ -42,7 +43,8 @@
     void sendMetrics();
 
 private:
-    void noteUndelivered(post_result result, std::string_view receiver);
+    /// Returns whether the message was delivered.
+    bool noteUndelivered(post_result result, std::string_view receiver);
 
     dispatch_addresses m_to;
     event_log m_log;
--- a/src/gateway/dispatch_task.cpp
+++ b/src/gateway/dispatch_task.cpp
@@ -25,6 +25,9 @@
 // sends new connections elsewhere after two seconds.
 constexpr std::int64_t newStreamGracePercent = 34;
 constexpr std::int64_t newCallGracePercent = 75;
+// The quota broker responds within 100 ms, so a response that takes longer than this has been lost.
+constexpr milliseconds quotaResponseTimeout {500};
+constexpr milliseconds retryAfterMissingQuota {120};
 constexpr int firstErrorStatus = 400;
 
 } // namespace
@@ -83,21 +86,34 @@
         begin(arrived.flow, std::move(arrived.request), std::move(*decided.request));
         return;
     }
-    m_outbox.toQuotas(quota_request {arrived.flow, decided.limited->id, decided.cost});
+    if (!m_outbox.toQuotas(quota_request {arrived.flow, decided.limited->id, decided.cost})) {
+        refuseWithoutQuota(arrived.flow, decided);
+        return;
+    }
+    const instant now = boot_clock::now();
+    m_deadlines.set(arrived.flow, std::min(deadline::after(now, quotaResponseTimeout), facts.callerDeadline));
     m_awaitingQuota.emplace(arrived.flow, awaiting_quota {std::move(arrived.request), std::move(decided)});
 }
 
+void dispatch_task::refuseWithoutQuota(flow_id flow, admission_decision &decision)
+{
+    decision.cause = refusal_cause::overloaded;
+    decision.retryAfter = retryAfterMissingQuota;
+    refuse(flow, decision, decision.request->facts);
+}
+
 void dispatch_task::apply(const quota_response &quotaResponse)
 {
     const auto *granted = std::get_if<quota_granted>(&quotaResponse.verdict);
     auto waiting = m_awaitingQuota.extract(quotaResponse.flow);
     if (waiting.empty()) {
-        // The caller has disconnected in the meantime.
+        // The caller has disconnected in the meantime, or the response is late.
         if (granted != nullptr) {
             returnQuota(granted->grant);
         }
         return;
     }
+    m_deadlines.remove(quotaResponse.flow);
     awaiting_quota &request = waiting.mapped();
     if (granted != nullptr) {
         request.admission.request->grant = granted->grant;
@@ -123,6 +139,7 @@
 void dispatch_task::apply(const flow_caller_disconnected &disconnected)
 {
     if (const auto waiting = m_awaitingQuota.extract(disconnected.flow)) {
+        m_deadlines.remove(disconnected.flow);
         m_requests.writeDropped(waiting.mapped().admission.request->facts, "the caller disconnected before the quota was granted");
         m_outbox.count("requests_total", "outcome", "dropped");
         return;
@@ -439,6 +456,10 @@
 
 void dispatch_task::handleDeadline(flow_id flow)
 {
+    if (auto waiting = m_awaitingQuota.extract(flow)) {
+        refuseWithoutQuota(flow, waiting.mapped().admission);
+        return;
+    }
     if (active_flow *target = find(flow)) {
         carryOut(*target, target->flow.onDeadline(context(), boot_clock::now()));
     }
--- a/src/gateway/dispatch_task.h
+++ b/src/gateway/dispatch_task.h
@@ -47,7 +47,7 @@
 private:
     using active_flows = std::map<flow_id, std::unique_ptr<active_flow>>;
 
-    /// An admitted request that waits for its quota.
+    /// An admitted request that waits for its quota. Its deadline is in m_deadlines, as for requests in progress.
     struct awaiting_quota
     {
         http_request original;
@@ -68,6 +68,8 @@
 
     void begin(flow_id flow, http_request &&original, admitted_request &&admitted);
     void refuse(flow_id flow, const admission_decision &decision, const forward_facts &facts);
+    /// Refuses an admitted request for which the quota broker gives no decision; it has not run.
+    void refuseWithoutQuota(flow_id flow, admission_decision &decision);
     void returnQuota(const quota_grant &grant);
     /// Notifies the other tasks of a new plan or a changed instance count, and updates the readiness.
     void publishChanges();
--- /dev/null
+++ b/tests/gateway/dispatch_test.cpp
@@ -0,0 +1,64 @@
+#include "gateway/dispatch_fixture.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace burdockshelf;
+using namespace std::chrono_literals;
+
+TEST_GROUP(dispatcher) {};
+
+// A request whose quota request or response was lost, for example with a restart of the quota broker, got neither an answer nor a refusal
+// (issue 18, LOST).
+TEST(dispatcher, refusesRequestsWhoseQuotaRequestIsNotAnswered)
+{
+    dispatch_fixture fixture;
+    fixture.arrive(1);
+    fixture.run(1300ms);
+    CHECK(std::holds_alternative<quota_request>(fixture.toQuotas.back()));
+    const http_response *refused = fixture.responseTo(1);
+    CHECK(refused != nullptr);
+    LONGS_EQUAL(503, refused->status);
+    CHECK_TRUE(refused->headers.has("Retry-After"));
+    // A grant that arrives later goes back to the workspace's quota; the request must not run any more.
+    fixture.post(quota_response {flow_id(1), quota_granted {{workspace_id("w"), 200.0, std::nullopt}}});
+    fixture.run(20ms);
+    CHECK(std::holds_alternative<quota_returned>(fixture.toQuotas.back()));
+    CHECK_FALSE(fixture.hasSentAttempt());
+}
+
+// A quota request that does not fit into the mailbox of the quota broker is lost at once, so the caller need not wait for the refusal.
+TEST(dispatcher, refusesRequestsWhoseQuotaRequestIsDropped)
+{
+    dispatch_fixture fixture(dispatch_fixture::capacity, 0);
+    fixture.arrive(1);
+    fixture.run(20ms);
+    const http_response *refused = fixture.responseTo(1);
+    CHECK(refused != nullptr);
+    LONGS_EQUAL(503, refused->status);
+    CHECK_TRUE(refused->headers.has("Retry-After"));
+}
+
+// Every request is answered exactly once, whether its quota is granted, refused or not answered, early or late.
+TEST(dispatcher, answersEveryRequestThatWaitsForItsQuota)
+{
+    dispatch_fixture fixture;
+    constexpr std::int64_t requests = 40;
+    for (std::int64_t flow = 1; flow <= requests; ++flow) {
+        fixture.arrive(flow);
+    }
+    fixture.run(20ms);
+    for (std::int64_t flow = 1; flow <= requests; flow += 2) {
+        fixture.post(quota_response {flow_id(flow), quota_refused {100ms, 0.5, std::nullopt}});
+    }
+    fixture.run(800ms);
+    for (std::int64_t flow = 1; flow <= requests; ++flow) {
+        fixture.post(quota_response {flow_id(flow), quota_refused {100ms, 0.5, std::nullopt}});
+    }
+    fixture.run(20ms);
+    LONGS_EQUAL(requests, fixture.toCallers.size() - fixture.countOf<limits_changed>());
+    for (std::int64_t flow = 1; flow <= requests; ++flow) {
+        const http_response *response = fixture.responseTo(flow);
+        CHECK(response != nullptr);
+        LONGS_EQUAL(flow % 2 == 1 ? 429 : 503, response->status);
+    }
+}
