--- /dev/null
+++ b/src/gateway/caller_connection.cpp
@@ -0,0 +1,249 @@
+#include "gateway/caller_connection.h"
+
+#include "http1/message_writer.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace burdockshelf
+{
+
+namespace
+{
+
+using std::chrono::milliseconds;
+
+// After the last response on a connection, waits for the caller to close its side. Closing at once could send a RST that discards the
+// response before the caller has read it.
+constexpr milliseconds lingerTimeout {1000};
+// Pipelined requests are buffered up to this size while a response is pending; then reading from the connection pauses.
+constexpr std::size_t maxPipelinedBytes = 64 * 1024;
+
+constexpr int statusRequestTimeout = 408;
+constexpr int statusBadRequest = 400;
+constexpr int statusTooLarge = 413;
+constexpr int statusHeadTooLarge = 431;
+
+} // namespace
+
+caller_connection::caller_connection(event_loop &loop, int socket, caller_connection_owner &owner)
+    : m_owner(owner)
+    , m_parser(message_parser::direction::requests, owner.limits().head, *this)
+    , m_idleSince(boot_clock::now())
+{
+    byte_stream::handlers handlers;
+    handlers.onReadable = [this] {
+        readMore();
+    };
+    handlers.onEnded = [this](stream_end_cause) {
+        end();
+    };
+    m_stream = byte_stream::adopt(loop, socket, std::move(handlers));
+}
+
+caller_connection::~caller_connection() = default;
+
+bool caller_connection::isIdle() const
+{
+    return !m_isResponsePending && !m_isClosing && m_parser.isBetweenMessages();
+}
+
+bool caller_connection::isResponsePending() const
+{
+    return m_isResponsePending;
+}
+
+flow_id caller_connection::flow() const
+{
+    return m_flow;
+}
+
+void caller_connection::setFlow(flow_id flow)
+{
+    m_flow = flow;
+    m_isResponsePending = true;
+}
+
+void caller_connection::writeFullResponse(http_response &&response)
+{
+    const bool closes = closesAfterResponse();
+    const bool hasBody = m_method != "HEAD";
+    if (!hasBody) {
+        response.body.clear();
+    }
+    m_stream->write(responseBytes(response, body_framing::length, closes));
+    finishResponse(closes);
+}
+
+void caller_connection::writeResponseHead(const http_response &head)
+{
+    m_closesAfterStream = closesAfterResponse();
+    m_stream->write(responseBytes(head, body_framing::chunked, m_closesAfterStream));
+}
+
+void caller_connection::writeBodyData(std::string_view bytes)
+{
+    m_stream->write(chunkBytes(bytes));
+}
+
+void caller_connection::writeResponseEnd()
+{
+    m_stream->write(lastChunk());
+    finishResponse(m_closesAfterStream);
+}
+
+void caller_connection::abortResponse()
+{
+    m_isResponsePending = false;
+    close();
+}
+
+void caller_connection::close()
+{
+    m_isClosing = true;
+    m_closeDeadline = deadline::after(boot_clock::now(), lingerTimeout);
+    m_stream->finishWriting();
+}
+
+std::size_t caller_connection::unsentBytes() const
+{
+    return m_stream->unsentBytes();
+}
+
+bool caller_connection::checkTimeouts(instant now)
+{
+    if (m_isClosing) {
+        return m_closeDeadline.hasPassed(now);
+    }
+    if (m_isResponsePending) {
+        return false;
+    }
+    if (isIdle()) {
+        // The caller may not know a changed idle timeout yet, so the longer of the old and the new value applies.
+        const milliseconds idle = std::max(m_idleTimeout, m_owner.limits().idleTimeout);
+        if (now - m_idleSince > idle) {
+            close();
+        }
+        return false;
+    }
+    const milliseconds allowed = m_hasHead ? m_owner.limits().idleTimeout : m_owner.limits().headTimeout;
+    if (now - m_requestSince > allowed) {
+        refuse(statusRequestTimeout);
+    }
+    return false;
+}
+
+void caller_connection::onRequestHead(http_request &&head, const message_framing &framing)
+{
+    m_request = std::move(head);
+    m_hasHead = true;
+    m_isKeptAlive = framing.keepAlive;
+    m_method = m_request.method;
+    if (framing.contentLength > m_owner.limits().body.value()) {
+        m_isTooLarge = true;
+    }
+    const bool expectsContinue = m_request.headers.has("Expect");
+    if (expectsContinue && !m_isTooLarge) {
+        m_stream->write("HTTP/1.1 100 Continue\r\n\r\n");
+    }
+}
+
+void caller_connection::onBody(std::string_view bytes)
+{
+    if (static_cast<std::int64_t>(m_request.body.size() + bytes.size()) > m_owner.limits().body.value()) {
+        m_isTooLarge = true;
+        return;
+    }
+    m_request.body.append(bytes);
+}
+
+void caller_connection::onComplete()
+{
+}
+
+void caller_connection::readMore()
+{
+    if (m_isClosing) {
+        m_stream->drop(m_stream->peek().size());
+        return;
+    }
+    if (m_isResponsePending) {
+        if (m_stream->peek().size() > maxPipelinedBytes) {
+            m_stream->setReading(false);
+        }
+        return;
+    }
+    const std::string_view bytes = m_stream->peek();
+    if (bytes.empty()) {
+        return;
+    }
+    if (m_parser.isBetweenMessages()) {
+        m_requestSince = boot_clock::now();
+        m_hasHead = false;
+    }
+    m_stream->drop(m_parser.take(bytes));
+    if (m_isTooLarge) {
+        refuse(statusTooLarge);
+        return;
+    }
+    switch (m_parser.state()) {
+    case parse_state::reading:
+        break;
+    case parse_state::complete:
+        // If the whole process was suspended, callers may have disconnected long before their requests are read.
+        if (m_stream->hasPeerDisconnected()) {
+            m_owner.reportAbandonedRequest(std::move(m_request));
+            m_owner.destroyLater(*this);
+            break;
+        }
+        m_owner.dispatchRequest(*this, std::move(m_request));
+        m_request = {};
+        break;
+    case parse_state::broken:
+        refuse(statusBadRequest);
+        break;
+    case parse_state::head_too_large:
+        refuse(statusHeadTooLarge);
+        break;
+    }
+}
+
+void caller_connection::refuse(int status)
+{
+    m_owner.logUnreadableRequest(status);
+    http_response response;
+    response.status = status;
+    m_stream->write(responseBytes(response, body_framing::length, true));
+    close();
+}
+
+bool caller_connection::closesAfterResponse() const
+{
+    return !m_isKeptAlive || m_owner.isShuttingDown();
+}
+
+void caller_connection::finishResponse(bool closes)
+{
+    m_isResponsePending = false;
+    m_idleSince = boot_clock::now();
+    m_idleTimeout = m_owner.limits().idleTimeout;
+    if (closes) {
+        close();
+        return;
+    }
+    m_parser.resume();
+    m_stream->setReading(true);
+    if (!m_stream->peek().empty()) {
+        readMore();
+    }
+}
+
+void caller_connection::end()
+{
+    if (m_isResponsePending) {
+        m_owner.reportCallerDisconnected(*this);
+    }
+    m_owner.destroyLater(*this);
+}
+
+} // namespace burdockshelf
--- a/src/gateway/caller_server_task.h
+++ b/src/gateway/caller_server_task.h
@@ -1,8 +1,7 @@
 #pragma once
 
+#include "gateway/caller_connection.h"
 #include "gateway/gateway_messages.h"
-#include "http1/byte_stream.h"
-#include "http1/message_parser.h"
 #include "logging/log_writer_task.h"
 #include "runtime/task.h"
 #include "runtime/timer.h"
@@ -32,7 +31,7 @@
 
 /// Owns the listener for callers and their connections. Reads one request at a time from each connection, forwards it to the dispatcher and
 /// writes the response.
-class caller_server_task : public task<caller_server_message>
+class caller_server_task : public task<caller_server_message>, private caller_connection_owner
 {
 public:
     caller_server_task(event_loop &loop,
@@ -48,7 +47,6 @@
     void beginShutdown() override;
 
 private:
-    class connection;
     struct listener_deleter
     {
         void operator()(evconnlistener *listener) const;
@@ -63,16 +61,19 @@
     void apply(const caller_response_end &end);
     void apply(const caller_response_abort &abort);
     void apply(const limits_changed &change);
-    connection *findByFlow(flow_id flow);
-    void dispatchRequest(connection &from, http_request &&request);
-    /// Reports a request whose caller disconnected before it was read; no response is expected.
-    void reportAbandonedRequest(http_request &&request);
-    void reportCallerDisconnected(connection &from);
-    void destroyLater(connection &ended);
+    const caller_limits &limits() const override;
+    bool isShuttingDown() const override;
+    void dispatchRequest(caller_connection &from, http_request &&request) override;
+    void reportAbandonedRequest(http_request &&request) override;
+    void reportCallerDisconnected(caller_connection &from) override;
+    void logUnreadableRequest(int status) override;
+    void destroyLater(caller_connection &ended) override;
+
+    caller_connection *findByFlow(flow_id flow);
     void sweep();
     void continueShutdown();
     /// Logs a connection that is about to be closed while a response on it is incomplete.
-    void logIfCut(const connection &ended, std::string_view cause);
+    void logIfCut(const caller_connection &ended, std::string_view cause);
     void armSweep();
 
     event_loop &m_loop;
@@ -82,9 +83,9 @@
     event_log m_log;
     caller_limits m_limits;
     std::unique_ptr<evconnlistener, listener_deleter> m_listener;
-    std::map<const connection *, std::unique_ptr<connection>> m_connections;
-    std::map<flow_id, connection *> m_connectionsByFlow;
-    std::vector<std::unique_ptr<connection>> m_pendingDestruction;
+    std::map<const caller_connection *, std::unique_ptr<caller_connection>> m_connections;
+    std::map<flow_id, caller_connection *> m_connectionsByFlow;
+    std::vector<std::unique_ptr<caller_connection>> m_pendingDestruction;
     flow_id m_lastFlow;
     instant m_shutdownSince;
     bool m_isShuttingDown = false;
