Keep a closing connection while its caller reads

Callers that paused for more than a second while they read the last response of a connection saw it cut. The linger timeout began when the response was queued, and the connection was destroyed with whatever was still in its output buffer.

The linger timeout now begins when the last byte has been handed to the kernel, and so does the idle timeout. A caller that reads nothing for the idle timeout of the plan in force is given up.

tests/gateway/caller_server_test.cpp, before:

caller_server_test.cpp:136: Failure in TEST(caller_server, completesResponsesToSlowCallers) CHECK(fixture.bytesRead > largeBody) failed

--- a/src/gateway/caller_connection.cpp
+++ b/src/gateway/caller_connection.cpp
@@ -112,6 +112,12 @@
 
 bool caller_connection::checkTimeouts(instant now)
 {
+    if (!m_isResponsePending && unsentBytes() > 0) {
+        // The caller is still reading, so neither the idle nor the linger timeout has begun.
+        m_idleSince = now;
+        m_closeDeadline = deadline::after(now, lingerTimeout);
+        return isReadingStalled(now);
+    }
     if (m_isClosing) {
         return m_closeDeadline.hasPassed(now);
     }
@@ -208,6 +214,16 @@
     }
 }
 
+bool caller_connection::isReadingStalled(instant now)
+{
+    const std::size_t unsent = unsentBytes();
+    if (unsent != m_unsentAtLastCheck) {
+        m_unsentAtLastCheck = unsent;
+        m_readingDeadline = deadline::after(now, m_owner.limits().idleTimeout);
+    }
+    return m_readingDeadline.hasPassed(now);
+}
+
 void caller_connection::refuse(int status)
 {
     m_owner.logUnreadableRequest(status);
@@ -225,6 +241,7 @@
 void caller_connection::finishResponse(bool closes)
 {
     m_isResponsePending = false;
+    m_unsentAtLastCheck = 0;
     m_idleSince = boot_clock::now();
     m_idleTimeout = m_owner.limits().idleTimeout;
     if (closes) {
--- a/src/gateway/caller_connection.h
+++ b/src/gateway/caller_connection.h
@@ -64,6 +64,8 @@
     void onComplete() override;
 
     void readMore();
+    /// True when the caller has read nothing of the unsent bytes for the idle timeout.
+    bool isReadingStalled(instant now);
     void refuse(int status);
     bool closesAfterResponse() const;
     void finishResponse(bool closes);
@@ -79,6 +81,9 @@
     instant m_requestSince;
     std::chrono::milliseconds m_idleTimeout {};
     deadline m_closeDeadline;
+    /// When a caller that reads nothing of its response is given up, and the bytes that were unsent when that was last checked.
+    deadline m_readingDeadline;
+    std::size_t m_unsentAtLastCheck = 0;
     bool m_hasHead = false;
     bool m_isKeptAlive = true;
     bool m_isTooLarge = false;
