Finish the shutdown after unfinished exchanges

A response that was still in an output buffer, and a request that had been read in part, were cut at 3.5 s after SIGTERM although the grace period had seconds left: the shutdown ended as soon as no request was waiting for the dispatcher.

It now ends when no connection has an unfinished exchange: a request that is being read, a response that is pending, or bytes that are not sent. The end of the grace period bounds it as before.

tests/gateway/caller_server_test.cpp, before:

caller_server_test.cpp:171: Failure in TEST(caller_server, finishesTheShutdownAfterPartlyReadRequests) CHECK_FALSE(fixture.isFinished) failed caller_server_test.cpp:153: Failure in TEST(caller_server, finishesTheShutdownAfterAllBytesAreSent) CHECK_FALSE(fixture.isFinished) failed

--- a/src/gateway/caller_connection.cpp
+++ b/src/gateway/caller_connection.cpp
@@ -110,6 +110,12 @@
     return m_stream->unsentBytes();
 }
 
+bool caller_connection::hasUnfinishedExchange() const
+{
+    const bool isReadingRequest = !m_isClosing && !m_parser.isBetweenMessages();
+    return m_isResponsePending || isReadingRequest || unsentBytes() > 0;
+}
+
 bool caller_connection::checkTimeouts(instant now)
 {
     if (!m_isResponsePending && unsentBytes() > 0) {
--- a/src/gateway/caller_connection.h
+++ b/src/gateway/caller_connection.h
@@ -55,6 +55,8 @@
     void close();
     /// Bytes of responses that the caller has not been sent yet.
     std::size_t unsentBytes() const;
+    /// True while a request is being read or its response is not completely sent.
+    bool hasUnfinishedExchange() const;
     /// Enforces the idle, request and linger timeouts. Returns true if the connection should be destroyed.
     bool checkTimeouts(instant now);
 
--- a/src/gateway/caller_server_task.cpp
+++ b/src/gateway/caller_server_task.cpp
@@ -1,5 +1,6 @@
 #include "gateway/caller_server_task.h"
 
+#include <algorithm>
 #include <utility>
 
 #include <arpa/inet.h>
@@ -235,11 +236,13 @@
             }
         }
     }
-    // True when no response is outstanding and the load balancer and the callers have had their time, loadBalancerDrainTime and
-    // lastResponsesTime. False before that, even if every response has been written.
-    const bool areResponsesWritten = m_connectionsByFlow.empty() && elapsed > loadBalancerDrainTime + lastResponsesTime;
+    // False until the load balancer and the callers have had their time, even if every response has been sent.
+    const bool isDrained = elapsed > loadBalancerDrainTime + lastResponsesTime;
+    const bool areResponsesSent = isDrained && std::none_of(m_connections.begin(), m_connections.end(), [](const auto &entry) {
+                                      return entry.second->hasUnfinishedExchange();
+                                  });
     const bool isGraceOver = elapsed > m_settings.gracePeriod - shutdownMargin;
-    if ((areResponsesWritten || isGraceOver) && !m_isFinished) {
+    if ((areResponsesSent || isGraceOver) && !m_isFinished) {
         m_isFinished = true;
         for (const auto &[key, candidate] : m_connections) {
             logIfCut(*candidate, "shutdown");
--- a/tests/gateway/caller_server_test.cpp
+++ b/tests/gateway/caller_server_test.cpp
@@ -135,3 +135,46 @@
     CHECK_TRUE(fixture.isCallerAtEnd);
     CHECK(fixture.bytesRead > largeBody);
 }
+
+// A shutdown ended while responses were still in the output buffers, which cut them (LOST beside a SIGTERM).
+TEST(caller_server, finishesTheShutdownAfterAllBytesAreSent)
+{
+    caller_server_fixture fixture;
+    fixture.connectAndSend("GET /x HTTP/1.1\r\nHost: h\r\n\r\n");
+    fixture.run(50ms);
+    fixture.server->beginShutdown();
+    fixture.respond(largeBody);
+    for (int round = 0; round < 20; ++round) {
+        fixture.run(200ms);
+        std::array<char, 1024> few = {};
+        const ssize_t size = ::recv(fixture.caller, few.data(), few.size(), 0);
+        fixture.bytesRead += size > 0 ? static_cast<std::size_t>(size) : 0;
+    }
+    CHECK_FALSE(fixture.isFinished);
+    fixture.readFor(3000ms);
+    CHECK(fixture.bytesRead > largeBody);
+    fixture.run(300ms);
+    CHECK_TRUE(fixture.isFinished);
+}
+
+// A request whose body is still arriving when the other requests are done must be answered before the shutdown ends.
+TEST(caller_server, finishesTheShutdownAfterPartlyReadRequests)
+{
+    caller_server_fixture fixture;
+    caller_limits limits;
+    limits.idleTimeout = 20s;
+    fixture.post(limits_changed {limits});
+    fixture.connectAndSend("POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 10\r\n\r\nhalf ");
+    fixture.run(50ms);
+    fixture.server->beginShutdown();
+    fixture.run(4000ms);
+    CHECK_FALSE(fixture.isFinished);
+    fixture.send("whole");
+    fixture.run(50ms);
+    CHECK_TRUE(fixture.arrived.has_value());
+    fixture.respond(10);
+    fixture.readFor(1000ms);
+    CHECK(fixture.bytesRead > 10);
+    fixture.run(1300ms);
+    CHECK_TRUE(fixture.isFinished);
+}
