Let a response of the store take its time while it arrives

A read of the store had a fixed deadline, 450 ms after its wait. A configuration that takes longer to transfer over the link of a small instance (10 Mbit/s) was given up and read again from its beginning, for ever; the wasted transfers filled the link, so that answers and streams of that instance were late as well.

The deadline of a call is now for the start of its response. After that the response is waited for as long as no pause in it exceeds 450 ms, for 8 s at most.

--- a/src/gateway/serial_http_client.cpp
+++ b/src/gateway/serial_http_client.cpp
@@ -1,10 +1,23 @@
 #include "gateway/serial_http_client.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace burdockshelf
 {
 
+namespace
+{
+
+using std::chrono::milliseconds;
+
+// Longest pause between two parts of a response. A dead connection shows by a longer one.
+constexpr milliseconds maxTransferPause {450};
+// Longest time that a response may take after the deadline of its call, as long as it makes progress.
+constexpr milliseconds maxTransferTime {8000};
+
+} // namespace
+
 serial_http_client::serial_http_client(event_loop &loop, const socket_address &server)
     : m_loop(loop)
     , m_server(server)
@@ -36,6 +49,7 @@
     m_onDone = std::move(onDone);
     m_response = {};
     m_timeout.start(until);
+    m_transferDeadline = until.isNever() ? until : deadline::after(until.at(), maxTransferTime);
     if (!m_connection || !m_connection->isReusable(boot_clock::now())) {
         discardConnection();
         m_connection = std::make_unique<client_connection>(m_loop, m_server, client_connection_settings {});
@@ -43,9 +57,11 @@
     exchange_handlers handlers;
     handlers.onHead = [this](http_response &&head, const message_framing & /*framing*/) {
         m_response = std::move(head);
+        noteProgress();
     };
     handlers.onBody = [this](std::string_view bytes) {
         m_response.body.append(bytes);
+        noteProgress();
     };
     handlers.onEnd = [this](exchange_outcome end) {
         if (end == exchange_outcome::complete) {
@@ -69,6 +85,12 @@
     }
 }
 
+void serial_http_client::noteProgress()
+{
+    const deadline extended = std::min(deadline::after(boot_clock::now(), maxTransferPause), m_transferDeadline);
+    m_timeout.start(std::max(m_timeout.at(), extended));
+}
+
 // This function may run inside a handler of the connection, which must therefore be destroyed later, from the event loop.
 void serial_http_client::discardConnection()
 {
--- a/src/gateway/serial_http_client.h
+++ b/src/gateway/serial_http_client.h
@@ -11,7 +11,8 @@
 {
 
 /// HTTP client that makes one call at a time, each with a deadline, on a persistent connection to one server. Replaces the connection after
-/// a failed call, because it may have become unresponsive. Owned by one task.
+/// a failed call, because it may have become unresponsive. The deadline is for the start of the response: a large response on a slow link
+/// is waited for as long as it makes progress, up to a maximum time. Owned by one task.
 class serial_http_client
 {
 public:
@@ -29,6 +30,8 @@
 
 private:
     void finish(outcome<http_response> result);
+    /// Extends the deadline of the running call after a part of the response has arrived.
+    void noteProgress();
     void discardConnection();
 
     event_loop &m_loop;
@@ -37,6 +40,7 @@
     std::unique_ptr<client_connection> m_discarded;
     http_response m_response;
     handler m_onDone;
+    deadline m_transferDeadline = deadline::never();
     timer m_timeout;
     timer m_destroyTimer;
 };
