End an attempt at once when it cannot be posted

A request whose attempt did not fit into the mailbox of the endpoint client waited for the time limit of its route and was then answered 504, although nothing had been sent. The drop was only logged, and no task owned the attempt.

The dispatcher now ends such an attempt as not sent, through its own mailbox, so that the flow decides as for any other: it may try elsewhere, or refuses with 503 and Retry-After.

--- a/src/gateway/dispatch_outbox.cpp
+++ b/src/gateway/dispatch_outbox.cpp
@@ -17,9 +17,9 @@
     noteUndelivered(m_to.callers.post(std::move(message)), "callers");
 }
 
-void dispatch_outbox::toEndpoints(endpoint_client_message message)
+bool dispatch_outbox::toEndpoints(endpoint_client_message message)
 {
-    noteUndelivered(m_to.endpoints.post(std::move(message)), "endpoints");
+    return noteUndelivered(m_to.endpoints.post(std::move(message)), "endpoints");
 }
 
 void dispatch_outbox::toStore(store_message message)
--- a/src/gateway/dispatch_outbox.h
+++ b/src/gateway/dispatch_outbox.h
@@ -29,7 +29,8 @@
     dispatch_outbox(dispatch_addresses to, event_log log);
 
     void toCallers(caller_server_message message);
-    void toEndpoints(endpoint_client_message message);
+    /// False when the message was dropped.
+    bool toEndpoints(endpoint_client_message message);
     void toStore(store_message message);
     /// False when the message was dropped.
     bool toQuotas(quota_broker_message message);
--- a/src/gateway/dispatch_task.cpp
+++ b/src/gateway/dispatch_task.cpp
@@ -344,8 +344,13 @@
         ? m_dialects.endpoints.reserve(action)
         : m_dialects.endpoints.forward(flow.original, request, action, boot_clock::now());
     m_requests.writeSent(request, action, m_fleet.endpoints().find(action.endpoint), boot_clock::now());
+    attempt_ended notSent = {command.flow, command.number, attempt_outcome::not_sent, {}, {}, "mailbox full"};
+    notSent.response.status = 0;
     flow.sent[action.number] = std::move(action);
-    m_outbox.toEndpoints(std::move(command));
+    // If this mailbox is full as well, the attempt ends at the request's deadline.
+    if (!m_outbox.toEndpoints(std::move(command)) && self().post(std::move(notSent)) != post_result::delivered) {
+        m_log.write(log_line("dispatch", "message_dropped").add("receiver", "dispatcher"));
+    }
 }
 
 void dispatch_task::perform(active_flow &flow, const cancel_flow_attempt &action)
--- a/tests/gateway/dispatch_test.cpp
+++ b/tests/gateway/dispatch_test.cpp
@@ -38,6 +38,21 @@
     CHECK_TRUE(refused->headers.has("Retry-After"));
 }
 
+// An attempt that does not fit into the mailbox of the endpoint client never ends by itself; its request waited for the time limit of its
+// route and then got 504, although nothing had run.
+TEST(dispatcher, refusesRequestsWhoseAttemptIsDropped)
+{
+    dispatch_fixture fixture(0);
+    fixture.arrive(1);
+    fixture.run(20ms);
+    fixture.post(quota_response {flow_id(1), quota_granted {{workspace_id("w"), 200.0, std::nullopt}}});
+    fixture.run(100ms);
+    const http_response *refused = fixture.responseTo(1);
+    CHECK(refused != nullptr);
+    LONGS_EQUAL(503, refused->status);
+    CHECK_TRUE(refused->headers.has("Retry-After"));
+}
+
 // Every request is answered exactly once, whether its quota is granted, refused or not answered, early or late.
 TEST(dispatcher, answersEveryRequestThatWaitsForItsQuota)
 {
