--- a/src/gateway/dispatch_task.cpp
+++ b/src/gateway/dispatch_task.cpp
@@ -26,6 +26,9 @@
 // sends new connections elsewhere after two seconds.
 constexpr std::int64_t newStreamGracePercent = 34;
 constexpr std::int64_t newCallGracePercent = 75;
+// The quota broker responds within 100 ms, so a response that takes longer than this has been lost.
+constexpr milliseconds quotaResponseTimeout {500};
+constexpr milliseconds retryAfterMissingQuota {120};
 constexpr int firstErrorStatus = 400;
 
 } // namespace
@@ -46,7 +49,8 @@
     , m_requests(m_log)
     , m_fleet({m_settings.instance, m_settings.dataCentre, m_settings.cold}, m_settings.entries, dialects.records, m_log)
     , m_retryBudget(m_settings.retryBudget)
-    , m_deadlines(loop, [this](flow_id due) { handleDeadline(due); })
+    , m_deadlines(
+          loop, [this](flow_id due) { handleDeadline(due); }, m_log)
     , m_reportTimer(loop, [this] { reportState(); })
     , m_overdueTimer(loop, [this] { removeOverdueRegistrations(); })
 {
@@ -84,21 +88,34 @@
         begin(arrived.flow, std::move(arrived.request), std::move(*decided.request));
         return;
     }
-    m_outbox.toQuotas(quota_request {arrived.flow, decided.limited->id, decided.cost});
+    if (!m_outbox.toQuotas(quota_request {arrived.flow, decided.limited->id, decided.cost})) {
+        refuseWithoutQuota(arrived.flow, decided);
+        return;
+    }
+    const instant now = boot_clock::now();
+    m_deadlines.set(arrived.flow, std::min(deadline::after(now, quotaResponseTimeout), facts.callerDeadline));
     m_awaitingQuota.emplace(arrived.flow, awaiting_quota {std::move(arrived.request), std::move(decided)});
 }
 
+void dispatch_task::refuseWithoutQuota(flow_id flow, admission_decision &decision)
+{
+    decision.cause = refusal_cause::overloaded;
+    decision.retryAfter = retryAfterMissingQuota;
+    refuse(flow, decision, decision.request->facts);
+}
+
 void dispatch_task::apply(const quota_response &quotaResponse)
 {
     const auto *granted = std::get_if<quota_granted>(&quotaResponse.verdict);
     auto waiting = m_awaitingQuota.extract(quotaResponse.flow);
     if (waiting.empty()) {
-        // The caller has disconnected in the meantime.
+        // The caller has disconnected in the meantime, or the response is late.
         if (granted != nullptr) {
             returnQuota(granted->grant);
         }
         return;
     }
+    m_deadlines.remove(quotaResponse.flow);
     awaiting_quota &request = waiting.mapped();
     if (granted != nullptr) {
         request.admission.request->grant = granted->grant;
@@ -124,6 +141,7 @@
 void dispatch_task::apply(const flow_caller_disconnected &disconnected)
 {
     if (const auto waiting = m_awaitingQuota.extract(disconnected.flow)) {
+        m_deadlines.remove(disconnected.flow);
         m_requests.writeDropped(waiting.mapped().admission.request->facts, "the caller disconnected before the quota was granted");
         m_outbox.count("requests_total", "outcome", "dropped");
         return;
@@ -331,8 +349,13 @@
         command.request = m_dialects.endpoints.forward(flow.original, request, action, boot_clock::now());
     }
     m_requests.writeSent(request, action, m_fleet.endpoints().find(action.endpoint), boot_clock::now());
+    attempt_ended notSent = {command.flow, command.number, attempt_outcome::not_sent, {}, {}, false, "mailbox full"};
+    notSent.response.status = 0;
     flow.sent[action.number] = std::move(action);
-    m_outbox.toEndpoints(std::move(command));
+    // If this mailbox is full as well, the attempt ends at the request's deadline.
+    if (!m_outbox.toEndpoints(std::move(command)) && self().post(std::move(notSent)) != post_result::delivered) {
+        m_log.write(log_line("dispatch", "message_dropped").add("receiver", "dispatcher"));
+    }
 }
 
 void dispatch_task::perform(active_flow &flow, const cancel_flow_attempt &action)
@@ -443,6 +466,10 @@
 
 void dispatch_task::handleDeadline(flow_id flow)
 {
+    if (auto waiting = m_awaitingQuota.extract(flow)) {
+        refuseWithoutQuota(flow, waiting.mapped().admission);
+        return;
+    }
     if (active_flow *target = find(flow)) {
         carryOut(*target, target->flow.onDeadline(context(), boot_clock::now()));
     }
@@ -465,6 +492,7 @@
     m_outbox.setGauge("endpoints", static_cast<double>(m_fleet.endpoints().size()));
     m_outbox.setGauge("instances", static_cast<double>(m_fleet.instanceCount()));
     m_outbox.setGauge("active_requests", static_cast<double>(m_flows.size()));
+    m_outbox.setGauge("requests_awaiting_quota", static_cast<double>(m_awaitingQuota.size()));
     m_outbox.sendMetrics();
 }
 
--- a/src/gateway/serial_http_client.cpp
+++ b/src/gateway/serial_http_client.cpp
@@ -1,5 +1,6 @@
 #include "gateway/serial_http_client.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace burdockshelf
@@ -8,6 +9,13 @@
 namespace
 {
 
+using std::chrono::milliseconds;
+
+// Longest pause between two parts of a response. A dead connection shows by a longer one.
+constexpr milliseconds maxTransferPause {450};
+// Longest time that a response may take after the deadline of its call, as long as it makes progress.
+constexpr milliseconds maxTransferTime {8000};
+
 error failureOf(exchange_outcome end)
 {
     switch (end) {
@@ -25,9 +33,10 @@
 
 } // namespace
 
-serial_http_client::serial_http_client(event_loop &loop, const socket_address &server)
+serial_http_client::serial_http_client(event_loop &loop, const socket_address &server, deadline_scope scope)
     : m_loop(loop)
     , m_server(server)
+    , m_scope(scope)
     , m_timeout(loop,
                 [this] {
                     discardConnection();
@@ -56,6 +65,7 @@
     m_onDone = std::move(onDone);
     m_response = {};
     m_timeout.start(until);
+    m_transferDeadline = until.isNever() ? until : deadline::after(until.at(), maxTransferTime);
     if (!m_connection || !m_connection->isReusable(boot_clock::now())) {
         discardConnection();
         m_connection = std::make_unique<client_connection>(m_loop, m_server, client_connection_settings {});
@@ -63,13 +73,15 @@
     exchange_handlers handlers;
     handlers.onHead = [this](http_response &&head, const message_framing & /*framing*/) {
         m_response = std::move(head);
+        noteProgress();
     };
     handlers.onBody = [this](std::string_view bytes) {
         if (m_response.body.size() + bytes.size() > maxBodyBytes) {
             m_connection->rejectResponse();
-        } else {
-            m_response.body.append(bytes);
+            return;
         }
+        m_response.body.append(bytes);
+        noteProgress();
     };
     handlers.onEnd = [this](exchange_outcome end) {
         if (end == exchange_outcome::complete) {
@@ -92,6 +104,15 @@
     }
 }
 
+void serial_http_client::noteProgress()
+{
+    if (m_scope == deadline_scope::whole_response) {
+        return;
+    }
+    const deadline extended = std::min(deadline::after(boot_clock::now(), maxTransferPause), m_transferDeadline);
+    m_timeout.start(std::max(m_timeout.at(), extended));
+}
+
 // This function may run inside a handler of the connection, which must therefore be destroyed later, from the event loop.
 void serial_http_client::discardConnection()
 {
--- a/src/gateway/serial_http_client.h
+++ b/src/gateway/serial_http_client.h
@@ -10,6 +10,16 @@
 namespace burdockshelf
 {
 
+/// What the deadline of a call applies to.
+enum class deadline_scope
+{
+    /// The response must be complete by then.
+    whole_response,
+    /// The response must have begun by then. A large response on a slow link is waited for as long as it makes progress, up to a maximum
+    /// time.
+    start_of_response,
+};
+
 /// HTTP client that makes one call at a time, each with a deadline, on a persistent connection to one server. Replaces the connection after
 /// a failed call, because it may have become unresponsive. A response with a longer body than maxBodyBytes fails the call with
 /// error_code::too_large. Owned by one task.
@@ -21,7 +31,7 @@
     /// The store sends at most a megabyte of records in one response, which the encoding of values in base64 makes larger by a third.
     static constexpr std::size_t maxBodyBytes = 4 * 1024 * 1024;
 
-    serial_http_client(event_loop &loop, const socket_address &server);
+    serial_http_client(event_loop &loop, const socket_address &server, deadline_scope scope = deadline_scope::whole_response);
     ~serial_http_client();
     serial_http_client(const serial_http_client &) = delete;
     serial_http_client &operator=(const serial_http_client &) = delete;
@@ -33,14 +43,18 @@
 
 private:
     void finish(outcome<http_response> result);
+    /// A part of the response has arrived. Extends the deadline of the running call if its scope is the start of the response.
+    void noteProgress();
     void discardConnection();
 
     event_loop &m_loop;
     socket_address m_server;
+    deadline_scope m_scope;
     std::unique_ptr<client_connection> m_connection;
     std::unique_ptr<client_connection> m_discarded;
     http_response m_response;
     handler m_onDone;
+    deadline m_transferDeadline = deadline::never();
     timer m_timeout;
     timer m_destroyTimer;
 };
--- a/src/gateway/topic_follower.cpp
+++ b/src/gateway/topic_follower.cpp
@@ -44,7 +44,7 @@
     , m_onContact(std::move(onContact))
     , m_log(std::move(log))
     , m_random(random)
-    , m_call(loop, store)
+    , m_call(loop, store, deadline_scope::start_of_response)
     , m_next(loop, [this] { startNextCall(); })
     , m_backoff(minRetryDelay, maxRetryDelay)
 {
