Pause when a page of the store does not advance

A page of the newest records that announces more and brings no record, or ends at the key after which it was requested, was followed by the next call at once. Such pages without end made calls in a loop without a pause.

They now count as a failed call, with its growing pause, and are logged.

Evidence: tests/gateway/endless_pages_test.cpp. On the code before:

TEST(endless_pages, areReadAgainOnlyAfterAPause) CHECK(store.requests().size() < 60) failed - 1005 ms

Now it passes: fewer than 60 calls in a second for the three topics.

--- a/src/gateway/topic_follower.cpp
+++ b/src/gateway/topic_follower.cpp
@@ -136,6 +136,11 @@
         retryLater(page.error().message);
         return;
     }
+    const std::vector<store_record> &read = page.value().records;
+    if (page.value().hasMore && (read.empty() || read.back().key == m_afterKey)) {
+        retryLater("a page announces more records and does not advance");
+        return;
+    }
     recordSuccess();
     if (m_page.empty() && m_afterKey.empty()) {
         // The pages do not show the topic at a single moment. Changes made while they are read have records at or after the end offset of
