--- a/src/http1/message_writer.cpp
+++ b/src/http1/message_writer.cpp
@@ -1,5 +1,6 @@
 #include "http1/message_writer.h"
 
+#include <algorithm>
 #include <array>
 #include <charconv>
 
@@ -119,6 +120,11 @@
     return "0\r\n\r\n";
 }
 
+bool isVisibleText(std::string_view text)
+{
+    return !text.empty() && std::all_of(text.begin(), text.end(), [](char character) { return character > ' ' && character <= '~'; });
+}
+
 bool isHopByHop(std::string_view name)
 {
     for (const std::string_view hop : hopByHopNames) {
--- a/src/http1/message_writer.h
+++ b/src/http1/message_writer.h
@@ -26,6 +26,8 @@
 std::string chunkBytes(std::string_view bytes);
 /// The last chunk, which ends a chunked body.
 std::string_view lastChunk();
+/// True if the text consists of visible ASCII characters, so that it can be sent as the value of a header field or as part of a target.
+bool isVisibleText(std::string_view text);
 /// True for hop-by-hop fields and for fields that define the framing of the body.
 bool isHopByHop(std::string_view name);
 /// Returns the headers without hop-by-hop and framing fields and without fields listed in the first Connection field.
