Let the soak write endless bytes, repeated refusals and odd entries

Three faults join the series: an endpoint that writes bytes without end, in a head or a body; one that writes its last refusal, and one without an id, before its other responses; and odd entries among those of the endpoints, deeply nested, with numbers too large or a port out of range. Nothing may be sent to the address that an odd entry names.

--- a/tests/soak/fault_series.cpp
+++ b/tests/soak/fault_series.cpp
@@ -10,10 +10,11 @@
 using std::chrono::milliseconds;
 using namespace std::chrono_literals;
 
-fault_series::fault_series(soak_site &site, soak_judge &judge, random_source &random)
+fault_series::fault_series(event_loop &loop, soak_site &site, soak_judge &judge, random_source &random)
     : m_site(site)
     , m_judge(judge)
     , m_random(random)
+    , m_faultyEndpoints(loop, site.store(), judge, random)
 {
 }
 
@@ -46,7 +47,7 @@
 
 void fault_series::injectFault()
 {
-    static constexpr std::array<fault_action, 9> actions = {
+    static constexpr std::array<fault_action, 12> actions = {
         &fault_series::failEndpointLink,
         &fault_series::failEndpointLink,
         &fault_series::failStoreLink,
@@ -56,6 +57,9 @@
         &fault_series::failStore,
         &fault_series::discardHistory,
         &fault_series::flapEndpoint,
+        &fault_series::listEndlessEndpoint,
+        &fault_series::listRepeatingEndpoint,
+        &fault_series::putOddEntry,
     };
     (this->*actions.at(m_random.below(actions.size())))();
 }
@@ -168,6 +172,27 @@
     });
 }
 
+void fault_series::listEndlessEndpoint()
+{
+    m_judge.noteFault("an endpoint writes bytes without end");
+    m_faultyEndpoints.listEndless();
+    later(randomTime(100, 1500), [this] { m_faultyEndpoints.dropEndless(); });
+}
+
+void fault_series::listRepeatingEndpoint()
+{
+    m_judge.noteFault("an endpoint writes earlier refusals once more");
+    m_faultyEndpoints.listRepeating();
+    later(randomTime(100, 1500), [this] { m_faultyEndpoints.dropRepeating(); });
+}
+
+void fault_series::putOddEntry()
+{
+    m_judge.noteFault("an odd entry among those of the endpoints");
+    m_faultyEndpoints.putOddEntry();
+    later(randomTime(100, 3000), [this] { m_faultyEndpoints.dropOddEntries(); });
+}
+
 void fault_series::later(milliseconds time, std::function<void()> act)
 {
     m_planned.push_back({deadline::after(boot_clock::now(), time), std::move(act)});
--- a/tests/soak/fault_series.h
+++ b/tests/soak/fault_series.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/random_source.h"
+#include "faulty_endpoints.h"
 #include "soak_judge.h"
 #include "soak_site.h"
 
@@ -10,12 +11,13 @@
 namespace burdockshelf
 {
 
-/// Faults in series that overlap: links that fail, processes that are stopped, killed and ended, a store that fails. What they are follows
+/// Faults in series that overlap: links that fail, processes that are stopped, killed and ended, a store that fails,
+/// endpoints that write bytes without end or earlier refusals once more, odd entries. What they are follows
 /// the random numbers; each ends by itself.
 class fault_series
 {
 public:
-    fault_series(soak_site &site, soak_judge &judge, random_source &random);
+    fault_series(event_loop &loop, soak_site &site, soak_judge &judge, random_source &random);
 
     void begin();
     /// Begins no further fault; those under way still end.
@@ -41,6 +43,9 @@
     void failStore();
     void discardHistory();
     void flapEndpoint();
+    void listEndlessEndpoint();
+    void listRepeatingEndpoint();
+    void putOddEntry();
     void later(std::chrono::milliseconds time, std::function<void()> act);
     soak_gateway *pickRunning();
     std::chrono::milliseconds randomTime(std::int64_t least, std::int64_t most);
@@ -48,6 +53,7 @@
     soak_site &m_site;
     soak_judge &m_judge;
     random_source &m_random;
+    faulty_endpoints m_faultyEndpoints;
     std::vector<planned_act> m_planned;
     deadline m_nextFault;
     bool m_isInjecting = false;
--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -33,7 +33,7 @@
     , m_site(m_loop,
              m_plan,
              [this](const standin_backend &backend, const std::shared_ptr<http_exchange> &exchange) { answerPlain(backend, exchange); })
-    , m_faults(m_site, m_judge, m_random)
+    , m_faults(m_loop, m_site, m_judge, m_random)
     , m_tick(m_loop, [this] { tick(); })
     , m_stop(m_loop, [this] { m_loop.stop(); })
 {
