Decode what endpoints state about further requests

A replica that leaves says so in all its answers (Server-Leaving), and one that turns a request away with 503 may state for how long it wants nothing (Retry-After). Nothing in platform/ read either, so callers' requests went on to replicas that had said that they leave or pause.

--- a/src/gateway/dialects.h
+++ b/src/gateway/dialects.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "forwarding/endpoint_notices.h"
 #include "forwarding/forward_flow.h"
 #include "http/http_message.h"
 
@@ -43,6 +44,8 @@
     /// The body differs from what the endpoint produced, or is too large to buffer.
     bool isBodyUnusable = false;
     std::optional<endpoint_load> load;
+    /// What the endpoint states about the further requests that it wants.
+    endpoint_notice notice;
 };
 
 /// State of an engine with regard to stage change orders.
@@ -73,7 +76,8 @@
     /// The request to send to the endpoint for an attempt.
     virtual http_request
     forward(const http_request &original, const admitted_request &admitted, const start_attempt &attempt, instant now) const = 0;
-    virtual response_facts decodeResponseHead(const http_response &head) const = 0;
+    /// Deadlines in the facts are counted from the given time, at which the head was received.
+    virtual response_facts decodeResponseHead(const http_response &head, instant now) const = 0;
     /// Requests a capacity reservation for a later attempt.
     virtual http_request reserve(const start_attempt &attempt) const = 0;
     /// The id of the granted reservation; nullopt if the endpoint had no capacity.
--- a/src/gateway/endpoint_client_task.cpp
+++ b/src/gateway/endpoint_client_task.cpp
@@ -160,7 +160,7 @@
 {
     exchange_handlers handlers;
     handlers.acceptsResponse = [this, &target](const http_response &head) {
-        const response_facts facts = m_dialect.decodeResponseHead(head);
+        const response_facts facts = m_dialect.decodeResponseHead(head, boot_clock::now());
         const bool acceptsResponse = facts.answered.isEmpty() || facts.answered == target.command.expected;
         if (!acceptsResponse) {
             m_log.write(log_line("endpoints", "foreign_answer_dropped")
@@ -172,7 +172,7 @@
     };
     handlers.onHead = [this, &target](http_response &&head, const message_framing & /*framing*/) {
         target.hasHead = true;
-        target.facts = m_dialect.decodeResponseHead(head);
+        target.facts = m_dialect.decodeResponseHead(head, boot_clock::now());
         target.response.status = head.status;
         target.response.headers = endToEndHeaders(head.headers);
         const bool isSuccess = target.response.status < firstNonSuccessStatus;
--- a/tests/platform/platform_test.cpp
+++ b/tests/platform/platform_test.cpp
@@ -177,15 +177,16 @@
 TEST(platform, decodesResponseHeads)
 {
     const endpoint_dialect &endpoints = adapter.dialects().endpoints;
+    const instant now(1000s);
     const response_facts good =
-        endpoints.decodeResponseHead({200, {{"X-Attempt-Id", "a"}, {"X-Server-Seal", "s"}, {"X-Server-Load", "3,1,8"}}, ""});
+        endpoints.decodeResponseHead({200, {{"X-Attempt-Id", "a"}, {"X-Server-Seal", "s"}, {"X-Server-Load", "3,1,8"}}, ""}, now);
     CHECK_TRUE(good.hasServerSeal);
     CHECK_FALSE(good.isNotExecuted);
     LONGS_EQUAL(1, good.load->waiting);
-    CHECK_TRUE(endpoints.decodeResponseHead({503, {{"X-Not-Executed", "1"}}, ""}).isNotExecuted);
-    CHECK_FALSE(endpoints.decodeResponseHead({503, {}, ""}).isNotExecuted);
-    CHECK_TRUE(endpoints.decodeResponseHead({421, {}, ""}).isMisdirected);
-    CHECK_FALSE(endpoints.decodeResponseHead({200, {{"X-Server-Load", "broken"}}, ""}).load.has_value());
+    CHECK_TRUE(endpoints.decodeResponseHead({503, {{"X-Not-Executed", "1"}}, ""}, now).isNotExecuted);
+    CHECK_FALSE(endpoints.decodeResponseHead({503, {}, ""}, now).isNotExecuted);
+    CHECK_TRUE(endpoints.decodeResponseHead({421, {}, ""}, now).isMisdirected);
+    CHECK_FALSE(endpoints.decodeResponseHead({200, {{"X-Server-Load", "broken"}}, ""}, now).load.has_value());
 }
 
 // The store returns only the names of group members, so a name must include the member's address.
