Decide refusals and their Retry-After in one module

When callers return was decided by constants in forward_flow and admission, which could not take the end of a pause into account.

refusal_policy decides the cause that a caller is told and when it should return, from typed facts: the endpoints by their conditions, the earliest end of a pause, an exhausted search for capacity, the wait of the token bucket, the request's priority, a random number. Two causes are new: endpoints_pausing and endpoints_leaving.

attempt_outcome::withheld is the end of an attempt of which no byte was sent because the endpoint leaves or pauses; it says nothing about its health.

--- a/src/forwarding/admission.cpp
+++ b/src/forwarding/admission.cpp
@@ -1,5 +1,6 @@
 #include "forwarding/admission.h"
 
+#include "forwarding/refusal_policy.h"
 #include "forwarding/workspace_shares.h"
 
 namespace burdockshelf
@@ -8,16 +9,14 @@
 namespace
 {
 
-using std::chrono::milliseconds;
-
-constexpr milliseconds retryAfterNotReady {250};
-constexpr milliseconds retryAfterShutdown {50};
-
-admission_decision refusal(refusal_cause cause, std::optional<milliseconds> retryAfter)
+admission_decision refusal(refusal_cause cause, instant now)
 {
+    refusal_facts facts;
+    facts.cause = cause;
+    const refusal_decision decided = decideRefusal(facts, now);
     admission_decision refused;
-    refused.cause = cause;
-    refused.retryAfter = retryAfter;
+    refused.cause = decided.cause;
+    refused.retryAfter = decided.retryAfter;
     return refused;
 }
 
@@ -26,20 +25,20 @@
 admission_decision decideAdmission(const forward_facts &facts, instant arrived, const admission_inputs &inputs, instant now)
 {
     if (!inputs.plan || !inputs.hasInitialState) {
-        return refusal(refusal_cause::not_ready, retryAfterNotReady);
+        return refusal(refusal_cause::not_ready, now);
     }
     const traffic_route *route = inputs.plan->findRoute(facts.host, facts.path);
     if (route == nullptr) {
-        return refusal(refusal_cause::unknown_route, std::nullopt);
+        return refusal(refusal_cause::unknown_route, now);
     }
     const workspace_plan *workspace = facts.key.empty() ? nullptr : inputs.plan->findWorkspaceByKey(facts.key);
     if (workspace == nullptr && inputs.plan->requiresKeys() && !route->isOpen) {
-        return refusal(refusal_cause::unknown_key, std::nullopt);
+        return refusal(refusal_cause::unknown_key, now);
     }
     // A request that could not be finished within the shutdown's grace period is left to other instances.
     const deadline acceptedUntil = route->kind == request_kind::streaming ? inputs.streamsUntil : inputs.callsUntil;
     if (acceptedUntil.hasPassed(now)) {
-        return refusal(refusal_cause::shutting_down, retryAfterShutdown);
+        return refusal(refusal_cause::shutting_down, now);
     }
     admission_decision decision;
     admitted_request admitted;
--- a/src/forwarding/attempt_list.cpp
+++ b/src/forwarding/attempt_list.cpp
@@ -24,6 +24,8 @@
     case attempt_outcome::misdirected:
     case attempt_outcome::not_sent:
         return health_verdict::unreachable;
+    case attempt_outcome::withheld:
+        return health_verdict::abandoned;
     case attempt_outcome::lost:
         return isRequestOver && !ended.hasResponse ? health_verdict::abandoned : health_verdict::failed;
     }
--- a/src/forwarding/flow_messages.cpp
+++ b/src/forwarding/flow_messages.cpp
@@ -7,7 +7,7 @@
 
 std::string_view refusalCauseName(refusal_cause cause)
 {
-    static constexpr std::array<std::string_view, 10> names = {
+    static constexpr std::array<std::string_view, 12> names = {
         "not_ready",
         "unknown_route",
         "unknown_key",
@@ -18,13 +18,20 @@
         "timed_out",
         "endpoint_failed",
         "shutting_down",
+        "endpoints_pausing",
+        "endpoints_leaving",
     };
     return names.at(static_cast<std::size_t>(cause));
 }
 
+bool isUnsent(attempt_outcome end)
+{
+    return end == attempt_outcome::not_sent || end == attempt_outcome::withheld;
+}
+
 std::string_view attemptOutcomeName(attempt_outcome end)
 {
-    static constexpr std::array<std::string_view, 5> names = {"whole", "rejected", "misdirected", "not_sent", "lost"};
+    static constexpr std::array<std::string_view, 6> names = {"whole", "rejected", "misdirected", "not_sent", "lost", "withheld"};
     return names.at(static_cast<std::size_t>(end));
 }
 
--- a/src/forwarding/flow_messages.h
+++ b/src/forwarding/flow_messages.h
@@ -73,6 +73,10 @@
     /// An endpoint may have executed the request and gave no usable response.
     endpoint_failed,
     shutting_down,
+    /// All endpoints that could serve the request have asked this instance to pause.
+    endpoints_pausing,
+    /// No endpoint that could serve the request is left but those that have said that they leave.
+    endpoints_leaving,
 };
 
 std::string_view refusalCauseName(refusal_cause cause);
@@ -90,10 +94,15 @@
     not_sent,
     /// The request was sent and the response is missing, truncated or invalid.
     lost,
+    /// The endpoint has stated that it leaves or pauses before any byte of the request was sent, so the request was kept back.
+    withheld,
 };
 
 std::string_view attemptOutcomeName(attempt_outcome end);
 
+/// True when no byte of the request was sent.
+bool isUnsent(attempt_outcome end);
+
 /// Lowest HTTP status that counts as a failure of the endpoint.
 constexpr int firstServerErrorStatus = 500;
 
@@ -112,6 +121,7 @@
     attempt_number number;
     attempt_kind attemptKind = attempt_kind::plain_call;
     endpoint_id endpoint;
+    endpoint_start_time startTime;
     socket_address address;
     service_id service;
     std::optional<prompt_handle> source;
