Send nothing to endpoints that have said that they leave or pause

Callers' requests, reservations, prefills and stage orders went on to replicas whose answers said Server-Leaving, and to replicas that had turned a request away with 503 and Retry-After, until the store said something else.

Every response head is looked at in endpoint_client_task, whatever it answers: streams that still run, failures, reservations, release calls, answers to other requests; stage_control_task does the same for status calls and orders. Both pass the statement on to the dispatcher and keep back what is not written yet: attempts that were chosen before, and attempts that wait for their connection, end as withheld and go on at another endpoint without using up an attempt.

endpoint_table::availability is the one place that says whether an endpoint may get a request now, and if not why and until when. choose(), every send, reserved endpoints before their decode and the engines listed for the stage control use it; it replaces the checks in mayReceive(). A pause ends with a random delay of up to a fifth of it (20 ms to 500 ms), and then the endpoint gets one request at a time until one succeeds; after one more 503 the next follows 100 ms later, or after the next pause. While all endpoints of a service pause, requests are refused at once with the end of the earliest pause. Release calls are not sent to a pausing endpoint, what they release expires; a leaving one gets them, because they free memory that is priced. A pausing engine still counts in its pool, so that no other one changes its stage for it.

endpoint_leaving, endpoint_pausing and endpoint_resumed are logged with the answered request, and counted in endpoint_notices_total; burdockshelfctl explain shows them as beliefs and names them as the reason of a refusal.

--- a/src/burdockshelfctl/request_story.cpp
+++ b/src/burdockshelfctl/request_story.cpp
@@ -23,6 +23,8 @@
 
 constexpr std::string_view endpointValue = "endpoint";
 constexpr std::string_view startEvent = "start";
+/// What an endpoint has stated in a response about the further requests that it wants.
+constexpr std::string_view noticeSubject = "notice";
 
 constexpr belief_event beliefEvents[] = {
     {startEvent, "process", ""},
@@ -36,6 +38,9 @@
     {"shutdown_begun", "shutdown", ""},
     {"endpoint_changed", "endpoint", endpointValue},
     {"endpoint_gone", "endpoint", endpointValue},
+    {"endpoint_leaving", noticeSubject, endpointValue},
+    {"endpoint_pausing", noticeSubject, endpointValue},
+    {"endpoint_resumed", noticeSubject, endpointValue},
 };
 
 /// How an outcome reads as a sentence.
@@ -59,6 +64,8 @@
     {"unknown_route", "the configuration in force has no route for it"},
     {"not_ready", "the instance had no configuration yet"},
     {"shutting_down", "the instance was shutting down; it did not run"},
+    {"endpoints_pausing", "all endpoints that could serve it had asked this instance to pause; it did not run"},
+    {"endpoints_leaving", "the endpoints that could serve it had said that they leave; it did not run"},
 };
 
 const belief_event *beliefOf(std::string_view event)
@@ -88,6 +95,27 @@
     return record.event == "request_done" || record.event == "refused" || record.event == "request_dropped";
 }
 
+/// The outcome of a request or the cause of its refusal.
+std::string_view outcomeOf(const logged_line &decision)
+{
+    return decision.valueOf(decision.event == "request_done" ? "outcome" : "cause");
+}
+
+/// True when a belief about an endpoint says nothing about the decision: it is about another endpoint than the decision names, and it is
+/// not the reason why no endpoint was left.
+bool isUnrelated(const std::string &subject, const logged_line &decision)
+{
+    const std::string endpoint(decision.valueOf(endpointValue));
+    if (subject.rfind("endpoint ", 0) == 0) {
+        return subject != "endpoint " + endpoint;
+    }
+    if (subject.rfind(std::string(noticeSubject) + " ", 0) != 0) {
+        return false;
+    }
+    const bool isReason = outcomeOf(decision) == "endpoints_pausing" || outcomeOf(decision) == "endpoints_leaving";
+    return !isReason && subject != std::string(noticeSubject) + " " + endpoint;
+}
+
 std::string valuesText(const logged_line &record, std::string_view leftOut)
 {
     std::string text;
@@ -139,17 +167,14 @@
     m_linesMissing += countOf(record, "lines_dropped_before");
     if (record.valueOf("request") == m_request) {
         story_step step;
-        const std::string endpoint = "endpoint " + std::string(record.valueOf(endpointValue));
         for (const auto &[key, belief] : m_beliefs) {
             const bool isOfInstance = key.first == record.instance;
-            const bool isOtherEndpoint = key.second.rfind("endpoint ", 0) == 0 && key.second != endpoint;
-            if (isOfInstance && !isOtherEndpoint) {
+            if (isOfInstance && !isUnrelated(key.second, record)) {
                 step.beliefs.push_back({belief, record.writtenAt - belief.writtenAt});
             }
         }
-        step.decision = std::move(record);
+        step.decision = record;
         m_steps.push_back(std::move(step));
-        return;
     }
     if (record.event == startEvent) {
         // A new process knows nothing of what the one before it believed.
@@ -183,7 +208,7 @@
         return "no line says how the request ended: the process ended first, its lines were left out, or a log is missing";
     }
     const logged_line &decision = last->decision;
-    const std::string_view outcome = decision.valueOf(decision.event == "request_done" ? "outcome" : "cause");
+    const std::string_view outcome = outcomeOf(decision);
     const auto *const known =
         std::find_if(std::begin(outcomeTexts), std::end(outcomeTexts), [&](const outcome_text &one) { return one.outcome == outcome; });
     std::string text = decision.instance + ": " + std::string(outcome);
--- a/src/forwarding/endpoint_table.cpp
+++ b/src/forwarding/endpoint_table.cpp
@@ -3,7 +3,6 @@
 #include "core/digest.h"
 
 #include <algorithm>
-#include <array>
 #include <utility>
 
 namespace burdockshelf
@@ -79,17 +78,6 @@
     return age >= lifetime ? 0.0 : endpoint.requestsOfOtherInstances * (1.0 - age / lifetime);
 }
 
-bool matchesStage(const endpoint_state &endpoint, attempt_kind attemptKind)
-{
-    const std::array<std::optional<engine_stage>, 4> needed = {
-        std::nullopt,
-        engine_stage::decode,
-        engine_stage::prefill,
-        engine_stage::decode,
-    };
-    return endpoint.entry.stage == needed.at(static_cast<std::size_t>(attemptKind));
-}
-
 } // namespace
 
 endpoint_table::endpoint_table(endpoint_table_settings settings)
@@ -100,6 +88,9 @@
 bool endpoint_table::put(const endpoint_entry &entry, const traffic_service *service, instant now)
 {
     auto found = m_endpoints.find(entry.id);
+    if (m_restrictions.noteStarted({entry.id, entry.startTime})) {
+        m_lifted.push_back({entry.id, {}});
+    }
     if (found != m_endpoints.end()) {
         endpoint_entry &known = found->second->entry;
         // A stale record that is read again must not replace the endpoint by its earlier process.
@@ -170,7 +161,7 @@
     double bestScore = 0.0;
     for (endpoint_state *candidate : found->second) {
         const bool isExcluded = std::find(excluded.begin(), excluded.end(), candidate->entry.id) != excluded.end();
-        if (isExcluded || !matchesStage(*candidate, attemptKind) || !mayReceive(candidate->entry.id)) {
+        if (isExcluded || !matchesStage(candidate->entry, attemptKind) || !availabilityOf(*candidate, now).mayReceive()) {
             continue;
         }
         if (!candidate->coldUntil.hasPassed(now) && candidate->coldStartBucket.level(now) < 1.0) {
@@ -191,6 +182,14 @@
     return found == m_endpoints.end() ? nullptr : found->second.get();
 }
 
+const endpoint_state *endpoint_table::findAt(const socket_address &address, const endpoint_id &except) const
+{
+    const auto found = std::find_if(m_endpoints.begin(), m_endpoints.end(), [&](const auto &known) {
+        return known.second->entry.address == address && known.first != except;
+    });
+    return found == m_endpoints.end() ? nullptr : found->second.get();
+}
+
 std::size_t endpoint_table::size() const
 {
     return m_endpoints.size();
@@ -208,12 +207,6 @@
     return m_evacuated;
 }
 
-bool endpoint_table::mayReceive(const endpoint_id &endpoint) const
-{
-    const endpoint_state *known = find(endpoint);
-    return known != nullptr && !known->entry.isDraining && known->isListed && m_evacuated.count(known->entry.dataCentre) == 0;
-}
-
 bool endpoint_table::takeColdStartToken(const endpoint_id &endpoint, instant now)
 {
     endpoint_state *known = state(endpoint);
@@ -226,6 +219,7 @@
         ++known->outstanding;
         known->outstandingTokens += tokens;
         known->unanswered.insert(now);
+        m_restrictions.noteSent({endpoint, known->entry.startTime}, now);
     }
 }
 
@@ -256,6 +250,7 @@
     // negative.
     known->outstanding = std::max<std::int64_t>(known->outstanding - 1, 0);
     known->outstandingTokens = std::max(known->outstandingTokens - tokens, token_count());
+    m_restrictions.noteEnded({endpoint, known->entry.startTime}, sentAt, now);
     if (!hadResponse) {
         removeUnanswered(*known, sentAt);
     }
--- a/src/forwarding/endpoint_table.h
+++ b/src/forwarding/endpoint_table.h
@@ -2,6 +2,7 @@
 
 #include "core/random_source.h"
 #include "forwarding/endpoint_entry.h"
+#include "forwarding/endpoint_restrictions.h"
 #include "forwarding/fractional_token_bucket.h"
 #include "forwarding/traffic_plan.h"
 
@@ -29,6 +30,9 @@
     decode,
 };
 
+/// True when an endpoint in this stage can serve an attempt of the given kind.
+bool matchesStage(const endpoint_entry &entry, attempt_kind attemptKind);
+
 /// What the end of an attempt says about the health of the endpoint.
 enum class health_verdict
 {
@@ -92,6 +96,14 @@
     cold_start_tolerance cold;
 };
 
+/// The end of a restriction that followed from an endpoint's responses.
+struct lifted_restriction
+{
+    endpoint_id endpoint;
+    /// The request whose response ended the restriction; empty when a restart did.
+    attempt_id request;
+};
+
 /// The known endpoints, their health and load as observed from responses, and the choice among them. Does no I/O: time and random numbers
 /// are passed in.
 class endpoint_table
@@ -116,6 +128,8 @@
                                  instant now,
                                  random_source &random);
     const endpoint_state *find(const endpoint_id &endpoint) const;
+    /// The endpoint that is registered at an address, leaving out the given one; null if there is none.
+    const endpoint_state *findAt(const socket_address &address, const endpoint_id &except) const;
     std::size_t size() const;
     void forEach(const std::function<void(const endpoint_state &)> &visit) const;
     const std::set<data_centre_id> &evacuated() const;
@@ -129,9 +143,12 @@
 
     prefill_estimate estimatePrefill(const endpoint_state &prefillEndpoint, token_count tokens, instant now) const;
 
-    /// False for unknown or draining endpoints, for those in evacuated data centres, and after noteMisdirected(). Checked again before each
-    /// send.
-    bool mayReceive(const endpoint_id &endpoint) const;
+    /// Whether the endpoint may get a new request at this moment, and if not, why and until when. The only place that decides this; checked
+    /// again before each send.
+    endpoint_availability availability(const endpoint_id &endpoint, instant now) const;
+    bool mayReceive(const endpoint_id &endpoint, instant now) const;
+    /// The conditions of a service's endpoints that could serve an attempt of the given kind.
+    service_availability availabilityOf(const service_id &service, attempt_kind attemptKind, instant now) const;
     /// Takes one request from this instance's share of a cold endpoint's rate; false when the share is used up.
     bool takeColdStartToken(const endpoint_id &endpoint, instant now);
     void noteSent(const endpoint_id &endpoint, token_count tokens, instant now);
@@ -147,6 +164,14 @@
     bool hasReliableHandles(const endpoint_state &prefillEndpoint, instant now) const;
     /// Another endpoint has taken over the address.
     void noteMisdirected(const endpoint_id &endpoint);
+    /// Records what a process of an endpoint has stated about the further requests that it wants. The statement of an earlier process than
+    /// the registered one is ignored.
+    notice_change noteNotice(const endpoint_process &from, const endpoint_notice &notice, instant now, random_source &random);
+    /// Records the status of a response to an attempt that was sent at the given time, which may end the endpoint's return from a pause.
+    /// The request is the one that was answered.
+    void noteStatus(const endpoint_id &endpoint, instant sentAt, int status, const attempt_id &request);
+    /// The endpoints that got rid of a restriction since the last call.
+    std::vector<lifted_restriction> takeLifted();
 
 private:
     using service_endpoints = std::vector<endpoint_state *>;
@@ -163,6 +188,7 @@
     void notePrefillTime(endpoint_state &prefillEndpoint, token_count tokens, boot_clock::duration elapsed, instant now);
 
     endpoint_state *state(const endpoint_id &endpoint);
+    endpoint_availability availabilityOf(const endpoint_state &known, instant now) const;
     static void removeUnanswered(endpoint_state &endpoint, instant sentAt);
     double
     score(const endpoint_state &candidate, attempt_kind attemptKind, token_count tokens, const traffic_service *profile, instant now) const;
@@ -181,6 +207,8 @@
     /// first measured prefill.
     std::map<service_id, double> m_prefillSecondsPerToken;
     std::vector<instance_id> m_instances;
+    endpoint_restrictions m_restrictions;
+    std::vector<lifted_restriction> m_lifted;
 };
 
 } // namespace burdockshelf
--- a/src/forwarding/forward_flow.cpp
+++ b/src/forwarding/forward_flow.cpp
@@ -22,13 +22,8 @@
 // outgrows its reservation may be preempted when the endpoint is full.
 constexpr double outputMargin = 1.5;
 constexpr token_count minOutputReserve {300};
-// Retry-After for requests that were not executed: the block of a failed endpoint is partly over by then, and the caller's own deadline is
-// still far off.
-constexpr milliseconds retryAfterOverload {120};
-constexpr milliseconds retryAfterNoEndpoint {300};
-// Bursts last for seconds, and a request that is retried for lack of capacity misses its target anyway; so it is retried when the burst is
-// likely to be over.
-constexpr milliseconds retryAfterNoCapacity {3000};
+// Only successful responses are streamed.
+constexpr int statusOk = 200;
 
 } // namespace
 
@@ -59,6 +54,7 @@
         attempt->hasResponse = true;
         attempt->timeoutAt = deadline::after(m_now, streamIdleTimeout());
         m_context->endpoints.noteResponse(attempt->endpoint, attempt->sentAt, m_now);
+        m_context->endpoints.noteStatus(attempt->endpoint, attempt->sentAt, statusOk, m_request.facts.id);
     });
 }
 
@@ -95,6 +91,7 @@
         if (!ended) {
             return;
         }
+        m_context->endpoints.noteStatus(ended->endpoint, ended->sentAt, response.status, m_request.facts.id);
         m_context->endpoints.noteEnded(ended->endpoint,
                                        tokensFor(ended->attemptKind),
                                        ended->sentAt,
@@ -107,7 +104,7 @@
         if (outcome == attempt_outcome::lost || outcome == attempt_outcome::whole) {
             m_mayHaveExecuted = m_mayHaveExecuted || executesRequest(ended->attemptKind);
         }
-        if (outcome == attempt_outcome::not_sent) {
+        if (isUnsent(outcome)) {
             ++m_connectFailures;
             counterOf(ended->attemptKind) -= 1;
         }
@@ -149,7 +146,7 @@
     if (mayHaveExecuted) {
         failRequest(refusal_cause::timed_out);
     } else {
-        refuse(refusal_cause::expired, retryAfterOverload);
+        refuseNotExecuted(refusal_cause::expired);
     }
 }
 
@@ -214,7 +211,7 @@
 void forward_flow::sendFirst()
 {
     if (m_deadline.hasPassed(m_now)) {
-        refuse(refusal_cause::expired, retryAfterOverload);
+        refuseNotExecuted(refusal_cause::expired);
     } else if (usesEngine()) {
         startReservationSearch();
     } else {
@@ -270,7 +267,7 @@
         continueAfterReservation();
         return;
     }
-    refuse(refusal_cause::overloaded, retryAfterNoCapacity);
+    refuseNotExecuted(refusal_cause::overloaded, true);
 }
 
 void forward_flow::continueAfterReservation()
@@ -324,7 +321,7 @@
 bool forward_flow::send(attempt_kind attemptKind, std::optional<prompt_handle> source)
 {
     const endpoint_state *chosen = nullptr;
-    if (attemptKind == attempt_kind::decode && m_reservation && m_context->endpoints.mayReceive(m_reservation->endpoint)) {
+    if (attemptKind == attempt_kind::decode && m_reservation && m_context->endpoints.mayReceive(m_reservation->endpoint, m_now)) {
         chosen = m_context->endpoints.find(m_reservation->endpoint);
     } else {
         chosen = m_context->endpoints.choose(
@@ -335,6 +332,9 @@
 
 bool forward_flow::sendTo(const endpoint_state &chosen, attempt_kind attemptKind, std::optional<prompt_handle> source)
 {
+    if (!m_context->endpoints.mayReceive(chosen.entry.id, m_now)) {
+        return false;
+    }
     // The reservation has taken the request from the cold endpoint's share already.
     const bool usesReservation = attemptKind == attempt_kind::decode && m_reservation && m_reservation->endpoint == chosen.entry.id;
     if (!usesReservation && !m_context->endpoints.takeColdStartToken(chosen.entry.id, m_now)) {
@@ -348,6 +348,7 @@
     action.number = attempt.number;
     action.attemptKind = attemptKind;
     action.endpoint = attempt.endpoint;
+    action.startTime = chosen.entry.startTime;
     action.address = chosen.entry.address;
     action.service = m_service;
     action.source = std::move(source);
@@ -378,15 +379,6 @@
     return m_context->retryBudget.spend(m_service, m_now);
 }
 
-void forward_flow::refuseNotExecuted(refusal_cause cause)
-{
-    if (m_isHeadRelayed) {
-        failRequest(cause);
-        return;
-    }
-    refuse(cause, cause == refusal_cause::no_endpoint ? retryAfterNoEndpoint : retryAfterOverload);
-}
-
 void forward_flow::releaseUnused()
 {
     if (m_handle) {
@@ -397,24 +389,6 @@
     }
 }
 
-void forward_flow::failRequest(refusal_cause cause)
-{
-    if (m_isHeadRelayed) {
-        m_actions.emplace_back(abort_response {});
-        m_isFinal = true;
-        return;
-    }
-    refuse(cause, std::nullopt);
-}
-
-void forward_flow::refuse(refusal_cause cause, std::optional<milliseconds> retryAfter)
-{
-    releaseUnused();
-    const bool mayBeRunning = cause == refusal_cause::timed_out || cause == refusal_cause::endpoint_failed;
-    m_actions.emplace_back(refuse_request {cause, retryAfter, !m_mayHaveExecuted && !mayBeRunning});
-    m_isFinal = true;
-}
-
 void forward_flow::cancel(const flow_attempt &target)
 {
     const std::optional<flow_attempt> ended = m_attempts.take(target.number);
--- a/src/forwarding/forward_flow.h
+++ b/src/forwarding/forward_flow.h
@@ -5,6 +5,7 @@
 #include "forwarding/event_splitter.h"
 #include "forwarding/flow_messages.h"
 #include "forwarding/quota_messages.h"
+#include "forwarding/refusal_policy.h"
 #include "forwarding/reservation_search.h"
 #include "forwarding/service_retry_budget.h"
 
@@ -133,9 +134,10 @@
     /// processed the prompt already, because only its response is missing.
     void retryPrefill(const std::optional<endpoint_id> &preferred);
     void retryDecode(const flow_attempt &ended);
-    void refuseNotExecuted(refusal_cause cause);
+    /// Refuses a request that ran nowhere, or fails it when the caller already has a part of the response.
+    void refuseNotExecuted(refusal_cause cause, bool isCapacityExhausted = false);
     void failRequest(refusal_cause cause);
-    void refuse(refusal_cause cause, std::optional<std::chrono::milliseconds> retryAfter);
+    void refuse(const refusal_decision &decision);
     void cancel(const flow_attempt &target);
     void cancelAll();
     void releaseUnused();
--- a/src/forwarding/forward_flow_ends.cpp
+++ b/src/forwarding/forward_flow_ends.cpp
@@ -50,7 +50,7 @@
         return;
     }
     const bool mayHaveExecutedThere = outcome == attempt_outcome::lost;
-    const bool needsNoRetryBudget = outcome == attempt_outcome::not_sent && m_connectFailures < maxConnectFailures;
+    const bool needsNoRetryBudget = isUnsent(outcome) && m_connectFailures < maxConnectFailures;
     const bool mayContinue = needsNoRetryBudget || ((!mayHaveExecutedThere || mayRetry()) && hasAttemptsLeft() && spendRetry());
     if (mayContinue && send(attempt_kind::plain_call, std::nullopt)) {
         return;
@@ -93,7 +93,7 @@
             return;
         }
     }
-    if (outcome == attempt_outcome::not_sent && m_connectFailures < maxConnectFailures) {
+    if (isUnsent(outcome) && m_connectFailures < maxConnectFailures) {
         sendPrefill();
         return;
     }
@@ -209,7 +209,7 @@
     // A repeated prefill counts as an attempt, and one attempt must remain for the decode.
     const bool mayPrefillAgain = m_attemptsUsed + 1 < m_request.route->maxAttempts && spendRetry();
     const endpoint_state *preferredEndpoint = preferred ? m_context->endpoints.find(*preferred) : nullptr;
-    const bool isPreferredUsable = preferredEndpoint != nullptr && m_context->endpoints.mayReceive(*preferred);
+    const bool isPreferredUsable = preferredEndpoint != nullptr && m_context->endpoints.mayReceive(*preferred, m_now);
     if (mayPrefillAgain
         && (isPreferredUsable ? sendTo(*preferredEndpoint, attempt_kind::prefill, std::nullopt)
                               : send(attempt_kind::prefill, std::nullopt))) {
--- /dev/null
+++ b/src/forwarding/forward_flow_refusals.cpp
@@ -0,0 +1,42 @@
+// Ends of a request that has no response of an endpoint to pass on.
+
+#include "forwarding/forward_flow.h"
+
+namespace burdockshelf
+{
+
+void forward_flow::refuseNotExecuted(refusal_cause cause, bool isCapacityExhausted)
+{
+    if (m_isHeadRelayed) {
+        failRequest(cause);
+        return;
+    }
+    refusal_facts facts;
+    facts.cause = cause;
+    facts.isCapacityExhausted = isCapacityExhausted;
+    facts.priority = m_request.priority;
+    facts.jitter = m_context->random.uniform();
+    const attempt_kind runs = usesEngine() ? attempt_kind::decode : attempt_kind::plain_call;
+    facts.endpoints = m_context->endpoints.availabilityOf(m_service, runs, m_now);
+    refuse(decideRefusal(facts, m_now));
+}
+
+void forward_flow::failRequest(refusal_cause cause)
+{
+    if (m_isHeadRelayed) {
+        m_actions.emplace_back(abort_response {});
+        m_isFinal = true;
+        return;
+    }
+    refuse({cause, std::nullopt});
+}
+
+void forward_flow::refuse(const refusal_decision &decision)
+{
+    releaseUnused();
+    const bool mayBeRunning = decision.cause == refusal_cause::timed_out || decision.cause == refusal_cause::endpoint_failed;
+    m_actions.emplace_back(refuse_request {decision.cause, decision.retryAfter, !m_mayHaveExecuted && !mayBeRunning});
+    m_isFinal = true;
+}
+
+} // namespace burdockshelf
--- a/src/forwarding/stage_balancer.cpp
+++ b/src/forwarding/stage_balancer.cpp
@@ -21,6 +21,21 @@
 
 } // namespace
 
+engine_snapshot snapshotOf(const endpoint_entry &entry, const endpoint_availability &availability)
+{
+    engine_snapshot snapshot;
+    snapshot.id = entry.id;
+    snapshot.service = entry.service;
+    snapshot.address = entry.address;
+    snapshot.stage = entry.stage.value_or(engine_stage::decode);
+    snapshot.startTime = entry.startTime;
+    snapshot.mayBeCalled = availability.mayReceive();
+    // A pause is short, so a pausing engine still counts in its pool; else another engine would change its stage for it.
+    snapshot.isUsable = snapshot.mayBeCalled || availability.condition == availability_condition::pausing
+        || availability.condition == availability_condition::probing;
+    return snapshot;
+}
+
 stage_balancer::stage_balancer(std::int64_t prefillPercent)
     : m_prefillPercent(prefillPercent)
 {
@@ -57,7 +72,7 @@
         const engine_stage from = hasTooManyPrefill ? engine_stage::prefill : engine_stage::decode;
         const engine_stage to = hasTooManyPrefill ? engine_stage::decode : engine_stage::prefill;
         for (const engine_snapshot &endpoint : endpoints) {
-            const bool isCandidate = endpoint.service == service && endpoint.isUsable && endpoint.stage == from;
+            const bool isCandidate = endpoint.service == service && endpoint.mayBeCalled && endpoint.stage == from;
             if (isCandidate && m_pending.count(endpoint.id) == 0) {
                 return stage_change {endpoint, to};
             }
--- a/src/forwarding/stage_balancer.h
+++ b/src/forwarding/stage_balancer.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/deadline.h"
+#include "forwarding/endpoint_availability.h"
 #include "forwarding/endpoint_entry.h"
 
 #include <map>
@@ -17,9 +18,15 @@
     service_id service;
     socket_address address;
     engine_stage stage = engine_stage::decode;
+    endpoint_start_time startTime;
+    /// The engine serves requests, or will do so after its pause.
     bool isUsable = true;
+    /// The engine may be called at present. Calls that order a change count as requests to an engine that is pausing.
+    bool mayBeCalled = true;
 };
 
+engine_snapshot snapshotOf(const endpoint_entry &entry, const endpoint_availability &availability);
+
 /// An order for an engine to change its stage.
 struct stage_change
 {
--- a/src/gateway/dispatch_task.cpp
+++ b/src/gateway/dispatch_task.cpp
@@ -105,8 +105,12 @@
     }
     const auto &refused = std::get<quota_refused>(quotaResponse.verdict);
     const forward_facts facts = request.admission.request->facts;
-    request.admission.cause = refusal_cause::over_quota;
-    request.admission.retryAfter = refused.retryAfter;
+    refusal_facts refusal;
+    refusal.cause = refusal_cause::over_quota;
+    refusal.quotaWait = refused.retryAfter;
+    const refusal_decision decided = decideRefusal(refusal, boot_clock::now());
+    request.admission.cause = decided.cause;
+    request.admission.retryAfter = decided.retryAfter;
     m_requests.writeOverQuota(facts, request.admission, refused, m_fleet.instanceCount());
     refuse(quotaResponse.flow, request.admission, facts);
 }
@@ -258,6 +262,7 @@
 
 void dispatch_task::publishChanges()
 {
+    publishLiftedRestrictions();
     const bool isPlanChanged = std::exchange(m_publishedPlan, m_fleet.planVersion()) != m_fleet.planVersion();
     const bool isCountChanged = std::exchange(m_publishedInstanceCount, m_fleet.instanceCount()) != m_fleet.instanceCount();
     if (isPlanChanged) {
@@ -309,6 +314,7 @@
         std::visit([&](auto &&typed) { perform(flow, std::forward<decltype(typed)>(typed)); }, std::move(action));
     }
     finishOrReschedule(flow);
+    publishLiftedRestrictions();
 }
 
 void dispatch_task::perform(active_flow &flow, start_attempt &&action)
@@ -317,6 +323,7 @@
     open_attempt command;
     command.flow = flow.id;
     command.number = action.number;
+    command.process = {action.endpoint, action.startTime};
     command.address = action.address;
     command.expected = request.facts.id;
     command.isStreamed = action.isStreamed;
@@ -338,17 +345,6 @@
     m_outbox.toEndpoints(close_attempt {flow.id, action.number});
 }
 
-void dispatch_task::perform(active_flow & /*flow*/, const release_handle &action)
-{
-    m_outbox.toEndpoints(fire_and_forget_call {action.handle.address, m_dialects.endpoints.releaseHandle(action.handle.handle)});
-}
-
-void dispatch_task::perform(active_flow & /*flow*/, const release_reservation &action)
-{
-    m_outbox.toEndpoints(fire_and_forget_call {action.capacityReservation.address,
-                                               m_dialects.endpoints.releaseReservation(action.capacityReservation.reservation)});
-}
-
 void dispatch_task::perform(active_flow &flow, const report_failed_reservations &action)
 {
     m_requests.writeFailedReservations(flow.flow.request(), action, boot_clock::now());
@@ -466,8 +462,7 @@
     engines_listed listed;
     m_fleet.endpoints().forEach([&](const endpoint_state &known) {
         if (known.entry.stage) {
-            const bool isUsable = m_fleet.endpoints().mayReceive(known.entry.id);
-            listed.engines.push_back({known.entry.id, known.entry.service, known.entry.address, *known.entry.stage, isUsable});
+            listed.engines.push_back(snapshotOf(known.entry, m_fleet.endpoints().availability(known.entry.id, boot_clock::now())));
         }
     });
     m_outbox.toStageControl(std::move(listed));
--- a/src/gateway/dispatch_task.h
+++ b/src/gateway/dispatch_task.h
@@ -60,6 +60,7 @@
     void apply(attempt_response_head &&head);
     void apply(const attempt_body_data &data);
     void apply(attempt_ended &&ended);
+    void apply(const endpoint_notice_received &received);
     void apply(const topic_snapshot &snapshot);
     void apply(const topic_update &change);
     void apply(const store_reachability &change);
@@ -96,6 +97,10 @@
     void handleDeadline(flow_id flow);
     void reportState();
     void publishEngines();
+    /// Logs and counts the endpoints that got rid of a restriction, and tells the stage control.
+    void publishLiftedRestrictions();
+    /// Sends a call that releases something at an endpoint, unless the endpoint is pausing.
+    void release(const endpoint_id &endpoint, const socket_address &heldAt, http_request call);
     void updateReadiness();
     flow_context context();
 
--- /dev/null
+++ b/src/gateway/endpoint_client_call.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include "gateway/endpoint_client_task.h"
+
+namespace burdockshelf
+{
+
+/// An attempt and its connection.
+struct endpoint_client_task::call
+{
+    open_attempt command;
+    std::unique_ptr<client_connection> connection;
+    deadline connectDeadline;
+    http_response response;
+    response_facts facts;
+    bool hasHead = false;
+    bool isRelayed = false;
+    bool isFireAndForget = false;
+};
+
+} // namespace burdockshelf
--- a/src/gateway/endpoint_client_task.cpp
+++ b/src/gateway/endpoint_client_task.cpp
@@ -1,5 +1,6 @@
 #include "gateway/endpoint_client_task.h"
 
+#include "gateway/endpoint_client_call.h"
 #include "http1/message_writer.h"
 
 #include <utility>
@@ -29,19 +30,6 @@
 
 } // namespace
 
-/// An attempt and its connection.
-struct endpoint_client_task::call
-{
-    open_attempt command;
-    std::unique_ptr<client_connection> connection;
-    deadline connectDeadline;
-    http_response response;
-    response_facts facts;
-    bool hasHead = false;
-    bool isRelayed = false;
-    bool isFireAndForget = false;
-};
-
 endpoint_client_task::endpoint_client_task(event_loop &loop,
                                            std::shared_ptr<mailbox<endpoint_client_message>> box,
                                            const endpoint_dialect &dialect,
@@ -75,6 +63,11 @@
 }
 
 void endpoint_client_task::apply(open_attempt &&command)
+{
+    begin(std::move(command), false);
+}
+
+void endpoint_client_task::begin(open_attempt &&command, bool isFireAndForget)
 {
     const call_key key = {command.flow, command.number};
     auto created = std::make_unique<call>();
@@ -82,8 +75,13 @@
     // 0 until the response head has arrived.
     created->response.status = 0;
     created->connectDeadline = deadline::after(boot_clock::now(), connectTimeout);
+    created->isFireAndForget = isFireAndForget;
     call &target = *created;
     m_calls[key] = std::move(created);
+    if (isUnwanted(target, boot_clock::now())) {
+        withhold(target);
+        return;
+    }
     target.connection = takeConnection(target.command.address, target.command.isRetryable);
     if (!target.connection) {
         report(target, attempt_outcome::not_sent, "too many connections");
@@ -114,16 +112,12 @@
     m_lastFireAndForgetFlow -= flow_id(1);
     open_attempt attempt;
     attempt.flow = m_lastFireAndForgetFlow;
+    attempt.process = command.process;
     attempt.address = command.address;
     attempt.request = command.request;
     attempt.needsServerSeal = false;
     attempt.isRetryable = true;
-    const call_key key = {attempt.flow, attempt.number};
-    apply(std::move(attempt));
-    const auto started = m_calls.find(key);
-    if (started != m_calls.end()) {
-        started->second->isFireAndForget = true;
-    }
+    begin(std::move(attempt), true);
 }
 
 void endpoint_client_task::apply(const connection_limits &limits)
@@ -161,6 +155,7 @@
     exchange_handlers handlers;
     handlers.acceptsResponse = [this, &target](const http_response &head) {
         const response_facts facts = m_dialect.decodeResponseHead(head, boot_clock::now());
+        noteNotice(target, facts);
         const bool acceptsResponse = facts.answered.isEmpty() || facts.answered == target.command.expected;
         if (!acceptsResponse) {
             m_log.write(log_line("endpoints", "foreign_answer_dropped")
--- a/src/gateway/endpoint_client_task.h
+++ b/src/gateway/endpoint_client_task.h
@@ -47,6 +47,14 @@
     exchange_handlers handlersFor(call &target);
     void finishExchange(call &target, exchange_outcome end);
     void report(const call &target, attempt_outcome end, std::string detail);
+    /// Starts a call, unless its endpoint has stated that it wants no such request.
+    void begin(open_attempt &&command, bool isFireAndForget);
+    /// Records what an endpoint states in a response, and ends the calls to it of which nothing has been sent yet.
+    void noteNotice(const call &answered, const response_facts &facts);
+    /// True when the call's endpoint has stated in a response that it wants no such request now.
+    bool isUnwanted(const call &target, instant now) const;
+    void withholdUnsent(const endpoint_process &process);
+    void withhold(call &target);
     void release(std::unique_ptr<client_connection> connection);
     void destroyLater(std::unique_ptr<client_connection> connection);
     void sweep();
@@ -58,6 +66,8 @@
     event_log m_log;
     std::map<socket_address, pool> m_pools;
     std::map<call_key, std::unique_ptr<call>> m_calls;
+    /// The responses are seen here first, so requests that the dispatcher has sent before it knew of a notice are kept back.
+    endpoint_notices m_notices;
     std::size_t m_maxPerEndpoint;
     // Connections and calls are destroyed from the event loop, never inside one of their own handlers.
     std::vector<std::unique_ptr<client_connection>> m_pendingDestruction;
--- a/src/gateway/fleet_state.h
+++ b/src/gateway/fleet_state.h
@@ -2,7 +2,7 @@
 
 #include "forwarding/endpoint_table.h"
 #include "forwarding/member_view.h"
-#include "gateway/dialects.h"
+#include "gateway/gateway_messages.h"
 #include "gateway/registration_grace_list.h"
 #include "logging/log_writer_task.h"
 
@@ -37,6 +37,10 @@
     deadline removeOverdueEndpoints(instant now);
     /// Updates the list and number of the instances that have reported recently.
     void refreshInstanceCount(instant now);
+    /// Records what an endpoint has stated in a response about the further requests that it wants.
+    notice_change noteNotice(const endpoint_notice_received &received, instant now, random_source &random);
+    /// Logs the endpoints that got rid of a restriction since the last call. Returns how many there are.
+    std::size_t logLiftedRestrictions();
     /// False until the plan, at least one endpoint and the reports of the other instances have been read. Without the reports this instance
     /// would use all quotas by itself.
     bool hasInitialState() const;
--- a/src/gateway/gateway_messages.h
+++ b/src/gateway/gateway_messages.h
@@ -72,6 +72,8 @@
 {
     flow_id flow;
     attempt_number number;
+    /// The process that the request is meant for.
+    endpoint_process process;
     socket_address address;
     http_request request;
     /// Responses with another id belong to other requests and are ignored.
@@ -92,6 +94,8 @@
 /// A call whose response is ignored.
 struct fire_and_forget_call
 {
+    /// The process that the call is meant for; an empty id if it is not known.
+    endpoint_process process;
     socket_address address;
     http_request request;
 };
@@ -133,6 +137,17 @@
     std::string detail;
 };
 
+/// An endpoint has stated in the head of a response, of whatever kind, which further requests it wants. Also sent by stage_control_task.
+struct endpoint_notice_received
+{
+    endpoint_process from;
+    endpoint_notice notice;
+    /// The request that was answered; empty for calls that do not belong to a request.
+    attempt_id request;
+    /// Set when the response says that another endpoint has this address; the statement is then that endpoint's.
+    std::optional<socket_address> misdirectedTo;
+};
+
 // From the store task to the dispatcher.
 
 /// The newest record of each key of a topic; replaces everything known of the topic. The records are read page by page, so they need not
@@ -167,6 +182,7 @@
                                       attempt_response_head,
                                       attempt_body_data,
                                       attempt_ended,
+                                      endpoint_notice_received,
                                       topic_snapshot,
                                       topic_update,
                                       store_reachability,
--- a/src/gateway/gateway_tree.cpp
+++ b/src/gateway/gateway_tree.cpp
@@ -130,7 +130,8 @@
     m_root->addChild(
         {"duty", [this, settings, &endpoints = dialects.endpoints] {
              const stage_control_settings stageControl = {settings.instance, settings.minHandoverInterval, settings.prefillPercent};
-             return std::make_unique<stage_control_task>(m_loop, m_stageControlMailbox, stageControl, endpoints, m_log);
+             return std::make_unique<stage_control_task>(
+                 m_loop, m_stageControlMailbox, stageControl, endpoints, address(m_dispatchMailbox), m_log);
          }});
     m_root->addChild({"group", [this, settings, &store = dialects.store] {
                           const group_settings group = {{settings.instance, m_peerAddress}, settings.storeAddress};
--- a/tests/forwarding/endpoint_table_test.cpp
+++ b/tests/forwarding/endpoint_table_test.cpp
@@ -54,7 +54,7 @@
     endpoint_entry draining = plan_fixture::entry("p1", "plain", std::nullopt);
     draining.isDraining = true;
     fixture.endpoints.put(draining, nullptr, fixture.now);
-    CHECK_FALSE(fixture.endpoints.mayReceive(endpoint_id("p1")));
+    CHECK_FALSE(fixture.endpoints.mayReceive(endpoint_id("p1"), fixture.now));
     for (int round = 0; round < 20; ++round) {
         CHECK(choosePlain(fixture)->entry.id != endpoint_id("p1"));
     }
@@ -68,7 +68,7 @@
 TEST(endpoint_table, excludesMisdirectedEndpoints)
 {
     fixture.endpoints.noteMisdirected(endpoint_id("p1"));
-    CHECK_FALSE(fixture.endpoints.mayReceive(endpoint_id("p1")));
+    CHECK_FALSE(fixture.endpoints.mayReceive(endpoint_id("p1"), fixture.now));
 }
 
 // All instances together must not send more to a cold endpoint than it bears.
--- a/tests/standins/users_platform/standin_backend.cpp
+++ b/tests/standins/users_platform/standin_backend.cpp
@@ -20,6 +20,13 @@
     return response;
 }
 
+void addLeaving(http_headers &headers, bool isLeaving)
+{
+    if (isLeaving) {
+        headers.add("Server-Leaving", "1");
+    }
+}
+
 } // namespace
 
 standin_backend::standin_backend(event_loop &loop, std::string id)
@@ -45,7 +52,7 @@
         {"state", "ready"},
         {"cold_left_ms", 0},
         {"sequence", 1},
-        {"born", 1000},
+        {"born", m_startTime},
     };
     if (!stage.empty()) {
         value["stage"] = stage;
@@ -53,6 +60,33 @@
     return value.dump();
 }
 
+void standin_backend::setLeaving()
+{
+    m_isLeaving = true;
+}
+
+void standin_backend::setPause(std::optional<std::string> retryAfter)
+{
+    m_pause = std::move(retryAfter);
+}
+
+const std::optional<std::string> &standin_backend::pause() const
+{
+    return m_pause;
+}
+
+void standin_backend::setCallObserver(call_observer observer)
+{
+    m_callObserver = std::move(observer);
+}
+
+void standin_backend::restart()
+{
+    ++m_startTime;
+    m_isLeaving = false;
+    m_pause.reset();
+}
+
 void standin_backend::setRequestHandler(request_handler handler)
 {
     m_requestHandler = std::move(handler);
@@ -73,6 +107,7 @@
     http_response response;
     response.headers.add("X-Attempt-Id", std::string(request.headers.value("X-Attempt-Id")));
     response.headers.add("X-Server-Seal", "seal-of-" + m_id);
+    addLeaving(response.headers, m_isLeaving);
     return response;
 }
 
@@ -80,14 +115,29 @@
 {
     const http_request &request = exchange->request();
     m_calls.push_back(request);
+    if (m_callObserver) {
+        m_callObserver(request);
+    }
+    if (m_pause) {
+        http_response response;
+        response.status = 503;
+        response.headers = {{"X-Not-Executed", "1"}, {"Retry-After", *m_pause}};
+        response.headers.add("X-Attempt-Id", std::string(request.headers.value("X-Attempt-Id")));
+        respond(*exchange, std::move(response));
+        return;
+    }
     if (request.path() == "/hold-take") {
-        exchange->respond(jsonResponse({{"hold", "room-1"}}));
+        respond(*exchange, jsonResponse({{"hold", "room-1"}}));
+        return;
+    }
+    if (request.method == "DELETE") {
+        respond(*exchange, {});
         return;
     }
     if (request.headers.value("X-Stage") == "prefill") {
         http_response response = jsonResponse({{"kv_handle", "handle-1"}, {"tokens", 10}, {"version", 1}});
         response.headers.add("X-Attempt-Id", std::string(request.headers.value("X-Attempt-Id")));
-        exchange->respond(response);
+        respond(*exchange, std::move(response));
         return;
     }
     m_runs.push_back(request);
@@ -104,6 +154,12 @@
     exchange->respond(response);
 }
 
+void standin_backend::respond(http_exchange &exchange, http_response response) const
+{
+    addLeaving(response.headers, m_isLeaving);
+    exchange.respond(response);
+}
+
 void standin_backend::respondWithStream(http_exchange &exchange)
 {
     http_headers headers = success(exchange.request()).headers;
