Add endpoints that leave and pause to the soak

Endpoints announce that they leave and start again under their id, or turn requests away with Retry-After, also with unreadable values, while links, the store and the gateways fail. notice_judge checks from what callers and endpoints see that a gateway keeps away from them; what a gateway learnt before it was stopped or ended, or over a failed link, does not count.

--- a/tests/soak/fault_proxy.cpp
+++ b/tests/soak/fault_proxy.cpp
@@ -47,6 +47,11 @@
     return m_address;
 }
 
+bool fault_proxy::hasFault() const
+{
+    return m_fault != link_fault::none;
+}
+
 void fault_proxy::setFault(link_fault fault, std::chrono::milliseconds delay)
 {
     m_fault = fault;
--- a/tests/soak/fault_proxy.h
+++ b/tests/soak/fault_proxy.h
@@ -41,6 +41,7 @@
 
     const socket_address &address() const;
     void setFault(link_fault fault, std::chrono::milliseconds delay = {});
+    bool hasFault() const;
 
 private:
     struct piece
--- a/tests/soak/fault_series.cpp
+++ b/tests/soak/fault_series.cpp
@@ -10,9 +10,10 @@
 using std::chrono::milliseconds;
 using namespace std::chrono_literals;
 
-fault_series::fault_series(soak_site &site, soak_judge &judge, random_source &random)
+fault_series::fault_series(soak_site &site, soak_judge &judge, notice_judge &notices, random_source &random)
     : m_site(site)
     , m_judge(judge)
+    , m_notices(notices)
     , m_random(random)
 {
 }
@@ -46,7 +47,7 @@
 
 void fault_series::injectFault()
 {
-    static constexpr std::array<fault_action, 9> actions = {
+    static constexpr std::array<fault_action, 11> actions = {
         &fault_series::failEndpointLink,
         &fault_series::failEndpointLink,
         &fault_series::failStoreLink,
@@ -56,6 +57,8 @@
         &fault_series::failStore,
         &fault_series::discardHistory,
         &fault_series::flapEndpoint,
+        &fault_series::announceLeaving,
+        &fault_series::pauseEndpoint,
     };
     (this->*actions.at(m_random.below(actions.size())))();
 }
@@ -65,8 +68,12 @@
     const std::size_t index = m_random.below(m_site.endpoints().size());
     const auto fault = static_cast<link_fault>(1 + m_random.below(4));
     m_site.endpoints()[index].link->setFault(fault, randomTime(5, 300));
+    m_notices.noteLinkFault(m_site.endpoints()[index].id);
     m_judge.noteFault("link of " + m_site.endpoints()[index].id + ", kind " + std::to_string(static_cast<int>(fault)));
-    later(randomTime(100, 2000), [this, index] { m_site.endpoints()[index].link->setFault(link_fault::none); });
+    later(randomTime(100, 2000), [this, index] {
+        m_site.endpoints()[index].link->setFault(link_fault::none);
+        m_notices.noteLinkFault(m_site.endpoints()[index].id);
+    });
 }
 
 void fault_series::failStoreLink()
@@ -88,10 +95,12 @@
     target->process.signal(SIGSTOP);
     target->state = gateway_state::stopped;
     target->disturbedSince = boot_clock::now();
+    excuse(*target);
     later(randomTime(50, 2500), [this, target] {
         target->process.signal(SIGCONT);
         target->state = gateway_state::running;
         m_judge.noteDisturbed(static_cast<std::size_t>(target - m_site.gateways().data()), target->disturbedSince, boot_clock::now());
+        excuse(*target);
     });
 }
 
@@ -105,12 +114,14 @@
     target->process.kill();
     target->state = gateway_state::ending;
     target->disturbedSince = boot_clock::now();
+    excuse(*target);
     later(randomTime(20, 800), [this, target] {
         const auto started = m_site.startGateway(*target);
         if (!started) {
             m_judge.fail("start", started.error().message);
         }
         m_judge.noteDisturbed(static_cast<std::size_t>(target - m_site.gateways().data()), target->disturbedSince, boot_clock::now());
+        excuse(*target);
     });
 }
 
@@ -124,6 +135,7 @@
     target->process.signal(SIGTERM);
     target->state = gateway_state::ending;
     target->disturbedSince = boot_clock::now();
+    excuse(*target);
     later(soak_site::graceTime + 100ms, [this, target] {
         const auto ended = target->process.wait(0ms);
         if (!ended) {
@@ -137,6 +149,7 @@
             m_judge.fail("start", started.error().message);
         }
         m_judge.noteDisturbed(static_cast<std::size_t>(target - m_site.gateways().data()), target->disturbedSince, boot_clock::now());
+        excuse(*target);
     });
 }
 
@@ -168,6 +181,38 @@
     });
 }
 
+void fault_series::announceLeaving()
+{
+    const std::size_t index = m_random.below(m_site.endpoints().size());
+    soak_endpoint &target = m_site.endpoints()[index];
+    m_judge.noteFault(target.id + " leaves");
+    target.backend->setLeaving();
+    // It starts again under its id while the store may still list the process before it.
+    later(randomTime(500, 3000), [this, index] {
+        soak_endpoint &restarted = m_site.endpoints()[index];
+        restarted.backend->restart();
+        m_notices.noteRestart(restarted.id);
+        if (restarted.isListed) {
+            m_site.publishEndpoint(restarted);
+        }
+    });
+}
+
+void fault_series::pauseEndpoint()
+{
+    soak_endpoint &target = m_site.endpoints()[m_random.below(m_site.endpoints().size())];
+    static constexpr std::array<const char *, 6> times = {"1", "2", "0.7", "1.25", "soon", "-3"};
+    const std::string time = times.at(m_random.below(times.size()));
+    m_judge.noteFault(target.id + " turns requests away with Retry-After " + time);
+    target.backend->setPause(time);
+    later(randomTime(50, 2500), [backend = target.backend.get()] { backend->setPause(std::nullopt); });
+}
+
+void fault_series::excuse(const soak_gateway &target)
+{
+    m_notices.noteDisturbed(static_cast<std::size_t>(&target - m_site.gateways().data()));
+}
+
 void fault_series::later(milliseconds time, std::function<void()> act)
 {
     m_planned.push_back({deadline::after(boot_clock::now(), time), std::move(act)});
--- a/tests/soak/fault_series.h
+++ b/tests/soak/fault_series.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/random_source.h"
+#include "notice_judge.h"
 #include "soak_judge.h"
 #include "soak_site.h"
 
@@ -15,7 +16,7 @@
 class fault_series
 {
 public:
-    fault_series(soak_site &site, soak_judge &judge, random_source &random);
+    fault_series(soak_site &site, soak_judge &judge, notice_judge &notices, random_source &random);
 
     void begin();
     /// Begins no further fault; those under way still end.
@@ -41,12 +42,17 @@
     void failStore();
     void discardHistory();
     void flapEndpoint();
+    void announceLeaving();
+    void pauseEndpoint();
     void later(std::chrono::milliseconds time, std::function<void()> act);
     soak_gateway *pickRunning();
+    /// Takes a gateway out of the checks on notices, because it was stopped or ended.
+    void excuse(const soak_gateway &target);
     std::chrono::milliseconds randomTime(std::int64_t least, std::int64_t most);
 
     soak_site &m_site;
     soak_judge &m_judge;
+    notice_judge &m_notices;
     random_source &m_random;
     std::vector<planned_act> m_planned;
     deadline m_nextFault;
--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -33,7 +33,7 @@
     , m_site(m_loop,
              m_plan,
              [this](const standin_backend &backend, const std::shared_ptr<http_exchange> &exchange) { answerPlain(backend, exchange); })
-    , m_faults(m_site, m_judge, m_random)
+    , m_faults(m_site, m_judge, m_notices, m_random)
     , m_tick(m_loop, [this] { tick(); })
     , m_stop(m_loop, [this] { m_loop.stop(); })
 {
@@ -41,6 +41,32 @@
 
 soak_run::~soak_run() = default;
 
+void soak_run::noteCall(const soak_endpoint &endpoint, const http_request &call)
+{
+    // Reservations and releases name no request, so it is not known which gateway has sent them.
+    const auto found = m_requests.find(std::string(call.headers.value("X-Attempt-Id")));
+    if (found == m_requests.end()) {
+        return;
+    }
+    const instant now = boot_clock::now();
+    const soak_request &request = found->second;
+    m_notices.noteCall(endpoint.id, request.gateway, request.id, request.sentAt, now);
+    const std::optional<std::string> &pause = endpoint.backend->pause();
+    if (pause && !endpoint.link->hasFault() && pause->find_first_not_of("0123456789.") == std::string::npos) {
+        const std::chrono::duration<double> time(std::stod(*pause));
+        m_notices.notePause(endpoint.id, request.gateway, deadline::after(now, std::chrono::duration_cast<milliseconds>(time)), now);
+    }
+}
+
+void soak_run::noteAnswer(const soak_request &ended)
+{
+    static constexpr std::string_view sealPrefix = "seal-of-";
+    const std::string_view seal = ended.response.headers.value("X-Server-Seal");
+    if (ended.response.headers.has("Server-Leaving") && seal.starts_with(sealPrefix)) {
+        m_notices.noteLeavingAnswer(std::string(seal.substr(sealPrefix.size())), ended.gateway, ended.id, ended.endedAt);
+    }
+}
+
 const soak_judge &soak_run::judge() const
 {
     return m_judge;
@@ -60,6 +86,9 @@
 outcome<void> soak_run::run()
 {
     BOOST_OUTCOME_TRYV(m_site.start(m_plan.gateways));
+    for (const soak_endpoint &one : m_site.endpoints()) {
+        one.backend->setCallObserver([this, &one](const http_request &call) { noteCall(one, call); });
+    }
     m_tick.start(deadline());
     BOOST_OUTCOME_TRYV(waitUntilServing());
     m_isSending = true;
@@ -78,6 +107,9 @@
         }
     }
     m_judge.judge(m_requests);
+    for (const std::string &finding : m_notices.takeFindings()) {
+        m_judge.fail("endpoints that leave or pause get no requests", finding);
+    }
     return success();
 }
 
@@ -141,6 +173,7 @@
         } else {
             ended.isTimedOut = result.error().cause.code == error_code::deadline_exceeded;
         }
+        noteAnswer(ended);
         if (onEnd) {
             onEnd(ended);
         }
--- a/tests/soak/soak_run.h
+++ b/tests/soak/soak_run.h
@@ -2,6 +2,7 @@
 
 #include "core/random_source.h"
 #include "fault_series.h"
+#include "notice_judge.h"
 #include "soak_judge.h"
 #include "soak_site.h"
 
@@ -38,6 +39,8 @@
     outcome<void> waitUntilServing();
     void sendRequest();
     void sendTo(std::size_t index, soak_kind kind, const std::string &key, std::function<void(const soak_request &)> onEnd);
+    void noteCall(const soak_endpoint &endpoint, const http_request &call);
+    void noteAnswer(const soak_request &ended);
     void answerPlain(const standin_backend &backend, const std::shared_ptr<http_exchange> &exchange);
     void tick();
     void runLoopFor(std::chrono::milliseconds time);
@@ -49,6 +52,7 @@
     soak_plan m_plan;
     random_source m_random;
     soak_judge m_judge;
+    notice_judge m_notices;
     event_loop m_loop;
     soak_site m_site;
     fault_series m_faults;
