--- a/src/burdockshelfctl/request_story.cpp
+++ b/src/burdockshelfctl/request_story.cpp
@@ -24,6 +24,8 @@
 constexpr std::string_view endpointValue = "endpoint";
 constexpr std::string_view promptPartValue = "prompt_part";
 constexpr std::string_view startEvent = "start";
+/// What an endpoint has stated in a response about the further requests that it wants.
+constexpr std::string_view noticeSubject = "notice";
 
 constexpr belief_event beliefEvents[] = {
     {startEvent, "process", ""},
@@ -39,6 +41,9 @@
     {"endpoint_gone", "endpoint", endpointValue},
     {"prompt_part_quarantined", "prompt part", promptPartValue},
     {"prompt_part_released", "prompt part", promptPartValue},
+    {"endpoint_leaving", noticeSubject, endpointValue},
+    {"endpoint_pausing", noticeSubject, endpointValue},
+    {"endpoint_resumed", noticeSubject, endpointValue},
 };
 
 /// How an outcome reads as a sentence.
@@ -65,6 +70,8 @@
     {"quarantined", "its prompt contains a part that crashed several endpoints; it did not run"},
     {"suspected",
      "the endpoint was lost while it began the output, and the prompt contains a part that is suspected of that; not repeated"},
+    {"endpoints_pausing", "all endpoints that could serve it had asked this instance to pause; it did not run"},
+    {"endpoints_leaving", "the endpoints that could serve it had said that they leave; it did not run"},
 };
 
 const belief_event *beliefOf(std::string_view event)
@@ -94,6 +101,24 @@
     return record.event == "request_done" || record.event == "refused" || record.event == "request_dropped";
 }
 
+/// The outcome of a request or the cause of its refusal.
+std::string_view outcomeOf(const logged_line &decision)
+{
+    return decision.valueOf(decision.event == "request_done" ? "outcome" : "cause");
+}
+
+/// True when a belief says nothing about the decision: it is about another endpoint or prompt part than the decision names, and it is not
+/// the reason why no endpoint was left.
+bool isUnrelated(const logged_line &belief, const logged_line &decision)
+{
+    const belief_event &kind = *beliefOf(belief.event);
+    if (kind.distinctBy.empty() || belief.valueOf(kind.distinctBy) == decision.valueOf(kind.distinctBy)) {
+        return false;
+    }
+    const bool areNoticesTheReason = outcomeOf(decision) == "endpoints_pausing" || outcomeOf(decision) == "endpoints_leaving";
+    return kind.subject != noticeSubject || !areNoticesTheReason;
+}
+
 std::string valuesText(const logged_line &record, std::string_view leftOut)
 {
     std::string text;
@@ -147,15 +172,12 @@
         story_step step;
         for (const auto &[key, belief] : m_beliefs) {
             const bool isOfInstance = key.first == record.instance;
-            const belief_event *kind = beliefOf(belief.event);
-            const bool isOfOtherSubject = !kind->distinctBy.empty() && key.second != subjectOf(*kind, record);
-            if (isOfInstance && !isOfOtherSubject) {
+            if (isOfInstance && !isUnrelated(belief, record)) {
                 step.beliefs.push_back({belief, record.writtenAt - belief.writtenAt});
             }
         }
-        step.decision = std::move(record);
+        step.decision = record;
         m_steps.push_back(std::move(step));
-        return;
     }
     if (record.event == startEvent) {
         // A new process knows nothing of what the one before it believed.
@@ -189,7 +211,7 @@
         return "no line says how the request ended: the process ended first, its lines were left out, or a log is missing";
     }
     const logged_line &decision = last->decision;
-    const std::string_view outcome = decision.valueOf(decision.event == "request_done" ? "outcome" : "cause");
+    const std::string_view outcome = outcomeOf(decision);
     const auto *const known =
         std::find_if(std::begin(outcomeTexts), std::end(outcomeTexts), [&](const outcome_text &one) { return one.outcome == outcome; });
     std::string text = decision.instance + ": " + std::string(outcome);
--- a/src/forwarding/admission.cpp
+++ b/src/forwarding/admission.cpp
@@ -1,5 +1,6 @@
 #include "forwarding/admission.h"
 
+#include "forwarding/refusal_policy.h"
 #include "forwarding/workspace_shares.h"
 
 namespace burdockshelf
@@ -8,16 +9,12 @@
 namespace
 {
 
-using std::chrono::milliseconds;
-
-constexpr milliseconds retryAfterNotReady {250};
-constexpr milliseconds retryAfterShutdown {50};
-
-admission_decision refusal(refusal_cause cause, std::optional<milliseconds> retryAfter)
+admission_decision refusal(const refusal_facts &facts, instant now)
 {
+    const refusal_decision decided = decideRefusal(facts, now);
     admission_decision refused;
-    refused.cause = cause;
-    refused.retryAfter = retryAfter;
+    refused.cause = decided.cause;
+    refused.retryAfter = decided.retryAfter;
     return refused;
 }
 
@@ -26,19 +23,22 @@
 admission_decision decideAdmission(const forward_facts &facts, instant arrived, const admission_inputs &inputs, instant now)
 {
     if (!inputs.plan || !inputs.hasInitialState) {
-        return refusal(refusal_cause::not_ready, retryAfterNotReady);
+        return refusal({refusal_cause::not_ready}, now);
     }
     const traffic_route *route = inputs.plan->findRoute(facts.host, facts.path);
     if (route == nullptr) {
-        return refusal(refusal_cause::unknown_route, std::nullopt);
+        return refusal({refusal_cause::unknown_route}, now);
     }
     const workspace_plan *workspace = facts.key.empty() ? nullptr : inputs.plan->findWorkspaceByKey(facts.key);
     if (workspace == nullptr && inputs.plan->requiresKeys() && !route->isOpen) {
-        return refusal(refusal_cause::unknown_key, std::nullopt);
+        return refusal({refusal_cause::unknown_key}, now);
     }
     if (inputs.quarantine != nullptr) {
         if (const quarantined_part *part = inputs.quarantine->find(facts.parts, now)) {
-            admission_decision refused = refusal(refusal_cause::quarantined, std::chrono::ceil<milliseconds>(part->until.remaining(now)));
+            refusal_facts quarantine;
+            quarantine.cause = refusal_cause::quarantined;
+            quarantine.quarantineEnds = part->until;
+            admission_decision refused = refusal(quarantine, now);
             refused.quarantinedPart = part->part;
             return refused;
         }
@@ -46,7 +46,7 @@
     // A request that could not be finished within the shutdown's grace period is left to other instances.
     const deadline acceptedUntil = route->kind == request_kind::streaming ? inputs.streamsUntil : inputs.callsUntil;
     if (acceptedUntil.hasPassed(now)) {
-        return refusal(refusal_cause::shutting_down, retryAfterShutdown);
+        return refusal({refusal_cause::shutting_down}, now);
     }
     admission_decision decision;
     admitted_request admitted;
--- a/src/forwarding/forward_flow.cpp
+++ b/src/forwarding/forward_flow.cpp
@@ -22,13 +22,8 @@
 // outgrows its reservation may be preempted when the endpoint is full.
 constexpr double outputMargin = 1.5;
 constexpr token_count minOutputReserve {300};
-// Retry-After for requests that were not executed: the block of a failed endpoint is partly over by then, and the caller's own deadline is
-// still far off.
-constexpr milliseconds retryAfterOverload {120};
-constexpr milliseconds retryAfterNoEndpoint {300};
-// Bursts last for seconds, and a request that is retried for lack of capacity misses its target anyway; so it is retried when the burst is
-// likely to be over.
-constexpr milliseconds retryAfterNoCapacity {3000};
+// Only successful responses are streamed.
+constexpr int statusOk = 200;
 
 } // namespace
 
@@ -62,6 +57,7 @@
         attempt->hasResponse = true;
         attempt->timeoutAt = deadline::after(m_now, streamIdleTimeout());
         m_context->endpoints.noteResponse(attempt->endpoint, attempt->sentAt, m_now);
+        m_context->endpoints.noteStatus(attempt->endpoint, attempt->sentAt, statusOk, m_request.facts.id);
     });
 }
 
@@ -105,6 +101,7 @@
         if (!ended) {
             return;
         }
+        m_context->endpoints.noteStatus(ended->endpoint, ended->sentAt, response.status, m_request.facts.id);
         m_context->endpoints.noteEnded(ended->endpoint,
                                        tokensFor(ended->attemptKind),
                                        ended->sentAt,
@@ -118,7 +115,7 @@
         if (outcome == attempt_outcome::lost || outcome == attempt_outcome::whole) {
             m_mayHaveExecuted = m_mayHaveExecuted || executesRequest(ended->attemptKind);
         }
-        if (outcome == attempt_outcome::not_sent) {
+        if (isUnsent(outcome)) {
             ++m_connectFailures;
             counterOf(ended->attemptKind) -= 1;
         }
@@ -167,7 +164,7 @@
     if (mayHaveExecuted) {
         failRequest(refusal_cause::timed_out);
     } else {
-        refuse(refusal_cause::expired, retryAfterOverload);
+        refuseNotExecuted(refusal_cause::expired);
     }
 }
 
@@ -232,7 +229,7 @@
 void forward_flow::sendFirst()
 {
     if (m_deadline.hasPassed(m_now)) {
-        refuse(refusal_cause::expired, retryAfterOverload);
+        refuseNotExecuted(refusal_cause::expired);
     } else if (usesEngine()) {
         startReservationSearch();
     } else {
@@ -297,7 +294,7 @@
         continueAfterReservation();
         return;
     }
-    refuse(refusal_cause::overloaded, retryAfterNoCapacity);
+    refuseNotExecuted(refusal_cause::overloaded, true);
 }
 
 void forward_flow::continueAfterReservation()
@@ -364,7 +361,7 @@
 bool forward_flow::send(attempt_kind attemptKind, std::optional<prompt_handle> source)
 {
     const endpoint_state *chosen = nullptr;
-    if (attemptKind == attempt_kind::decode && m_reservation && m_context->endpoints.mayReceive(m_reservation->endpoint)) {
+    if (attemptKind == attempt_kind::decode && m_reservation && m_context->endpoints.mayReceive(m_reservation->endpoint, m_now)) {
         chosen = m_context->endpoints.find(m_reservation->endpoint);
     } else {
         chosen = m_context->endpoints.choose(
@@ -375,7 +372,8 @@
 
 bool forward_flow::sendTo(const endpoint_state &chosen, attempt_kind attemptKind, std::optional<prompt_handle> source)
 {
-    if (attemptKind != attempt_kind::reserve && m_context->quarantine.find(m_request.facts.parts, m_now) != nullptr) {
+    const bool isQuarantined = attemptKind != attempt_kind::reserve && m_context->quarantine.find(m_request.facts.parts, m_now) != nullptr;
+    if (isQuarantined || !m_context->endpoints.mayReceive(chosen.entry.id, m_now)) {
         return false;
     }
     // The reservation has taken the request from the cold endpoint's share already.
@@ -391,6 +389,7 @@
     action.number = attempt.number;
     action.attemptKind = attemptKind;
     action.endpoint = attempt.endpoint;
+    action.startTime = chosen.entry.startTime;
     action.address = chosen.entry.address;
     action.service = m_service;
     action.source = std::move(source);
@@ -421,62 +420,6 @@
     return m_context->retryBudget.spend(m_service, m_now);
 }
 
-bool forward_flow::endIfQuarantined()
-{
-    const quarantined_part *part = m_context->quarantine.find(m_request.facts.parts, m_now);
-    if (part == nullptr) {
-        return false;
-    }
-    if (m_silentDecode) {
-        // The part is not sent to another endpoint, but the one that has it may still complete the output.
-        keepSilentDecode();
-        return true;
-    }
-    const bool mayHaveExecuted = m_mayHaveExecuted || m_attempts.mayBeRunning();
-    cancelAll();
-    if (mayHaveExecuted) {
-        failRequest(refusal_cause::suspected);
-    } else {
-        refuse(refusal_cause::quarantined, std::chrono::ceil<milliseconds>(part->until.remaining(m_now)));
-    }
-    return true;
-}
-
-void forward_flow::recordLoss(const flow_attempt &ended, attempt_outcome outcome, const response_summary &response)
-{
-    if (ended.attemptKind != attempt_kind::decode) {
-        return;
-    }
-    const bool isCut = outcome == attempt_outcome::lost || (outcome == attempt_outcome::whole && m_events.hasPartial());
-    if (isCut && response.hasConnectionEnded && !ended.hasSurvived) {
-        m_context->quarantine.recordLoss({ended.endpoint, ended.endpointStartTime}, {m_request.facts.id, m_request.facts.parts}, m_now);
-    }
-    // A response that ends with its connection may have been cut between two events.
-    if (outcome == attempt_outcome::whole && !response.hasConnectionEnded && ended.firstOutputAt) {
-        m_context->quarantine.recordSurvival(m_request.facts.parts, *ended.firstOutputAt, m_now);
-    }
-}
-
-void forward_flow::recordSurvival(flow_attempt &attempt)
-{
-    if (!attempt.firstOutputAt) {
-        attempt.firstOutputAt = m_now;
-    }
-    if (!attempt.hasSurvived && m_now - *attempt.firstOutputAt >= prompt_quarantine::minSurvivalTime) {
-        attempt.hasSurvived = true;
-        m_context->quarantine.recordSurvival(m_request.facts.parts, *attempt.firstOutputAt, m_now);
-    }
-}
-
-void forward_flow::refuseNotExecuted(refusal_cause cause)
-{
-    if (m_isHeadRelayed) {
-        failRequest(cause);
-        return;
-    }
-    refuse(cause, cause == refusal_cause::no_endpoint ? retryAfterNoEndpoint : retryAfterOverload);
-}
-
 void forward_flow::releaseUnused()
 {
     if (m_handle) {
@@ -487,25 +430,6 @@
     }
 }
 
-void forward_flow::failRequest(refusal_cause cause)
-{
-    if (m_isHeadRelayed) {
-        m_actions.emplace_back(abort_response {});
-        m_isFinal = true;
-        return;
-    }
-    refuse(cause, std::nullopt);
-}
-
-void forward_flow::refuse(refusal_cause cause, std::optional<milliseconds> retryAfter)
-{
-    releaseUnused();
-    const bool mayBeRunning =
-        cause == refusal_cause::timed_out || cause == refusal_cause::endpoint_failed || cause == refusal_cause::suspected;
-    m_actions.emplace_back(refuse_request {cause, retryAfter, !m_mayHaveExecuted && !mayBeRunning});
-    m_isFinal = true;
-}
-
 void forward_flow::cancel(const flow_attempt &target)
 {
     const std::optional<flow_attempt> ended = m_attempts.take(target.number);
--- a/src/forwarding/forward_flow.h
+++ b/src/forwarding/forward_flow.h
@@ -6,6 +6,7 @@
 #include "forwarding/flow_messages.h"
 #include "forwarding/prompt_quarantine.h"
 #include "forwarding/quota_messages.h"
+#include "forwarding/refusal_policy.h"
 #include "forwarding/reservation_search.h"
 #include "forwarding/service_retry_budget.h"
 
@@ -148,9 +149,10 @@
     /// processed the prompt already, because only its response is missing.
     void retryPrefill(const std::optional<endpoint_id> &preferred);
     void retryDecode(const flow_attempt &ended);
-    void refuseNotExecuted(refusal_cause cause);
+    /// Refuses a request that ran nowhere, or fails it when the caller already has a part of the response.
+    void refuseNotExecuted(refusal_cause cause, bool isCapacityExhausted = false);
     void failRequest(refusal_cause cause);
-    void refuse(refusal_cause cause, std::optional<std::chrono::milliseconds> retryAfter);
+    void refuse(const refusal_decision &decision);
     void cancel(const flow_attempt &target);
     /// Relays the clean end of a streamed response.
     void relayStreamEnd(attempt_number number);
--- a/src/forwarding/forward_flow_ends.cpp
+++ b/src/forwarding/forward_flow_ends.cpp
@@ -56,7 +56,7 @@
         return;
     }
     const bool mayHaveExecutedThere = outcome == attempt_outcome::lost || outcome == attempt_outcome::whole;
-    const bool needsNoRetryBudget = outcome == attempt_outcome::not_sent && m_connectFailures < maxConnectFailures;
+    const bool needsNoRetryBudget = isUnsent(outcome) && m_connectFailures < maxConnectFailures;
     const bool mayContinue = needsNoRetryBudget || ((!mayHaveExecutedThere || mayRetry()) && hasAttemptsLeft() && spendRetry());
     if (mayContinue && send(attempt_kind::plain_call, std::nullopt)) {
         return;
@@ -99,7 +99,7 @@
             return;
         }
     }
-    if (outcome == attempt_outcome::not_sent && m_connectFailures < maxConnectFailures) {
+    if (isUnsent(outcome) && m_connectFailures < maxConnectFailures) {
         sendPrefill();
         return;
     }
@@ -252,7 +252,7 @@
     // A repeated prefill counts as an attempt, and one attempt must remain for the decode.
     const bool mayPrefillAgain = m_attemptsUsed + 1 < m_request.route->maxAttempts && spendRetry();
     const endpoint_state *preferredEndpoint = preferred ? m_context->endpoints.find(*preferred) : nullptr;
-    const bool isPreferredUsable = preferredEndpoint != nullptr && m_context->endpoints.mayReceive(*preferred);
+    const bool isPreferredUsable = preferredEndpoint != nullptr && m_context->endpoints.mayReceive(*preferred, m_now);
     if (mayPrefillAgain
         && (isPreferredUsable ? sendTo(*preferredEndpoint, attempt_kind::prefill, std::nullopt)
                               : send(attempt_kind::prefill, std::nullopt))) {
@@ -275,7 +275,7 @@
 void forward_flow::replaceSilentDecode()
 {
     const flow_attempt *silent = m_attempts.find(*m_silentDecode);
-    const bool isReserved = m_reservation && m_context->endpoints.mayReceive(m_reservation->endpoint);
+    const bool isReserved = m_reservation && m_context->endpoints.mayReceive(m_reservation->endpoint, m_now);
     const bool isHeldBack = m_context->quarantine.find(m_request.facts.parts, m_now) != nullptr
         || m_context->quarantine.isSuspect(m_request.facts.parts, m_now);
     if (silent == nullptr || !isReserved || isHeldBack || !spendRetry()) {
--- a/src/gateway/endpoint_client_task.h
+++ b/src/gateway/endpoint_client_task.h
@@ -53,6 +53,14 @@
     /// Removes a call that has ended; its connection has been released before.
     void retire(const call_key &key);
     void report(const call &target, attempt_outcome end, std::string detail, bool hasConnectionEnded = false);
+    /// Starts a call, unless its endpoint has stated that it wants no such request.
+    void begin(open_attempt &&command, bool isFireAndForget);
+    /// Records what an endpoint states in a response, and ends the calls to it of which nothing has been sent yet.
+    void noteNotice(const call &answered, const response_facts &facts);
+    /// True when the call's endpoint has stated in a response that it wants no such request now.
+    bool isUnwanted(const call &target, instant now) const;
+    void withholdUnsent(const endpoint_process &process);
+    void withhold(call &target);
     void release(std::unique_ptr<client_connection> connection);
     void destroyLater(std::unique_ptr<client_connection> connection);
     void sweep();
@@ -64,6 +72,8 @@
     event_log m_log;
     std::map<socket_address, pool> m_pools;
     std::map<call_key, std::unique_ptr<call>> m_calls;
+    /// The responses are seen here first, so requests that the dispatcher has sent before it knew of a notice are kept back.
+    endpoint_notices m_notices;
     std::size_t m_maxPerEndpoint;
     /// Size of the buffered responses of all calls.
     std::size_t m_bufferedBytes = 0;
--- a/tests/soak/fault_series.h
+++ b/tests/soak/fault_series.h
@@ -2,6 +2,7 @@
 
 #include "core/random_source.h"
 #include "faulty_endpoints.h"
+#include "notice_judge.h"
 #include "soak_judge.h"
 #include "soak_site.h"
 
@@ -17,7 +18,7 @@
 class fault_series
 {
 public:
-    fault_series(event_loop &loop, soak_site &site, soak_judge &judge, random_source &random);
+    fault_series(event_loop &loop, soak_site &site, soak_judge &judge, notice_judge &notices, random_source &random);
 
     void begin();
     /// Begins no further fault; those under way still end.
@@ -46,12 +47,17 @@
     void listEndlessEndpoint();
     void listRepeatingEndpoint();
     void putOddEntry();
+    void announceLeaving();
+    void pauseEndpoint();
     void later(std::chrono::milliseconds time, std::function<void()> act);
     soak_gateway *pickRunning();
+    /// Takes a gateway out of the checks on notices, because it was stopped or ended.
+    void excuse(const soak_gateway &target);
     std::chrono::milliseconds randomTime(std::int64_t least, std::int64_t most);
 
     soak_site &m_site;
     soak_judge &m_judge;
+    notice_judge &m_notices;
     random_source &m_random;
     faulty_endpoints m_faultyEndpoints;
     std::vector<planned_act> m_planned;
