Use one type for an endpoint's process, and one text of its entry

The quarantine and the notices of endpoints each had a type for an id with a start time; endpoint_process serves both now. The two stand-ins of endpoints share the text of their entries. No change of behaviour.

--- a/src/forwarding/endpoint_entry.h
+++ b/src/forwarding/endpoint_entry.h
@@ -5,6 +5,7 @@
 #include "core/socket_address.h"
 #include "core/units.h"
 
+#include <compare>
 #include <optional>
 
 namespace burdockshelf
@@ -21,6 +22,15 @@
 /// with the same id.
 using endpoint_start_time = quantity<struct endpoint_birth_unit>;
 
+/// One process of an endpoint. Equal values denote the same process; an endpoint that starts again under its id has another start time.
+struct endpoint_process
+{
+    endpoint_id id;
+    endpoint_start_time startTime;
+
+    friend auto operator<=>(const endpoint_process &, const endpoint_process &) = default;
+};
+
 /// An endpoint's registration.
 struct endpoint_entry
 {
--- a/src/forwarding/endpoint_notices.h
+++ b/src/forwarding/endpoint_notices.h
@@ -11,13 +11,6 @@
 namespace burdockshelf
 {
 
-/// One process of an endpoint. A restart under the same id gives it a new start time.
-struct endpoint_process
-{
-    endpoint_id id;
-    endpoint_start_time startTime;
-};
-
 /// What an endpoint states in the head of a response about the further requests that it wants.
 struct endpoint_notice
 {
--- a/src/forwarding/prompt_quarantine.cpp
+++ b/src/forwarding/prompt_quarantine.cpp
@@ -83,13 +83,13 @@
 {
 }
 
-void prompt_quarantine::recordLoss(const endpoint_run &run, const crash_suspect &suspect, instant now)
+void prompt_quarantine::recordLoss(const endpoint_process &process, const crash_suspect &suspect, instant now)
 {
     if (suspect.parts.shared.empty()) {
         return;
     }
     m_hasOwnReport = true;
-    if (addOwnCrash(run, suspect, now)) {
+    if (addOwnCrash(process, suspect, now)) {
         m_isReportChanged = true;
         review(now);
     }
@@ -130,7 +130,7 @@
         // A report that is read again must not make its crashes younger.
         for (endpoint_crash &crash : report.crashes) {
             for (const endpoint_crash &earlier : known->second.crashes) {
-                crash.at = earlier.run == crash.run ? std::min(crash.at, earlier.at) : crash.at;
+                crash.at = earlier.process == crash.process ? std::min(crash.at, earlier.at) : crash.at;
             }
         }
     }
@@ -175,7 +175,7 @@
 {
     dropExpired(now);
     dropClearedParts();
-    crashes_by_run unexplained = mergeCrashes();
+    crashes_by_process unexplained = mergeCrashes();
     std::map<prompt_part_id, quarantined_part> quarantined = reportedVerdicts(now);
     evidence_by_part evidence = collectEvidence(unexplained);
     for (auto part = selectPart(evidence, now); part; part = selectPart(evidence, now)) {
@@ -227,10 +227,10 @@
     return std::exchange(m_changes, {});
 }
 
-bool prompt_quarantine::addOwnCrash(const endpoint_run &run, const crash_suspect &suspect, instant now)
+bool prompt_quarantine::addOwnCrash(const endpoint_process &process, const crash_suspect &suspect, instant now)
 {
     std::vector<endpoint_crash> &crashes = m_own.crashes;
-    const auto known = std::find_if(crashes.begin(), crashes.end(), [&](const endpoint_crash &crash) { return crash.run == run; });
+    const auto known = std::find_if(crashes.begin(), crashes.end(), [&](const endpoint_crash &crash) { return crash.process == process; });
     if (known != crashes.end()) {
         return addSuspect(*known, suspect);
     }
@@ -242,7 +242,7 @@
         });
         crashes.erase(leastUseful == crashes.end() ? crashes.begin() : leastUseful);
     }
-    crashes.push_back({run, now, {}});
+    crashes.push_back({process, now, {}});
     return addSuspect(crashes.back(), suspect);
 }
 
@@ -272,11 +272,11 @@
     std::erase_if(m_own.crashes, [](const endpoint_crash &crash) { return crash.suspects.empty(); });
 }
 
-prompt_quarantine::crashes_by_run prompt_quarantine::mergeCrashes() const
+prompt_quarantine::crashes_by_process prompt_quarantine::mergeCrashes() const
 {
-    crashes_by_run merged;
+    crashes_by_process merged;
     const auto add = [&](const endpoint_crash &crash) {
-        const auto [entry, isNew] = merged.emplace(crash.run, crash);
+        const auto [entry, isNew] = merged.emplace(crash.process, crash);
         if (!isNew) {
             entry->second.at = std::min(entry->second.at, crash.at);
             entry->second.suspects.insert(entry->second.suspects.end(), crash.suspects.begin(), crash.suspects.end());
@@ -289,10 +289,10 @@
     return merged;
 }
 
-prompt_quarantine::evidence_by_part prompt_quarantine::collectEvidence(const crashes_by_run &crashes) const
+prompt_quarantine::evidence_by_part prompt_quarantine::collectEvidence(const crashes_by_process &crashes) const
 {
     evidence_by_part collected;
-    for (const auto &[run, crash] : crashes) {
+    for (const auto &[process, crash] : crashes) {
         std::set<prompt_part_id> counted;
         for (const crash_suspect &suspect : crash.suspects) {
             for (std::size_t position = 0; position < suspect.parts.shared.size(); ++position) {
@@ -345,7 +345,7 @@
     return selected == nullptr ? std::nullopt : std::optional(*selected);
 }
 
-quarantined_part prompt_quarantine::quarantine(const prompt_part_id &part, crashes_by_run &unexplained) const
+quarantined_part prompt_quarantine::quarantine(const prompt_part_id &part, crashes_by_process &unexplained) const
 {
     quarantined_part result {part, deadline(), {}};
     for (auto crash = unexplained.begin(); crash != unexplained.end();) {
--- a/src/forwarding/prompt_quarantine.h
+++ b/src/forwarding/prompt_quarantine.h
@@ -53,7 +53,7 @@
     prompt_quarantine(instance_id self, instant startedAt);
 
     /// The connection to an endpoint was lost before the request's output had lasted for minSurvivalTime.
-    void recordLoss(const endpoint_run &run, const crash_suspect &suspect, instant now);
+    void recordLoss(const endpoint_process &process, const crash_suspect &suspect, instant now);
     /// An endpoint has completed the request's output, or has been generating it for minSurvivalTime, since it began at the given time.
     void recordSurvival(const prompt_parts &parts, instant outputBeganAt, instant now);
     /// Replaces what another instance has reported before, unless the report is older. The first report with this instance's own id was
@@ -85,14 +85,14 @@
     };
 
     using evidence_by_part = std::map<prompt_part_id, part_evidence>;
-    using crashes_by_run = std::map<endpoint_run, endpoint_crash>;
+    using crashes_by_process = std::map<endpoint_process, endpoint_crash>;
 
     /// Returns whether the crash or the suspect is new.
-    bool addOwnCrash(const endpoint_run &run, const crash_suspect &suspect, instant now);
+    bool addOwnCrash(const endpoint_process &process, const crash_suspect &suspect, instant now);
     void dropExpired(instant now);
     void dropClearedParts();
-    crashes_by_run mergeCrashes() const;
-    evidence_by_part collectEvidence(const crashes_by_run &crashes) const;
+    crashes_by_process mergeCrashes() const;
+    evidence_by_part collectEvidence(const crashes_by_process &crashes) const;
     /// True when output is known to have survived for the part, or when this instance has not run for long enough to know.
     bool mayHaveSurvived(const prompt_part_id &part, instant now) const;
     bool hasEnoughEvidence(const prompt_part_id &part, const part_evidence &evidence, instant now) const;
@@ -102,7 +102,7 @@
     std::map<prompt_part_id, quarantined_part> reportedVerdicts(instant now) const;
     /// The part that explains the crashes best among those with enough evidence; nothing when there is none.
     std::optional<prompt_part_id> selectPart(const evidence_by_part &evidence, instant now) const;
-    quarantined_part quarantine(const prompt_part_id &part, crashes_by_run &unexplained) const;
+    quarantined_part quarantine(const prompt_part_id &part, crashes_by_process &unexplained) const;
     /// When this instance tries the part again. The instances do so one after the other, so that a part which still crashes endpoints does
     /// so once.
     deadline quarantineEnd(const prompt_part_id &part, instant lastCrashAt) const;
--- a/src/gateway/crash_report_codec.cpp
+++ b/src/gateway/crash_report_codec.cpp
@@ -59,8 +59,8 @@
     report.sequence = reader.integer("sequence");
     for (json_reader &entry : reader.objects("crashes")) {
         endpoint_crash crash;
-        crash.run.endpoint = endpoint_id(entry.text("endpoint"));
-        crash.run.startTime = endpoint_start_time(entry.integer("started"));
+        crash.process.id = endpoint_id(entry.text("endpoint"));
+        crash.process.startTime = endpoint_start_time(entry.integer("started"));
         crash.at = now - delay - milliseconds(entry.integer("age_ms", ageRange));
         for (json_reader &suspect : entry.objects("suspects")) {
             crash.suspects.push_back(decodeSuspect(suspect));
@@ -85,8 +85,8 @@
         for (const crash_suspect &suspect : crash.suspects) {
             suspects.push_back(encodeSuspect(suspect));
         }
-        crashes.push_back({{"endpoint", crash.run.endpoint.value()},
-                           {"started", crash.run.startTime.value()},
+        crashes.push_back({{"endpoint", crash.process.id.value()},
+                           {"started", crash.process.startTime.value()},
                            {"age_ms", millisecondsBetween(crash.at, now)},
                            {"suspects", std::move(suspects)}});
     }
--- a/src/gateway/fleet_state.cpp
+++ b/src/gateway/fleet_state.cpp
@@ -258,7 +258,7 @@
         if (change.hasBegun) {
             line.add("for_ms", change.subject.until.remaining(boot_clock::now())).add("crashes", change.subject.crashes.size());
             for (const endpoint_crash &crash : change.subject.crashes) {
-                line.add("endpoint", crash.run.endpoint).add("suspect", crash.suspects.front().request);
+                line.add("endpoint", crash.process.id).add("suspect", crash.suspects.front().request);
             }
         }
         m_log.write(std::move(line));
--- a/tests/forwarding/prompt_quarantine_test.cpp
+++ b/tests/forwarding/prompt_quarantine_test.cpp
@@ -37,7 +37,7 @@
         return prompt(shared, "own-" + std::to_string(++prompts));
     }
 
-    endpoint_run nextRun()
+    endpoint_process nextProcess()
     {
         return {endpoint_id("d" + std::to_string(++runs)), endpoint_start_time(1)};
     }
@@ -52,7 +52,7 @@
     void crashAtOnce(const std::vector<std::string> &shared)
     {
         const prompt_parts parts = next(shared);
-        quarantine.recordLoss(nextRun(), {attempt_id("request-" + parts.own.value()), parts}, now);
+        quarantine.recordLoss(nextProcess(), {attempt_id("request-" + parts.own.value()), parts}, now);
     }
 
     bool isQuarantined(const std::vector<std::string> &shared) const
@@ -120,7 +120,7 @@
 {
     const prompt_parts parts = fixture.next({"rare"});
     for (int retry = 0; retry < 4; ++retry) {
-        fixture.quarantine.recordLoss(fixture.nextRun(), {attempt_id("retry-" + std::to_string(retry)), parts}, fixture.now);
+        fixture.quarantine.recordLoss(fixture.nextProcess(), {attempt_id("retry-" + std::to_string(retry)), parts}, fixture.now);
     }
     CHECK_FALSE(fixture.isQuarantined({"rare"}));
 }
@@ -128,10 +128,10 @@
 // All requests at a crashed endpoint lose their connections. One crash must count once.
 TEST(prompt_quarantine, countsACrashOnce)
 {
-    const endpoint_run run = fixture.nextRun();
+    const endpoint_process process = fixture.nextProcess();
     for (int request = 0; request < 5; ++request) {
         const prompt_parts parts = fixture.next({"rare"});
-        fixture.quarantine.recordLoss(run, {attempt_id("request-" + parts.own.value()), parts}, fixture.now);
+        fixture.quarantine.recordLoss(process, {attempt_id("request-" + parts.own.value()), parts}, fixture.now);
     }
     CHECK_FALSE(fixture.isQuarantined({"rare"}));
 }
@@ -174,7 +174,7 @@
         instances.push_back(std::make_unique<prompt_quarantine>(instance_id("i" + std::to_string(index)), instant()));
         const prompt_parts parts = fixture.next({"first-" + std::to_string(index), "deadly"});
         fixture.now += 150ms;
-        instances.back()->recordLoss(fixture.nextRun(), {attempt_id("a" + std::to_string(index)), parts}, fixture.now);
+        instances.back()->recordLoss(fixture.nextProcess(), {attempt_id("a" + std::to_string(index)), parts}, fixture.now);
     }
     fixture.quarantine.setReport(instance_id("i1"), instances[1]->report(), fixture.now);
     fixture.quarantine.setReport(instance_id("i2"), instances[2]->report(), fixture.now);
@@ -204,7 +204,7 @@
     restarted.setReport(instance_id("i0"), fixture.quarantine.report(), fixture.now);
     const prompt_parts third = fixture.next({"deadly"});
     fixture.now += 150ms;
-    restarted.recordLoss(fixture.nextRun(), {attempt_id("a3"), third}, fixture.now);
+    restarted.recordLoss(fixture.nextProcess(), {attempt_id("a3"), third}, fixture.now);
     CHECK(restarted.find(third, fixture.now) != nullptr);
 
     const crash_report published = fixture.quarantine.report();
--- a/tests/gateway/quarantine_test.cpp
+++ b/tests/gateway/quarantine_test.cpp
@@ -123,7 +123,7 @@
         const instant later {std::chrono::hours(2)};
         const auto decoded = decodeStoredCrashReport(text, later, 1'000'400ms);
         RC_ASSERT(decoded.has_value());
-        RC_ASSERT(decoded.value().crashes.front().run == report.crashes.front().run);
+        RC_ASSERT(decoded.value().crashes.front().process == report.crashes.front().process);
         RC_ASSERT(decoded.value().crashes.front().at == later - std::chrono::milliseconds(age));
         RC_ASSERT(decoded.value().crashes.front().suspects.front().parts.shared.size() == parts.size());
         RC_ASSERT(decoded.value().quarantined.front().until == deadline::after(later, 5s));
--- a/tests/standins/users_platform/scripted_endpoint.cpp
+++ b/tests/standins/users_platform/scripted_endpoint.cpp
@@ -1,5 +1,7 @@
 #include "standins/users_platform/scripted_endpoint.h"
 
+#include "standins/users_platform/endpoint_entry_text.h"
+
 #include <iterator>
 #include <utility>
 
@@ -7,14 +9,15 @@
 #include <netinet/in.h>
 #include <sys/socket.h>
 
-#include <nlohmann/json.hpp>
-
 namespace burdockshelf
 {
 
 namespace
 {
 
+// A scripted endpoint never starts again.
+constexpr std::int64_t firstStartTime = 1000;
+
 constexpr byte_count maxRequestHead {64 * 1024};
 constexpr std::chrono::milliseconds refillInterval {1};
 // Bytes that an endless writer keeps ready for the kernel.
@@ -160,21 +163,7 @@
 
 std::string scripted_endpoint::entry(const std::string &service, const std::string &zone, const std::string &stage) const
 {
-    nlohmann::json value = {
-        {"service", service},
-        {"address", m_address.toString()},
-        {"zone", zone},
-        {"version", "v1"},
-        {"slots", 8},
-        {"state", "ready"},
-        {"cold_left_ms", 0},
-        {"sequence", 1},
-        {"born", 1000},
-    };
-    if (!stage.empty()) {
-        value["stage"] = stage;
-    }
-    return value.dump();
+    return endpointEntryText(m_address, firstStartTime, service, zone, stage);
 }
 
 void scripted_endpoint::setRequestHandler(request_handler handler)
--- a/tests/standins/users_platform/standin_backend.cpp
+++ b/tests/standins/users_platform/standin_backend.cpp
@@ -1,5 +1,7 @@
 #include "standins/users_platform/standin_backend.h"
 
+#include "standins/users_platform/endpoint_entry_text.h"
+
 #include <utility>
 
 #include <nlohmann/json.hpp>
@@ -43,21 +45,7 @@
 
 std::string standin_backend::entry(const std::string &service, const std::string &zone, const std::string &stage) const
 {
-    nlohmann::json value = {
-        {"service", service},
-        {"address", m_address.toString()},
-        {"zone", zone},
-        {"version", "v1"},
-        {"slots", 8},
-        {"state", "ready"},
-        {"cold_left_ms", 0},
-        {"sequence", 1},
-        {"born", m_startTime},
-    };
-    if (!stage.empty()) {
-        value["stage"] = stage;
-    }
-    return value.dump();
+    return endpointEntryText(m_address, m_startTime, service, zone, stage);
 }
 
 void standin_backend::setLeaving()
