Start with every bound that a deployment may state

Cause: the settings took whole numbers alone for most bounds.

Change: a table of the bounds with their ranges. A number outside of the range is moved to it, a fraction is rounded to the side on which the instance promises less, and a missing bound has the documented default of gateway_settings. Negative numbers and other types are rejected by name, as before.

--- a/src/gateway/gateway_settings.cpp
+++ b/src/gateway/gateway_settings.cpp
@@ -2,6 +2,9 @@
 
 #include "wire/json_reader.h"
 
+#include <algorithm>
+#include <array>
+#include <cmath>
 #include <fstream>
 #include <sstream>
 
@@ -11,13 +14,103 @@
 namespace
 {
 
-constexpr number_range retryAllowanceRange = {0, 1'000'000};
-constexpr number_range coldAllowanceRange = {0, 1'000'000};
-constexpr double maxColdRateFactor = 100.0;
-constexpr number_range quotaAllowanceRange = {0, 1'000'000'000};
+using std::chrono::milliseconds;
+
 constexpr number_range percentRange = {0, 100};
-constexpr number_range quotaPartitionsRange = {1, 1000};
+
+/// A bound that the deployment sets. It may be any number and may be missing, and the instance starts all the same: numbers outside of the
+/// range are moved to it, and the default of gateway_settings applies to a missing bound.
+struct bound_rule
+{
+    std::string_view key;
+    number_range range;
+    void (*set)(gateway_settings &settings, double value);
+};
+
+// Values that have to be whole are rounded towards the side on which the instance promises less or keeps to more.
+milliseconds wholeMilliseconds(double value)
+{
+    return std::max(milliseconds(static_cast<std::int64_t>(std::floor(value))), milliseconds(1));
+}
+
+constexpr double millisecondsPerSecond = 1000.0;
+constexpr double percentPerUnit = 100.0;
 constexpr number_range millisecondsRange = {1, 600'000};
+constexpr number_range secondsRange = {0, 600};
+constexpr number_range countRange = {0, 1'000'000};
+constexpr number_range factorRange = {0, 100};
+constexpr number_range fractionRange = {0, 1};
+constexpr number_range tokensRange = {0, 1'000'000'000};
+constexpr number_range partitionsRange = {1, 1000};
+
+constexpr std::array<bound_rule, 13> boundRules = {{
+    {"graceSeconds",
+     secondsRange,
+     [](gateway_settings &to, double value) {
+         to.gracePeriod = wholeMilliseconds(value * millisecondsPerSecond);
+     }},
+    {"configurationWithinMs",
+     millisecondsRange,
+     [](gateway_settings &to, double value) {
+         to.maxConfigurationDelay = wholeMilliseconds(value);
+     }},
+    {"silenceWithinMs",
+     millisecondsRange,
+     [](gateway_settings &to, double value) {
+         to.silenceDetectionLimit = wholeMilliseconds(value);
+     }},
+    {"drainWithinMs",
+     millisecondsRange,
+     [](gateway_settings &to, double value) {
+         to.maxDrainDelay = wholeMilliseconds(value);
+     }},
+    {"coldOver",
+     factorRange,
+     [](gateway_settings &to, double value) {
+         to.cold.rateFactor = value;
+     }},
+    {"coldSlack",
+     countRange,
+     [](gateway_settings &to, double value) {
+         to.cold.fixedAllowance = static_cast<std::int64_t>(value);
+     }},
+    {"repeatRatio",
+     fractionRange,
+     [](gateway_settings &to, double value) {
+         to.retryBudget.perHundred = static_cast<std::int64_t>(value * percentPerUnit);
+     }},
+    {"repeatSlack",
+     countRange,
+     [](gateway_settings &to, double value) {
+         to.retryBudget.fixedAllowance = static_cast<std::int64_t>(value);
+     }},
+    {"quotaSlack",
+     tokensRange,
+     [](gateway_settings &to, double value) {
+         to.quotas.fixed = value;
+     }},
+    {"quotaOver",
+     fractionRange,
+     [](gateway_settings &to, double value) {
+         to.quotas.part = value;
+     }},
+    // The tolerance grows with the window.
+    {"quotaWindowSeconds",
+     secondsRange,
+     [](gateway_settings &to, double value) {
+         to.quotas.window = wholeMilliseconds(value * millisecondsPerSecond);
+     }},
+    {"quotaParts",
+     partitionsRange,
+     [](gateway_settings &to, double value) {
+         to.quotaPartitions = static_cast<std::int64_t>(value);
+     }},
+    {"dutyTurnMs",
+     millisecondsRange,
+     [](gateway_settings &to, double value) {
+         to.minHandoverInterval = milliseconds(static_cast<std::int64_t>(std::ceil(value)));
+     }},
+}};
 
 socket_address readAddress(json_reader &reader, std::string_view key)
 {
@@ -42,19 +135,11 @@
     settings.metricsAddress = readAddress(reader, "metricsAddress");
     settings.storeAddress = readAddress(reader, "storeAddress");
     settings.peerAddress = readAddress(reader, "peerAddress");
-    settings.gracePeriod = reader.seconds("graceSeconds", millisecondsRange);
-    settings.maxConfigurationDelay = std::chrono::milliseconds(reader.integer("configurationWithinMs", millisecondsRange));
-    settings.silenceDetectionLimit = std::chrono::milliseconds(reader.integer("silenceWithinMs", millisecondsRange));
-    settings.maxDrainDelay = std::chrono::milliseconds(reader.integer("drainWithinMs", millisecondsRange));
-    settings.cold.rateFactor = reader.factor("coldOver", maxColdRateFactor);
-    settings.cold.fixedAllowance = reader.integer("coldSlack", coldAllowanceRange);
-    settings.retryBudget.perHundred = static_cast<std::int64_t>(reader.fraction("repeatRatio") * 100.0);
-    settings.retryBudget.fixedAllowance = reader.integer("repeatSlack", retryAllowanceRange);
-    settings.quotas.fixed = static_cast<double>(reader.integer("quotaSlack", quotaAllowanceRange));
-    settings.quotas.part = reader.fraction("quotaOver");
-    settings.quotas.window = reader.seconds("quotaWindowSeconds", millisecondsRange);
-    settings.quotaPartitions = reader.integer("quotaParts", quotaPartitionsRange);
-    settings.minHandoverInterval = std::chrono::milliseconds(reader.integer("dutyTurnMs", millisecondsRange));
+    for (const bound_rule &rule : boundRules) {
+        if (const auto value = reader.clampedNumber(rule.key, rule.range)) {
+            rule.set(settings, *value);
+        }
+    }
     settings.prefillPercent = reader.integer("prefillPercent", percentRange);
     BOOST_OUTCOME_TRYV(reader.finish());
     return settings;
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -14,7 +14,7 @@
 {
 
 /// Settings of a gateway, read from a JSON file and validated completely at startup. The names of the JSON members state the units of
-/// durations.
+/// durations. The deployment's bounds have defaults for deployments that do not state them.
 struct gateway_settings
 {
     instance_id instance;
@@ -34,7 +34,7 @@
     /// Maximum time from the store's acknowledgement that an endpoint leaves until the endpoint gets no more requests.
     std::chrono::milliseconds maxDrainDelay {2000};
     cold_start_tolerance cold;
-    retry_limits retryBudget;
+    retry_limits retryBudget = {10, 0};
     quota_tolerance quotas;
     /// Number of partitions of the quota pool; must be the same on all instances.
     std::int64_t quotaPartitions = 12;
--- a/src/wire/json_reader.cpp
+++ b/src/wire/json_reader.cpp
@@ -1,5 +1,6 @@
 #include "wire/json_reader.h"
 
+#include <algorithm>
 #include <cmath>
 #include <deque>
 #include <optional>
@@ -215,6 +216,20 @@
     return number(key, 1.0, most, "a number from 1 to " + std::to_string(most)).value_or(1.0);
 }
 
+std::optional<double> json_reader::clampedNumber(std::string_view key, number_range range)
+{
+    const auto *value = static_cast<const json *>(find(key));
+    const bool isUnset = value == nullptr || value->is_null() || (value->is_boolean() && !value->get<bool>());
+    if (isUnset) {
+        return std::nullopt;
+    }
+    const auto read = number(key, 0.0, std::numeric_limits<double>::max(), "a number from 0, or nothing");
+    if (!read) {
+        return std::nullopt;
+    }
+    return std::clamp(*read, static_cast<double>(range.least), static_cast<double>(range.most));
+}
+
 std::chrono::milliseconds json_reader::seconds(std::string_view key, number_range range)
 {
     constexpr double millisecondsPerSecond = 1000.0;
