Keep quotas within the tolerance when shares are smaller than a prompt

Cause: a request that was larger than an instance's share left the share in debt, also when the pool had just answered that it is empty. Each of 65 instances may grant one prompt beyond its share in that way; with 295 the debts alone are more than the whole tolerance. At the same time two fifths of a quota were split into shares that hardly any prompt fits into, so that workspaces below their limit were refused.

Ruled out: the moves of the pool's partitions (a new holder starts empty) and the replaced machines (four shares, 12,000 tokens).

Change: the evenly split fraction is 0.4 up to 16 instances and shrinks with their number to 0.05; the pool has the rest. When the pool is reachable and empty, the request is refused. Only without the pool may a share go into debt, on as many instances, chosen by a hash, as the tolerance covers.

Result: the simulated fleet of quota_of_many_instances, workspace from idle to four times its rate: 2,955,081 tokens in 8 s at 295 instances before, within 1,692,640 at 7, 65, 295 and 450 after. Refused at 0.9 of the rate, 65 instances: 381 of 4,511 before, at most 1 in 1,000 after.

--- a/src/forwarding/quota_broker.cpp
+++ b/src/forwarding/quota_broker.cpp
@@ -18,7 +18,7 @@
 
 quota_broker::quota_broker(instance_id self, quota_tolerance tolerance, std::int64_t parts)
     : m_self(std::move(self))
-    , m_shares(tolerance)
+    , m_shares(m_self, tolerance)
     , m_pool(parts)
 {
 }
@@ -32,6 +32,7 @@
 void quota_broker::setInstanceCount(std::int64_t count, instant now)
 {
     m_shares.setInstanceCount(count, now);
+    m_pool.setInstanceCount(count, now);
 }
 
 void quota_broker::setHeldPartitions(const std::vector<quota_partition> &parts, deadline until, instant now)
@@ -64,11 +65,11 @@
     const auto holder = m_holders.find(m_pool.partitionOf(workspace));
     if (holder == m_holders.end() || holder->second.instance == m_self) {
         m_needsHolders = true;
-        return takeFromShare(workspace, cost, {}, now);
+        return takeFromShare(workspace, cost, now);
     }
     const auto unresponsive = m_unresponsiveUntil.find(holder->second.instance);
     if (unresponsive != m_unresponsiveUntil.end() && !unresponsive->second.hasPassed(now)) {
-        return takeFromShare(workspace, cost, {}, now);
+        return takeFromShare(workspace, cost, now);
     }
     return quota_pending {holder->second};
 }
@@ -85,13 +86,10 @@
     }
     if (!verdict || !verdict->isHolder) {
         m_needsHolders = true;
-        return takeFromShare(workspace, cost, {}, now);
+        return takeFromShare(workspace, cost, now);
     }
-    quota_decision decision = takeFromShare(workspace, cost, verdict->retryAfter, now);
-    if (auto *refused = std::get_if<quota_refused>(&decision)) {
-        refused->holder = holder.instance;
-    }
-    return decision;
+    // The pool is reachable and empty, so the workspace is at its limit. A debt of the share is for times without the pool.
+    return quota_refused {verdict->retryAfter, m_shares.shareOf(workspace), holder.instance};
 }
 
 pool_response quota_broker::grantFromPool(const workspace_id &workspace, double cost, instant now)
@@ -122,14 +120,14 @@
     return m_needsHolders;
 }
 
-quota_decision quota_broker::takeFromShare(const workspace_id &workspace, double cost, milliseconds retryAfter, instant now)
+quota_decision quota_broker::takeFromShare(const workspace_id &workspace, double cost, instant now)
 {
     if (m_shares.take(workspace, cost, now)) {
         return quota_granted {{workspace, cost, std::nullopt}};
     }
-    const auto ownRetryAfter = std::chrono::ceil<milliseconds>(m_shares.waitFor(workspace, cost, now));
-    return quota_refused {
-        retryAfter > milliseconds::zero() ? std::min(retryAfter, ownRetryAfter) : ownRetryAfter, m_shares.shareOf(workspace), std::nullopt};
+    // The pool may be reachable again after the pause.
+    const auto wait = std::min(std::chrono::ceil<milliseconds>(m_shares.waitFor(workspace, cost, now)), unresponsiveHolderPause);
+    return quota_refused {wait, m_shares.shareOf(workspace), std::nullopt};
 }
 
 } // namespace burdockshelf
--- a/src/forwarding/quota_broker.h
+++ b/src/forwarding/quota_broker.h
@@ -63,7 +63,7 @@
     bool needsHolderRefresh() const;
 
 private:
-    quota_decision takeFromShare(const workspace_id &workspace, double cost, std::chrono::milliseconds retryAfter, instant now);
+    quota_decision takeFromShare(const workspace_id &workspace, double cost, instant now);
 
     instance_id m_self;
     workspace_shares m_shares;
--- a/src/forwarding/quota_pool.cpp
+++ b/src/forwarding/quota_pool.cpp
@@ -12,7 +12,6 @@
 namespace
 {
 
-constexpr double poolFraction = 1.0 - workspace_shares::evenSplitFraction;
 constexpr std::chrono::milliseconds maxRetryAfter {2000};
 
 } // namespace
@@ -34,14 +33,30 @@
             next.quotaPartition = partitionOf(workspace.id);
             next.window = fractional_token_bucket::startEmpty(0.0, 0.0, now);
         }
-        next.rate = workspace.ratePerSecond * poolFraction;
-        next.burst = workspace.burst * poolFraction;
-        next.window.setRateAndBurst(next.rate, next.burst, now);
+        next.workspaceRate = workspace.ratePerSecond;
+        next.workspaceBurst = workspace.burst;
+        applyFraction(next, now);
         accounts.emplace(workspace.id, next);
     }
     m_accounts = std::move(accounts);
 }
 
+void quota_pool::setInstanceCount(std::int64_t count, instant now)
+{
+    m_instanceCount = count;
+    for (auto &[workspace, target] : m_accounts) {
+        applyFraction(target, now);
+    }
+}
+
+void quota_pool::applyFraction(account &target, instant now) const
+{
+    const double fraction = 1.0 - workspace_shares::evenSplitFraction(m_instanceCount);
+    target.rate = target.workspaceRate * fraction;
+    target.burst = target.workspaceBurst * fraction;
+    target.window.setRateAndBurst(target.rate, target.burst, now);
+}
+
 void quota_pool::setHeldPartitions(const std::vector<quota_partition> &parts, deadline until, instant now)
 {
     // After a gap between two confirmations another instance may have held the partition in between.
--- a/src/forwarding/quota_pool.h
+++ b/src/forwarding/quota_pool.h
@@ -22,6 +22,8 @@
 
     /// Updates the limits; tokens that were spent stay spent.
     void setPlan(const traffic_plan &plan, instant now);
+    /// The pool has what is not split evenly among so many instances.
+    void setInstanceCount(std::int64_t count, instant now);
     /// The partitions that the store has confirmed, and until when this instance may rely on that.
     void setHeldPartitions(const std::vector<quota_partition> &parts, deadline until, instant now);
 
@@ -35,13 +37,20 @@
     struct account
     {
         quota_partition quotaPartition;
+        /// Limits of the workspace.
+        double workspaceRate = 0.0;
+        double workspaceBurst = 0.0;
+        /// The pooled part of the limits.
         double rate = 0.0;
         double burst = 0.0;
         /// Token bucket with the rate and burst above; not a duration.
         fractional_token_bucket window;
     };
 
+    void applyFraction(account &target, instant now) const;
+
     std::int64_t m_parts;
+    std::int64_t m_instanceCount = 1;
     std::unordered_map<workspace_id, account> m_accounts;
     std::vector<quota_partition> m_held;
     deadline m_heldUntil;
--- a/src/forwarding/workspace_shares.cpp
+++ b/src/forwarding/workspace_shares.cpp
@@ -1,6 +1,9 @@
 #include "forwarding/workspace_shares.h"
 
+#include "core/digest.h"
+
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 namespace burdockshelf
@@ -9,14 +12,27 @@
 namespace
 {
 
-// Fraction of the tolerance that is split as burst among the instances. The rest covers instances that do not know of each other yet,
-// instances that restart with a full share, and partitions of the pool that move.
-constexpr double burstFractionOfTolerance = 0.6;
+// Fractions of the tolerance that are split as burst among the instances, and that cover their debts. The rest covers instances that do not
+// know of each other yet, instances that restart with a full share, and partitions of the pool that move.
+constexpr double burstFractionOfTolerance = 0.25;
+constexpr double debtFractionOfTolerance = 0.45;
+// Up to this many instances, a share is large enough for prompts.
+constexpr double instancesWithLargeShares = 16.0;
+constexpr double maxEvenSplitFraction = 0.4;
+// Covers plain calls, which are small and frequent, so that they are not delayed by a request to the pool.
+constexpr double minEvenSplitFraction = 0.05;
 
 } // namespace
 
-workspace_shares::workspace_shares(quota_tolerance tolerance)
-    : m_tolerance(tolerance)
+double workspace_shares::evenSplitFraction(std::int64_t instances)
+{
+    const double scaled = maxEvenSplitFraction * instancesWithLargeShares / static_cast<double>(std::max<std::int64_t>(instances, 1));
+    return std::clamp(scaled, minEvenSplitFraction, maxEvenSplitFraction);
+}
+
+workspace_shares::workspace_shares(instance_id self, quota_tolerance tolerance)
+    : m_self(std::move(self))
+    , m_tolerance(tolerance)
 {
 }
 
@@ -66,7 +82,8 @@
         return true;
     }
     const double burst = std::max(burstOf(*target), 1.0);
-    if (target->window.level(now) < std::min(cost, burst * 0.99)) {
+    const double level = target->window.level(now);
+    if (level < std::min(cost, burst * 0.99) || (level < cost && !mayOverdraw(workspace, *target, cost))) {
         return false;
     }
     // A negative refund charges the cost.
@@ -105,14 +122,27 @@
 
 double workspace_shares::share() const
 {
-    return evenSplitFraction / static_cast<double>(m_instanceCount);
+    return evenSplitFraction(m_instanceCount) / static_cast<double>(m_instanceCount);
 }
 
 double workspace_shares::burstOf(const account &target) const
+{
+    return target.burst * share() + toleranceOf(target) * burstFractionOfTolerance / static_cast<double>(m_instanceCount);
+}
+
+double workspace_shares::toleranceOf(const account &target) const
 {
     const std::chrono::duration<double> window = m_tolerance.window;
-    const double tolerance = m_tolerance.fixed + m_tolerance.part * (target.rate * window.count() + target.burst);
-    return target.burst * share() + tolerance * burstFractionOfTolerance / static_cast<double>(m_instanceCount);
+    return m_tolerance.fixed + m_tolerance.part * (target.rate * window.count() + target.burst);
+}
+
+bool workspace_shares::mayOverdraw(const workspace_id &workspace, const account &target, double cost) const
+{
+    const double debtors = toleranceOf(target) * debtFractionOfTolerance / cost;
+    // The hash spreads the instances evenly, so that about as many are below the bound.
+    const std::uint64_t rank = stableHash(m_self.value(), stableHash(workspace.value()));
+    const double position = static_cast<double>(rank) / static_cast<double>(std::numeric_limits<std::uint64_t>::max());
+    return position * static_cast<double>(m_instanceCount) < debtors;
 }
 
 } // namespace burdockshelf
--- a/src/forwarding/workspace_shares.h
+++ b/src/forwarding/workspace_shares.h
@@ -18,16 +18,17 @@
     std::chrono::milliseconds window {0};
 };
 
-/// This instance's own share of each workspace's quota. A fixed fraction of each quota is split evenly among the instances, and an instance
+/// This instance's own share of each workspace's quota. A fraction of each quota is split evenly among the instances, and an instance
 /// may use its share even when it can reach no other instance.
 class workspace_shares
 {
 public:
-    /// Fraction of every quota that is split evenly. The rest is in the pool.
-    static constexpr double evenSplitFraction = 0.4;
+    /// Fraction of every quota that is split evenly among so many instances. The rest is in the pool. Among many instances a share is
+    /// smaller than one prompt, and what is split can hardly be used.
+    static double evenSplitFraction(std::int64_t instances);
 
     /// A fraction of the tolerance is split among the instances as additional burst.
-    explicit workspace_shares(quota_tolerance tolerance);
+    workspace_shares(instance_id self, quota_tolerance tolerance);
 
     /// Updates the limits; tokens that were spent stay spent.
     void setPlan(const traffic_plan &plan, instant now);
@@ -37,7 +38,8 @@
     static double costOf(const workspace_plan &workspace, std::optional<token_count> prompt, token_count output);
     /// Takes the cost only when the share covers all of it.
     bool takeInFull(const workspace_id &workspace, double cost, instant now);
-    /// Takes the cost. A cost that is larger than the whole share needs a full share and leaves a debt.
+    /// Takes the cost. A cost that is larger than the whole share needs a full share and leaves a debt. Only as many instances may have a
+    /// debt as the tolerance covers; which ones differs between workspaces.
     bool take(const workspace_id &workspace, double cost, instant now);
     /// Returns the cost of a request that was not executed.
     void refundCost(const workspace_id &workspace, double cost);
@@ -61,7 +63,11 @@
     void applyShare(account &target, instant now) const;
     double share() const;
     double burstOf(const account &target) const;
+    double toleranceOf(const account &target) const;
+    /// Whether this instance is among those that may be in debt for requests of that cost.
+    bool mayOverdraw(const workspace_id &workspace, const account &target, double cost) const;
 
+    instance_id m_self;
     quota_tolerance m_tolerance;
     std::unordered_map<workspace_id, account> m_accounts;
     std::int64_t m_instanceCount = 1;
--- a/tests/forwarding/quota_broker_test.cpp
+++ b/tests/forwarding/quota_broker_test.cpp
@@ -260,3 +260,133 @@
     CHECK(taken > 0.0);
     CHECK(taken <= (rate * 8 + burst) * 0.4 / 4 + 100.0);
 }
+
+namespace
+{
+
+/// The quota of a workspace that buys as much as the engines of a site give, with the tolerance of the strictest site.
+struct busy_workspace
+{
+    static constexpr double rate = 163'600.0;
+    static constexpr double burst = 163'600.0;
+    static constexpr quota_tolerance tolerance {73'000.0, 0.1, window};
+
+    static double allowedInWindow()
+    {
+        return (rate * window.count() + burst) * (1.0 + tolerance.part) + tolerance.fixed;
+    }
+};
+
+/// Prompts at random instances of a fleet, whose pool is reachable unless the test says otherwise.
+struct offered_prompts
+{
+    instant now {std::chrono::seconds(1000)};
+    random_source random {31};
+    std::vector<quota_broker> brokers;
+    std::deque<std::pair<instant, double>> runs;
+    double inWindow = 0.0;
+    double mostInWindow = 0.0;
+    int asked = 0;
+    int refused = 0;
+    bool isPoolReachable = true;
+
+    explicit offered_prompts(std::size_t count)
+    {
+        for (std::size_t i = 0; i < count; ++i) {
+            brokers.emplace_back(nameOf(i), busy_workspace::tolerance, parts);
+            brokers.back().setInstanceCount(static_cast<std::int64_t>(count), now);
+            brokers.back().setPlan(quotaPlan(busy_workspace::rate, busy_workspace::burst), now);
+            brokers.back().setHolders({{brokers.back().partitionOf(workspace), {nameOf(0), {}}}});
+        }
+        confirm();
+        now += 20s;
+        confirm();
+    }
+
+    void confirm()
+    {
+        brokers.front().setHeldPartitions({brokers.front().partitionOf(workspace)}, deadline::after(now, 1000s), now);
+    }
+
+    // Offers prompts of 2,000 to 16,000 tokens at a multiple of the rate.
+    void offer(double share, std::chrono::milliseconds time)
+    {
+        const instant until = now + time;
+        while (now < until) {
+            const double size = random.uniform();
+            const double cost = 2000.0 + 14000.0 * size * size;
+            now += std::chrono::duration_cast<boot_clock::duration>(std::chrono::duration<double>(cost / (busy_workspace::rate * share)));
+            request(brokers[static_cast<std::size_t>(random.uniform() * static_cast<double>(brokers.size()))], cost);
+        }
+    }
+
+    void request(quota_broker &requester, double cost)
+    {
+        ++asked;
+        quota_decision decision = requester.ask(workspace, cost, now);
+        if (const auto *pending = std::get_if<quota_pending>(&decision)) {
+            const peer_instance holder = pending->holder;
+            const auto verdict = isPoolReachable ? std::optional(brokers.front().grantFromPool(workspace, cost, now)) : std::nullopt;
+            decision = requester.applyHolderResponse(workspace, cost, holder, verdict, now);
+        }
+        if (!std::holds_alternative<quota_granted>(decision)) {
+            ++refused;
+            return;
+        }
+        runs.emplace_back(now, cost);
+        inWindow += cost;
+        while (runs.front().first < now - window) {
+            inWindow -= runs.front().second;
+            runs.pop_front();
+        }
+        mostInWindow = std::max(mostInWindow, inWindow);
+    }
+};
+
+} // namespace
+
+TEST_GROUP(quota_of_many_instances) {};
+
+// Guards against a workspace that gets more than its quota when it begins to send several times its rate: each instance granted it one
+// prompt beyond its share (ceolmhar-shelf-grown trouble-3: QUOTA).
+TEST(quota_of_many_instances, holdsWhenAnIdleWorkspaceSendsManyTimesItsRate)
+{
+    for (const std::size_t count : {std::size_t(7), std::size_t(65), std::size_t(295), std::size_t(450)}) {
+        offered_prompts fleet(count);
+        fleet.offer(4.0, 20s);
+        CHECK_TEXT(fleet.mostInWindow <= busy_workspace::allowedInWindow(),
+                   (std::to_string(count) + " instances: " + std::to_string(fleet.mostInWindow)).c_str());
+        // What the workspace has bought is also granted.
+        CHECK(fleet.mostInWindow >= busy_workspace::rate * window.count() * 0.95);
+    }
+}
+
+// Nothing below its limit is refused while the pool is reachable: less than 1 in 1,000.
+TEST(quota_of_many_instances, refusesNothingBelowTheRate)
+{
+    for (const std::size_t count : {std::size_t(7), std::size_t(65), std::size_t(295), std::size_t(450)}) {
+        offered_prompts fleet(count);
+        fleet.offer(0.9, 200s);
+        CHECK_TEXT(fleet.refused * 1000 <= fleet.asked,
+                   (std::to_string(count) + " instances: " + std::to_string(fleet.refused) + " of " + std::to_string(fleet.asked)).c_str());
+    }
+}
+
+// An instance that cannot reach the pool goes on serving from its share, and the sum of all instances holds.
+TEST(quota_of_many_instances, servesWithoutThePoolAndHolds)
+{
+    for (const std::size_t count : {std::size_t(7), std::size_t(65), std::size_t(295)}) {
+        offered_prompts fleet(count);
+        fleet.offer(0.9, 10s);
+        fleet.isPoolReachable = false;
+        fleet.asked = fleet.refused = 0;
+        fleet.offer(0.9, 4s);
+        CHECK_TEXT(fleet.refused < fleet.asked, (std::to_string(count) + " instances").c_str());
+        CHECK_TEXT(fleet.mostInWindow <= busy_workspace::allowedInWindow(),
+                   (std::to_string(count) + " instances: " + std::to_string(fleet.mostInWindow)).c_str());
+        fleet.isPoolReachable = true;
+        fleet.offer(4.0, 10s);
+        CHECK_TEXT(fleet.mostInWindow <= busy_workspace::allowedInWindow(),
+                   (std::to_string(count) + " instances after the outage: " + std::to_string(fleet.mostInWindow)).c_str());
+    }
+}
--- a/tests/forwarding/shares_test.cpp
+++ b/tests/forwarding/shares_test.cpp
@@ -23,7 +23,7 @@
 TEST(shares, keepsAnEvenShareWithoutContact)
 {
     const instant start(1000s);
-    workspace_shares shares({});
+    workspace_shares shares(instance_id("me"), {});
     shares.setPlan(quotaPlan(rate, burst), start);
     shares.setInstanceCount(4, start);
     DOUBLES_EQUAL(0.1, shares.shareOf(workspace), 0.001);
@@ -33,7 +33,7 @@
 TEST(shares, grantsNoNewBurstWithEachPlan)
 {
     const instant start(1000s);
-    workspace_shares shares({});
+    workspace_shares shares(instance_id("me"), {});
     shares.setPlan(quotaPlan(rate, burst), start);
     int taken = 0;
     for (int change = 0; change < 50; ++change) {
