Try other engines when one sheds a prompt

Cause: a rejected prefill or decode counted as an attempt of the route. A route with one attempt then had none left, and was refused at once.

Change: a prefill or decode that an engine rejects without running it uses the retry budget and no attempt. A rejected prefill is sent to another prefill engine. After four rejections the request is refused. Plain calls are as before: each endpoint that was sent the call counts.

--- a/src/forwarding/flow_messages.cpp
+++ b/src/forwarding/flow_messages.cpp
@@ -37,6 +37,11 @@
     return names.at(static_cast<std::size_t>(end));
 }
 
+bool isNotExecuted(attempt_outcome end)
+{
+    return isUnsent(end) || end == attempt_outcome::rejected || end == attempt_outcome::misdirected;
+}
+
 std::string_view cancelCauseName(cancel_cause cause)
 {
     static constexpr std::array<std::string_view, 2> names = {"superseded", "event_too_long"};
--- a/src/forwarding/flow_messages.h
+++ b/src/forwarding/flow_messages.h
@@ -109,6 +109,8 @@
 
 /// True when no byte of the request was sent.
 bool isUnsent(attempt_outcome end);
+/// True when the endpoint cannot have executed the request.
+bool isNotExecuted(attempt_outcome end);
 
 /// Lowest HTTP status that counts as a failure of the endpoint.
 constexpr int firstServerErrorStatus = 500;
--- a/src/forwarding/forward_flow.cpp
+++ b/src/forwarding/forward_flow.cpp
@@ -20,6 +20,11 @@
 // Only successful responses are streamed.
 constexpr int statusOk = 200;
 
+bool usesPrompt(attempt_kind attemptKind)
+{
+    return attemptKind == attempt_kind::prefill || attemptKind == attempt_kind::decode;
+}
+
 } // namespace
 
 forward_flow::forward_flow(admitted_request request)
@@ -113,6 +118,10 @@
         if (isUnsent(outcome)) {
             ++m_connectFailures;
             counterOf(ended->attemptKind) -= 1;
+        } else if (isNotExecuted(outcome) && usesPrompt(ended->attemptKind)) {
+            // The route limits the engines that run a request, and one engine that sheds load says nothing of the others.
+            ++m_rejections;
+            counterOf(ended->attemptKind) -= 1;
         }
         if (m_silentDecode == number) {
             stopReservationSearch();
--- a/src/forwarding/forward_flow.h
+++ b/src/forwarding/forward_flow.h
@@ -148,7 +148,7 @@
     /// Sends another prefill if the route allows it, or else leaves the prompt to the decode endpoint. The preferred endpoint has probably
     /// processed the prompt already, because only its response is missing.
     void retryPrefill(const std::optional<endpoint_id> &preferred);
-    void retryDecode(const flow_attempt &ended);
+    void retryDecode(const flow_attempt &ended, attempt_outcome outcome);
     /// Refuses a request that ran nowhere, or fails it when the caller already has a part of the response.
     void refuseNotExecuted(refusal_cause cause, bool isCapacityExhausted = false);
     void failRequest(refusal_cause cause);
@@ -176,6 +176,8 @@
     std::int64_t m_prefillsSent = 0;
     std::int64_t m_reservesSent = 0;
     std::int64_t m_connectFailures = 0;
+    /// Prefills and decodes that an engine rejected without execution.
+    std::int64_t m_rejections = 0;
     bool m_mayHaveExecuted = false;
     bool m_isHeadRelayed = false;
     bool m_isFinal = false;
--- a/src/forwarding/forward_flow_ends.cpp
+++ b/src/forwarding/forward_flow_ends.cpp
@@ -17,6 +17,8 @@
 // prefill that cannot be sent is left out in favour of a decode without its result, and a decode that cannot be sent, is refused or breaks
 // off is not repeated. No byte of the request was sent on any of these connections.
 constexpr std::int64_t maxConnectFailures = 4;
+// A request is refused after more rejections than this: where so many endpoints reject it, the others are busy as well.
+constexpr std::int64_t maxRejections = 3;
 
 } // namespace
 
@@ -109,13 +111,12 @@
         return;
     }
     if (outcome == attempt_outcome::rejected || outcome == attempt_outcome::misdirected) {
-        // A refused prefill counts towards the route's maxAttempts; the first accepted one does not. A prefill that is repeated counts when
-        // it is sent, see retryPrefill(), and once more when it is refused.
-        ++m_attemptsUsed;
-        if (!hasAttemptsLeft() || !spendRetry()) {
+        if (m_rejections > maxRejections || !spendRetry()) {
             refuseNotExecuted(refusal_cause::overloaded);
             return;
         }
+        sendPrefill();
+        return;
     }
     sendDecode(std::nullopt);
 }
@@ -148,7 +149,7 @@
         // allowed to receive requests, or the decode was a retry after a connection failure.
         m_context->endpoints.noteHandleExpired(m_handle->endpoint, m_now);
     }
-    retryDecode(ended);
+    retryDecode(ended, outcome);
 }
 
 void forward_flow::relayStreamEnd(attempt_number number)
@@ -165,7 +166,7 @@
     m_isFinal = true;
 }
 
-void forward_flow::retryDecode(const flow_attempt &ended)
+void forward_flow::retryDecode(const flow_attempt &ended, attempt_outcome outcome)
 {
     if (m_connectFailures == 0) {
         m_handle.reset();
@@ -175,8 +176,9 @@
         failRequest(refusal_cause::suspected);
         return;
     }
-    const bool mayContinue = (!m_mayHaveExecuted || mayRetry()) && hasAttemptsLeft() && m_connectFailures < maxConnectFailures;
-    const bool needsNoRetryBudget = m_connectFailures > 0 && m_attempts.isNewest(ended.number) && m_attemptsUsed == 0;
+    const bool mayContinue =
+        (!m_mayHaveExecuted || mayRetry()) && hasAttemptsLeft() && m_connectFailures < maxConnectFailures && m_rejections <= maxRejections;
+    const bool needsNoRetryBudget = isUnsent(outcome) && m_attempts.isNewest(ended.number) && m_attemptsUsed == 0;
     if (mayContinue && (needsNoRetryBudget || spendRetry())) {
         startReservationSearch();
         return;
--- a/tests/forwarding/forward_flow_test.cpp
+++ b/tests/forwarding/forward_flow_test.cpp
@@ -148,6 +148,62 @@
     });
 }
 
+// Guards against a request of a route with one attempt that is refused because one engine sheds load, while others are free.
+TEST(forward_flow, triesOtherEnginesAfterARejection)
+{
+    for (const attempt_kind rejected : {attempt_kind::prefill, attempt_kind::decode}) {
+        plan_fixture fixture;
+        forward_flow flow = fixture.flow("single");
+        std::optional<start_attempt> sent = *findAction<start_attempt>(flow.begin(fixture.context(), fixture.now));
+        std::optional<endpoint_id> rejecting;
+        int decodes = 0;
+        while (sent) {
+            const bool isRejected = !rejecting && sent->attemptKind == rejected;
+            decodes += sent->attemptKind == attempt_kind::decode ? 1 : 0;
+            CHECK(!rejecting || sent->attemptKind == attempt_kind::reserve || sent->endpoint != *rejecting);
+            rejecting = isRejected ? std::optional(sent->endpoint) : rejecting;
+            const flow_actions next = isRejected
+                ? flow.onEnd(sent->number, attempt_outcome::rejected, {503, false}, std::nullopt, fixture.context(), fixture.now)
+                : flow.onEnd(sent->number, attempt_outcome::whole, {200, true}, std::string("handle"), fixture.context(), fixture.now);
+            CHECK(findAction<refuse_request>(next) == nullptr);
+            const auto *following = findAction<start_attempt>(next);
+            sent = following == nullptr ? std::nullopt : std::optional(*following);
+        }
+        CHECK_TRUE(flow.hasFinalResponse());
+        LONGS_EQUAL(rejected == attempt_kind::decode ? 2 : 1, decodes);
+    }
+}
+
+// A request that every engine rejects must not be offered to all of them.
+TEST(forward_flow, endsAfterRepeatedRejections)
+{
+    CHECK_PROPERTY("a bounded number of engines rejects a request, and one runs it", [](const std::vector<std::uint8_t> &choices) {
+        random_endpoints simulation("single");
+        int rejected = 0;
+        simulation.take(simulation.flow.begin(simulation.fixture.context(), simulation.fixture.now));
+        for (const std::uint8_t choice : choices) {
+            if (simulation.open.empty()) {
+                break;
+            }
+            const auto [number, kind] = *simulation.open.begin();
+            simulation.open.erase(number);
+            const bool isRejected = kind != attempt_kind::reserve && choice % 3 != 0;
+            const bool hasHandle = kind != attempt_kind::decode && !isRejected;
+            rejected += isRejected ? 1 : 0;
+            simulation.runs += kind == attempt_kind::decode && !isRejected ? 1 : 0;
+            simulation.take(simulation.flow.onEnd(number,
+                                                  isRejected ? attempt_outcome::rejected : attempt_outcome::whole,
+                                                  {isRejected ? 503 : 200, true},
+                                                  hasHandle ? std::optional<std::string>("handle") : std::nullopt,
+                                                  simulation.fixture.context(),
+                                                  simulation.fixture.now));
+        }
+        RC_ASSERT(rejected <= 4);
+        RC_ASSERT(simulation.runs <= 1);
+        RC_ASSERT(!(simulation.wasRefusedAsNotExecuted && simulation.runs > 0));
+    });
+}
+
 // Without a reservation before the prefill, 225 of 545 prompts in a day's run were processed in vain.
 TEST(forward_flow, reservesCapacityBeforeThePrefill)
 {
--- a/tests/forwarding/plan_fixture.h
+++ b/tests/forwarding/plan_fixture.h
@@ -29,6 +29,7 @@
             route("safe", request_kind::idempotent, "plain", 2),
             route("unsafe", request_kind::non_idempotent, "plain", 2),
             route("stream", request_kind::streaming, "engine", 2),
+            route("single", request_kind::streaming, "engine", 1),
             route("resumed", request_kind::streaming, "engine", 2),
         };
         content.routes.back().isResumable = true;
