Break a stream off when the next endpoint does not continue it

Cause: after a stream broke off, whatever event another endpoint sent with a higher id was passed on. An endpoint that skipped an event left a gap in the stream of the caller, and the head of an HTTP response within a body without length was taken for an event.

Change: event_splitter knows where the output of another endpoint begins. In a stream whose ids are consecutive, that output has to begin at the next id, or repeat earlier ones, which are left out; it must not end before the event that the caller already has; and nothing that begins like a status line is an event. Otherwise the attempt counts as lost: the stream is continued elsewhere or visibly broken off.

Ruled out by the same tests, which pass on the code before: an error of the next endpoint, with length, in chunks, without length or with a cut head, in the middle of a stream; the response of another request; a 200 after a head that is cut after any of its bytes, by close and by reset, for each kind of request, in the gateway and in the http client of the product's own interface; a 200 for a body that is too short.

--- a/src/forwarding/event_splitter.h
+++ b/src/forwarding/event_splitter.h
@@ -17,8 +17,16 @@
     /// Longest event that is buffered, in bytes.
     static constexpr std::size_t maxEventBytes = 64 * 1024;
 
-    /// Adds bytes and returns the events that they complete. Events whose id is not greater than lastId() are left out.
+    /// Begins the output of another endpoint, which continues after lastId(). Drops the partial event of the output before it.
+    void beginOutput();
+    /// Adds bytes and returns the events that they complete. Events whose id is not greater than lastId() are left out. Returns nothing
+    /// more once the output is broken.
     std::string take(std::string_view bytes);
+    /// True when the output cannot be passed on: it does not continue where the stream before it broke off, or it contains the head of an
+    /// HTTP response.
+    bool isBroken() const;
+    /// True when the output must not end here: inside an event, or before it has reached the event that the caller already has.
+    bool isUnfinished() const;
     /// True while the start of an incomplete event is buffered. Line breaks after an event belong to no event.
     bool hasPartial() const;
     /// True when the incomplete event is longer than maxEventBytes. The stream has to be ended then, because its event may have no end.
@@ -34,8 +42,17 @@
 private:
     static std::optional<std::int64_t> idOf(std::string_view event);
 
+    bool acceptId(std::int64_t id);
+
     std::string m_partial;
     std::optional<std::int64_t> m_lastId;
+    /// Highest id in the output of the present endpoint.
+    std::optional<std::int64_t> m_outputLastId;
+    /// Whether each id so far was one more than the id before it; unset before there are two.
+    std::optional<bool> m_isConsecutive;
+    /// Another endpoint has begun, and it has sent no new event yet.
+    bool m_isContinuing = false;
+    bool m_isBroken = false;
 };
 
 } // namespace burdockshelf
--- a/src/forwarding/flow_messages.cpp
+++ b/src/forwarding/flow_messages.cpp
@@ -44,7 +44,7 @@
 
 std::string_view cancelCauseName(cancel_cause cause)
 {
-    static constexpr std::array<std::string_view, 2> names = {"superseded", "event_too_long"};
+    static constexpr std::array<std::string_view, 3> names = {"superseded", "event_too_long", "not_a_continuation"};
     return names.at(static_cast<std::size_t>(cause));
 }
 
--- a/src/forwarding/flow_messages.h
+++ b/src/forwarding/flow_messages.h
@@ -155,6 +155,8 @@
     superseded,
     /// Its response contains an event that is longer than event_splitter::maxEventBytes.
     event_too_long,
+    /// It does not continue the stream of the attempt before it.
+    not_a_continuation,
 };
 
 std::string_view cancelCauseName(cancel_cause cause);
--- a/src/forwarding/forward_flow.cpp
+++ b/src/forwarding/forward_flow.cpp
@@ -79,12 +79,17 @@
             m_actions.emplace_back(relay_response_head {number});
             m_isHeadRelayed = true;
         }
+        if (std::exchange(m_outputOf, number) != number) {
+            m_events.beginOutput();
+        }
         std::string whole = m_events.take(bytes);
         if (!whole.empty()) {
             m_actions.emplace_back(relay_body_data {std::move(whole)});
         }
         if (m_events.isPartialTooLong()) {
             endAsLost(number, cancel_cause::event_too_long);
+        } else if (m_events.isBroken()) {
+            endAsLost(number, cancel_cause::not_a_continuation);
         }
     });
 }
--- a/src/forwarding/forward_flow.h
+++ b/src/forwarding/forward_flow.h
@@ -183,6 +183,8 @@
     bool m_isFinal = false;
     bool m_isCallerDisconnected = false;
     event_splitter m_events;
+    /// The attempt whose output m_events has.
+    std::optional<attempt_number> m_outputOf;
     std::optional<prompt_handle> m_handle;
     /// The endpoint of the last prefill that returned a handle, whether or not its result was used, or whose response was lost. In the
     /// latter case the endpoint has only probably processed the prompt.
--- a/src/forwarding/forward_flow_ends.cpp
+++ b/src/forwarding/forward_flow_ends.cpp
@@ -38,7 +38,7 @@
                                   const response_summary &response,
                                   const std::optional<std::string> & /*handle*/)
 {
-    const bool isStreamCut = outcome == attempt_outcome::whole && m_events.hasPartial();
+    const bool isStreamCut = outcome == attempt_outcome::whole && m_events.isUnfinished();
     if (outcome == attempt_outcome::whole && m_isHeadRelayed && ended.hasResponse && !isStreamCut) {
         relayStreamEnd(ended.number);
         return;
@@ -139,7 +139,7 @@
         m_isFinal = true;
         return;
     }
-    if (outcome == attempt_outcome::whole && !m_events.hasPartial()) {
+    if (outcome == attempt_outcome::whole && !m_events.isUnfinished()) {
         relayStreamEnd(ended.number);
         return;
     }
--- a/tests/forwarding/event_splitter_test.cpp
+++ b/tests/forwarding/event_splitter_test.cpp
@@ -2,7 +2,7 @@
 
 #include "forwarding/plan_fixture.h"
 
-#include <CppUTest/TestHarness.h>
+#include "support/property.h"
 
 using namespace burdockshelf;
 using namespace std::chrono_literals;
@@ -72,3 +72,59 @@
         LONGS_EQUAL(3, *events.lastId());
     }
 }
+
+TEST_GROUP(continued_stream) {};
+
+// Guards against a stream in which an event is missing or comes twice because another endpoint went on with it.
+TEST(continued_stream, isAPrefixOfTheWholeStream)
+{
+    CHECK_PROPERTY("events of two endpoints are in order, or the second one is broken", [] {
+        const auto event = [](int id) {
+            return "id: " + std::to_string(id) + "\ndata: " + std::to_string(id) + "\n\n";
+        };
+        std::string whole;
+        for (int id = 1; id <= 9; ++id) {
+            whole += event(id);
+        }
+        const auto cut = *rc::gen::inRange<std::size_t>(0, whole.size());
+        const int from = *rc::gen::inRange(1, 10);
+        const int to = *rc::gen::inRange(from, 10);
+        event_splitter events;
+        events.beginOutput();
+        std::string passedOn = events.take(std::string_view(whole).substr(0, cut));
+        const std::int64_t last = events.lastId().value_or(0);
+        events.beginOutput();
+        for (int id = from; id <= to; ++id) {
+            passedOn += events.take(event(id));
+        }
+        const bool hasGap = from > last + 1;
+        // The numbering is known after two events.
+        if (last >= 2) {
+            RC_ASSERT(events.isBroken() == hasGap);
+            RC_ASSERT(whole.compare(0, passedOn.size(), passedOn) == 0);
+            RC_ASSERT(events.isBroken() || events.isUnfinished() == (to < last));
+        }
+    });
+}
+
+// Ids that are not consecutive are in order as long as they increase.
+TEST(continued_stream, acceptsIdsWithGapsOfTheirOwn)
+{
+    event_splitter events;
+    events.beginOutput();
+    events.take("id: 10\ndata: a\n\nid: 20\ndata: b\n\n");
+    events.beginOutput();
+    STRCMP_EQUAL("id: 30\ndata: c\n\n", events.take("id: 20\ndata: b\n\nid: 30\ndata: c\n\n").c_str());
+    CHECK_FALSE(events.isBroken());
+    CHECK_FALSE(events.isUnfinished());
+}
+
+// Guards against the head of an error response within a stream.
+TEST(continued_stream, containsNoResponseHead)
+{
+    event_splitter events;
+    events.beginOutput();
+    STRCMP_EQUAL("id: 1\ndata: a\n\n", events.take("id: 1\ndata: a\n\nHTTP/1.1 500 Error\r\nContent-Length: 3\r\n\r\nbad").c_str());
+    CHECK_TRUE(events.isBroken());
+    STRCMP_EQUAL("", events.take("id: 2\ndata: b\n\n").c_str());
+}
