Answer every request that a stopping instance takes

What was seen: in a planned stop of one instance, in calm, requests that came late in the grace period were passed on and cut without an answer at its end, among them requests that may not be repeated.

Cause: a call was taken until three quarters of the grace period and a stream until a third of it, whatever time their routes allow; and nothing ended the requests that still ran when the instance closed its connections.

Change: while shutting down, a request is taken only if the time that its route and its caller allow ends within the grace period, less 0.7 s for writing the last responses, closing and leaving the group. Others are refused at once as not run, with 0.05 s of Retry-After. The deadline of each request in progress is brought forward to that moment: its caller gets 504 when it may have run, 503 when it has not, and a stream that has begun is visibly broken off. A request that is only partly read by then is refused. response_cut and the other lines of the caller server name the request.

refusesStreamsBeforeCallsDuringShutdown tested the fixed fractions; in its place refusesDuringShutdownWhatMayOutlastIt tests the bound for each kind. refusesNewStreamsLateInTheShutdown expected a stream to be taken that may last for 4 s with 3.3 s left; it now checks that this one is refused, and that one of 2.5 s is taken until late.

--- a/src/forwarding/admission.cpp
+++ b/src/forwarding/admission.cpp
@@ -3,6 +3,8 @@
 #include "forwarding/refusal_policy.h"
 #include "forwarding/workspace_shares.h"
 
+#include <algorithm>
+
 namespace burdockshelf
 {
 
@@ -43,9 +45,9 @@
             return refused;
         }
     }
-    // A request that could not be finished within the shutdown's grace period is left to other instances.
-    const deadline acceptedUntil = route->kind == request_kind::streaming ? inputs.streamsUntil : inputs.callsUntil;
-    if (acceptedUntil.hasPassed(now)) {
+    // A request that may last longer than the shutdown's grace period is left to other instances, which can finish it.
+    const deadline latestEnd = std::min(facts.callerDeadline, deadline::after(arrived, route->timeout));
+    if (inputs.finishBy < latestEnd) {
         return refusal({refusal_cause::shutting_down}, now);
     }
     admission_decision decision;
--- a/src/forwarding/admission.h
+++ b/src/forwarding/admission.h
@@ -16,9 +16,8 @@
     std::shared_ptr<const plan_index> plan;
     /// The plan, the endpoints and the evacuations have been read since the start of the process.
     bool hasInitialState = false;
-    /// While shutting down, the deadlines after which new streams and new calls are refused; otherwise never.
-    deadline streamsUntil = deadline::never();
-    deadline callsUntil = deadline::never();
+    /// While shutting down, when the last response has to be complete; otherwise never.
+    deadline finishBy = deadline::never();
     /// Null when no prompts are refused.
     const prompt_quarantine *quarantine = nullptr;
 };
--- a/src/forwarding/forward_flow.cpp
+++ b/src/forwarding/forward_flow.cpp
@@ -190,6 +190,11 @@
     });
 }
 
+void forward_flow::limitDeadline(deadline latest)
+{
+    m_deadline = std::min(m_deadline, latest);
+}
+
 deadline forward_flow::nextDeadline() const
 {
     if (m_isFinal) {
--- a/src/forwarding/forward_flow.h
+++ b/src/forwarding/forward_flow.h
@@ -61,6 +61,8 @@
     /// To be called once nextDeadline() has passed.
     flow_actions onDeadline(const flow_context &context, instant now);
     flow_actions onCallerDisconnected(const flow_context &context, instant now);
+    /// Brings the request's deadline forward, so that its caller has an answer before the instance ends.
+    void limitDeadline(deadline latest);
 
     deadline nextDeadline() const;
     /// The caller has its final response or has disconnected, and no attempt is in progress.
--- a/src/gateway/caller_connection.cpp
+++ b/src/gateway/caller_connection.cpp
@@ -25,6 +25,9 @@
 constexpr int statusBadRequest = 400;
 constexpr int statusTooLarge = 413;
 constexpr int statusHeadTooLarge = 431;
+constexpr int statusUnavailable = 503;
+// Seconds after which a caller whose request was not read before the end of a shutdown may return; other instances are ready by then.
+constexpr std::string_view shutdownRetryAfter = "0.05";
 
 } // namespace
 
@@ -60,9 +63,15 @@
     return m_flow;
 }
 
-void caller_connection::setFlow(flow_id flow)
+const attempt_id &caller_connection::request() const
+{
+    return m_requestId;
+}
+
+void caller_connection::setFlow(flow_id flow, attempt_id request)
 {
     m_flow = flow;
+    m_requestId = std::move(request);
     m_isResponsePending = true;
 }
 
@@ -119,8 +128,19 @@
 
 bool caller_connection::hasUnfinishedExchange() const
 {
-    const bool isReadingRequest = !m_isClosing && !m_parser.isBetweenMessages();
-    return m_isResponsePending || isReadingRequest || unsentBytes() > 0;
+    return m_isResponsePending || isReadingRequest() || unsentBytes() > 0;
+}
+
+bool caller_connection::isReadingRequest() const
+{
+    return !m_isClosing && !m_isResponsePending && !m_parser.isBetweenMessages();
+}
+
+void caller_connection::refuseUnreadRequest()
+{
+    if (isReadingRequest()) {
+        refuse(statusUnavailable, shutdownRetryAfter);
+    }
 }
 
 bool caller_connection::checkTimeouts(instant now)
@@ -237,11 +257,14 @@
     return m_readingDeadline.hasPassed(now);
 }
 
-void caller_connection::refuse(int status)
+void caller_connection::refuse(int status, std::string_view retryAfter)
 {
     m_owner.logUnreadableRequest(status);
     http_response response;
     response.status = status;
+    if (!retryAfter.empty()) {
+        response.headers.add("Retry-After", std::string(retryAfter));
+    }
     m_stream->write(responseBytes(response, body_framing::length, true));
     close();
 }
--- a/src/gateway/caller_connection.h
+++ b/src/gateway/caller_connection.h
@@ -44,7 +44,9 @@
     bool isIdle() const;
     bool isResponsePending() const;
     flow_id flow() const;
-    void setFlow(flow_id flow);
+    /// The caller's id of the request that is in progress, for the log.
+    const attempt_id &request() const;
+    void setFlow(flow_id flow, attempt_id request);
 
     void writeFullResponse(http_response &&response);
     void writeResponseHead(const http_response &head);
@@ -59,6 +61,8 @@
     bool isTooSlow() const;
     /// True while a request is being read or its response is not completely sent.
     bool hasUnfinishedExchange() const;
+    /// Refuses the request that is being read, if there is one. It has not run.
+    void refuseUnreadRequest();
     /// Enforces the idle, request and linger timeouts. Returns true if the connection should be destroyed.
     bool checkTimeouts(instant now);
 
@@ -67,10 +71,11 @@
     void onBody(std::string_view bytes) override;
     void onComplete() override;
 
+    bool isReadingRequest() const;
     void readMore();
     /// True when the caller has read nothing of the unsent bytes for the idle timeout.
     bool isReadingStalled(instant now);
-    void refuse(int status);
+    void refuse(int status, std::string_view retryAfter = {});
     bool closesAfterResponse() const;
     void finishResponse(bool closes);
     void end();
@@ -81,6 +86,7 @@
     http_request m_request;
     std::string m_method;
     flow_id m_flow;
+    attempt_id m_requestId;
     instant m_idleSince;
     instant m_requestSince;
     std::chrono::milliseconds m_idleTimeout {};
--- a/src/gateway/caller_server_task.cpp
+++ b/src/gateway/caller_server_task.cpp
@@ -20,9 +20,6 @@
 constexpr milliseconds lastResponsesTime {1000};
 // After SIGTERM the load balancer needs two health checks, a second apart, before it sends new connections elsewhere.
 constexpr milliseconds loadBalancerDrainTime {2500};
-// Reserved at the end of the grace period for writing the last responses and for leaving the group; the latter waits for the store for
-// part of this time.
-constexpr milliseconds shutdownMargin {400};
 constexpr int listenBacklog = 1024;
 
 } // namespace
@@ -30,12 +27,14 @@
 caller_server_task::caller_server_task(event_loop &loop,
                                        std::shared_ptr<mailbox<caller_server_message>> box,
                                        caller_server_settings settings,
+                                       const caller_dialect &dialect,
                                        address<dispatch_message> dispatcher,
                                        sink<caller_server_listening> listening,
                                        event_log log)
     : task(std::move(box))
     , m_loop(loop)
     , m_settings(std::move(settings))
+    , m_dialect(dialect)
     , m_dispatcher(std::move(dispatcher))
     , m_listening(std::move(listening))
     , m_log(std::move(log))
@@ -76,6 +75,7 @@
 {
     m_isShuttingDown = true;
     m_shutdownSince = boot_clock::now();
+    m_shutdown = shutdown_schedule(m_shutdownSince, m_settings.gracePeriod);
     armSweep();
 }
 
@@ -118,7 +118,7 @@
     if (caller_connection *target = findByFlow(data.flow)) {
         target->writeBodyData(data.bytes);
         if (target->isTooSlow()) {
-            m_log.write(log_line("callers", "caller_too_slow").add("flow", data.flow));
+            m_log.write(log_line("callers", "caller_too_slow").add("request", target->request()).add("flow", data.flow));
             reportCallerDisconnected(*target);
             destroyLater(*target);
         }
@@ -170,11 +170,13 @@
 void caller_server_task::dispatchRequest(caller_connection &from, http_request &&request)
 {
     m_lastFlow += flow_id(1);
-    from.setFlow(m_lastFlow);
+    from.setFlow(m_lastFlow, m_dialect.decodeRequestId(request));
     m_connectionsByFlow[m_lastFlow] = &from;
     if (m_dispatcher.post(request_arrived {m_lastFlow, std::move(request), boot_clock::now()}) != post_result::delivered) {
-        m_log.write(
-            log_line("callers", "request_dropped").add("flow", m_lastFlow).add("cause", "the dispatcher's mailbox is full or closed"));
+        m_log.write(log_line("callers", "request_dropped")
+                        .add("request", from.request())
+                        .add("flow", m_lastFlow)
+                        .add("cause", "the dispatcher's mailbox is full or closed"));
         m_connectionsByFlow.erase(m_lastFlow);
         http_response busy;
         busy.status = 503;
@@ -233,7 +235,8 @@
 
 void caller_server_task::continueShutdown()
 {
-    const auto elapsed = boot_clock::now() - m_shutdownSince;
+    const instant now = boot_clock::now();
+    const auto elapsed = now - m_shutdownSince;
     if (elapsed > loadBalancerDrainTime) {
         for (const auto &[key, candidate] : m_connections) {
             if (candidate->isIdle()) {
@@ -241,13 +244,17 @@
             }
         }
     }
+    if (m_shutdown.finishRequestsBy.hasPassed(now)) {
+        for (const auto &[key, candidate] : m_connections) {
+            candidate->refuseUnreadRequest();
+        }
+    }
     // False until the load balancer and the callers have had their time, even if every response has been sent.
     const bool isDrained = elapsed > loadBalancerDrainTime + lastResponsesTime;
     const bool areResponsesSent = isDrained && std::none_of(m_connections.begin(), m_connections.end(), [](const auto &entry) {
                                       return entry.second->hasUnfinishedExchange();
                                   });
-    const bool isGraceOver = elapsed > m_settings.gracePeriod - shutdownMargin;
-    if ((areResponsesSent || isGraceOver) && !m_isFinished) {
+    if ((areResponsesSent || m_shutdown.closeBy.hasPassed(now)) && !m_isFinished) {
         m_isFinished = true;
         for (const auto &[key, candidate] : m_connections) {
             logIfCut(*candidate, "shutdown");
@@ -261,6 +268,7 @@
 {
     if (ended.isResponsePending() || ended.unsentBytes() > 0) {
         m_log.write(log_line("callers", "response_cut")
+                        .add("request", ended.request())
                         .add("flow", ended.flow())
                         .add("cause", cause)
                         .add("is_response_pending", ended.isResponsePending())
--- a/src/gateway/caller_server_task.h
+++ b/src/gateway/caller_server_task.h
@@ -1,7 +1,9 @@
 #pragma once
 
 #include "gateway/caller_connection.h"
+#include "gateway/dialects.h"
 #include "gateway/gateway_messages.h"
+#include "gateway/shutdown_schedule.h"
 #include "logging/log_writer_task.h"
 #include "runtime/task.h"
 #include "runtime/timer.h"
@@ -37,6 +39,7 @@
     caller_server_task(event_loop &loop,
                        std::shared_ptr<mailbox<caller_server_message>> box,
                        caller_server_settings settings,
+                       const caller_dialect &dialect,
                        address<dispatch_message> dispatcher,
                        sink<caller_server_listening> listening,
                        event_log log);
@@ -78,6 +81,7 @@
 
     event_loop &m_loop;
     caller_server_settings m_settings;
+    const caller_dialect &m_dialect;
     address<dispatch_message> m_dispatcher;
     sink<caller_server_listening> m_listening;
     event_log m_log;
@@ -88,6 +92,7 @@
     std::vector<std::unique_ptr<caller_connection>> m_pendingDestruction;
     flow_id m_lastFlow;
     instant m_shutdownSince;
+    shutdown_schedule m_shutdown;
     bool m_isShuttingDown = false;
     bool m_isFinished = false;
     timer m_destroyTimer;
--- a/src/gateway/dialects.h
+++ b/src/gateway/dialects.h
@@ -26,6 +26,8 @@
 public:
     virtual ~caller_dialect() = default;
 
+    /// The id that the caller has given to the request; empty if it gave none.
+    virtual attempt_id decodeRequestId(const http_request &request) const = 0;
     virtual forward_facts decodeRequestFacts(const http_request &request, instant now) const = 0;
     virtual http_response refusal(const caller_refusal &refusal, const forward_facts &facts) const = 0;
 };
--- a/src/gateway/dispatch_task.cpp
+++ b/src/gateway/dispatch_task.cpp
@@ -2,6 +2,7 @@
 
 #include "gateway/crash_report_codec.h"
 #include "gateway/member_codec.h"
+#include "gateway/shutdown_schedule.h"
 
 #include <algorithm>
 #include <array>
@@ -22,10 +23,6 @@
 // Keeps one extra share of each endpoint's connections free for instances that are about to join.
 constexpr std::int64_t spareConnectionShares = 1;
 constexpr std::size_t minConnectionsPerEndpoint = 4;
-// During these percentages of the grace period, new streams and new calls are still accepted. Streams last for seconds; the load balancer
-// sends new connections elsewhere after two seconds.
-constexpr std::int64_t newStreamGracePercent = 34;
-constexpr std::int64_t newCallGracePercent = 75;
 // The quota broker responds within 100 ms, so a response that takes longer than this has been lost.
 constexpr milliseconds quotaResponseTimeout {500};
 constexpr milliseconds retryAfterMissingQuota {120};
@@ -78,7 +75,7 @@
         m_outbox.count("requests_total", "outcome", "dropped");
         return;
     }
-    const admission_inputs inputs = {m_fleet.plan(), m_fleet.hasInitialState(), m_streamsUntil, m_callsUntil, &m_fleet.quarantine()};
+    const admission_inputs inputs = {m_fleet.plan(), m_fleet.hasInitialState(), m_finishBy, &m_fleet.quarantine()};
     admission_decision decided = decideAdmission(facts, arrived.arrived, inputs, boot_clock::now());
     if (!decided.request) {
         refuse(arrived.flow, decided, facts);
@@ -138,6 +135,7 @@
 {
     auto created = std::make_unique<active_flow>(flow, std::move(original), std::move(admitted));
     active_flow &target = *created;
+    target.flow.limitDeadline(m_finishBy);
     m_flows[flow] = std::move(created);
     carryOut(target, target.flow.begin(context(), boot_clock::now()));
 }
@@ -266,8 +264,11 @@
 {
     m_isShuttingDown = true;
     const instant now = boot_clock::now();
-    m_streamsUntil = deadline::after(now, m_settings.gracePeriod * newStreamGracePercent / 100);
-    m_callsUntil = deadline::after(now, m_settings.gracePeriod * newCallGracePercent / 100);
+    m_finishBy = shutdown_schedule(now, m_settings.gracePeriod).finishRequestsBy;
+    for (const auto &[id, active] : m_flows) {
+        active->flow.limitDeadline(m_finishBy);
+        m_deadlines.set(id, active->flow.nextDeadline());
+    }
     m_log.write(log_line("dispatch", "shutdown_begun").add("active", m_flows.size()));
     updateReadiness();
 }
--- a/src/gateway/dispatch_task.h
+++ b/src/gateway/dispatch_task.h
@@ -126,8 +126,8 @@
     timer m_reportTimer;
     timer m_overdueTimer;
     bool m_isReady = false;
-    deadline m_streamsUntil = deadline::never();
-    deadline m_callsUntil = deadline::never();
+    /// While shutting down, when the last response has to be complete; otherwise never.
+    deadline m_finishBy = deadline::never();
     bool m_isShuttingDown = false;
 };
 
--- a/src/gateway/gateway_tree.cpp
+++ b/src/gateway/gateway_tree.cpp
@@ -139,7 +139,7 @@
                               address(m_stageControlMailbox), address(m_quotaMailbox), address(m_storeMailbox), address(m_meshMailbox)};
                           return std::make_unique<group_task>(m_loop, m_groupMailbox, group, store, to, m_log);
                       }});
-    m_root->addChild({"callers", [this, settings] {
+    m_root->addChild({"callers", [this, settings, &callers = dialects.callers] {
                           const caller_server_settings callerServer = {settings.callerAddress, settings.gracePeriod};
                           const sink<caller_server_listening> listening([this](const caller_server_listening &bound) {
                               m_callerAddress = bound.address;
@@ -147,7 +147,7 @@
                               return post_result::delivered;
                           });
                           return std::make_unique<caller_server_task>(
-                              m_loop, m_callerServerMailbox, callerServer, address(m_dispatchMailbox), listening, m_log);
+                              m_loop, m_callerServerMailbox, callerServer, callers, address(m_dispatchMailbox), listening, m_log);
                       }});
     m_root->setHandlers(
         [this](const error &cause) {
--- a/tests/forwarding/admission_test.cpp
+++ b/tests/forwarding/admission_test.cpp
@@ -13,8 +13,8 @@
 struct admission_fixture : plan_fixture
 {
     std::shared_ptr<const plan_index> limited;
-    deadline streamsUntil = deadline::never();
-    deadline callsUntil = deadline::never();
+    deadline finishBy = deadline::never();
+    deadline callerDeadline = deadline::never();
 
     admission_fixture()
     {
@@ -36,7 +36,8 @@
         facts.host = host;
         facts.path = path;
         facts.key = key;
-        return decideAdmission(facts, now, {limited, true, streamsUntil, callsUntil}, now);
+        facts.callerDeadline = callerDeadline;
+        return decideAdmission(facts, now, {limited, true, finishBy}, now);
     }
 };
 
@@ -51,8 +52,7 @@
     CHECK(fixture.decide("/none/x", "k").cause == refusal_cause::unknown_route);
     CHECK(fixture.decide("/safe/x", "other").cause == refusal_cause::unknown_key);
     forward_facts facts;
-    const admission_decision early =
-        decideAdmission(facts, fixture.now, {nullptr, true, fixture.streamsUntil, fixture.callsUntil}, fixture.now);
+    const admission_decision early = decideAdmission(facts, fixture.now, {nullptr, true, fixture.finishBy}, fixture.now);
     CHECK(early.cause == refusal_cause::not_ready);
     CHECK_TRUE(early.retryAfter.has_value());
 }
@@ -72,12 +72,19 @@
     CHECK(fixture.decide("/safe/x", "k").limited == nullptr);
 }
 
-// A stream that is admitted shortly before the process ends would be cut off.
-TEST(admission, refusesStreamsBeforeCallsDuringShutdown)
+// A request that is admitted shortly before the process ends would be cut off.
+TEST(admission, refusesDuringShutdownWhatMayOutlastIt)
 {
     admission_fixture fixture;
-    fixture.streamsUntil = deadline::after(fixture.now, -1ms);
-    fixture.callsUntil = deadline::after(fixture.now, 1s);
-    CHECK(fixture.decide("/stream/x", "k").cause == refusal_cause::shutting_down);
-    CHECK_TRUE(fixture.decide("/safe/x", "k").request.has_value());
+    for (const std::string path : {"/safe/x", "/stream/x", "/unsafe/x"}) {
+        fixture.callerDeadline = deadline::never();
+        fixture.finishBy = deadline::after(fixture.now, fixture.limited->findRoute(fixture.host, path)->timeout - 1ms);
+        CHECK(fixture.decide(path, "k").cause == refusal_cause::shutting_down);
+        CHECK_TRUE(fixture.decide(path, "k").retryAfter.has_value());
+        fixture.callerDeadline = fixture.finishBy;
+        CHECK_TRUE(fixture.decide(path, "k").request.has_value());
+        fixture.finishBy = deadline::after(fixture.now, fixture.limited->findRoute(fixture.host, path)->timeout);
+        fixture.callerDeadline = deadline::never();
+        CHECK_TRUE(fixture.decide(path, "k").request.has_value());
+    }
 }
--- a/tests/gateway/caller_server_test.cpp
+++ b/tests/gateway/caller_server_test.cpp
@@ -1,5 +1,8 @@
 #include "gateway/caller_server_task.h"
 
+#include "platform/platform.h"
+
+#include <algorithm>
 #include <array>
 #include <optional>
 #include <string>
@@ -25,6 +28,7 @@
 struct caller_server_fixture
 {
     event_loop loop;
+    platform_adapter adapter;
     std::shared_ptr<mailbox<caller_server_message>> box = std::make_shared<mailbox<caller_server_message>>(loop, 100);
     std::shared_ptr<mailbox<dispatch_message>> dispatcher = std::make_shared<mailbox<dispatch_message>>(loop, 100);
     std::optional<flow_id> arrived;
@@ -34,6 +38,7 @@
     bool isFinished = false;
     bool isCallerAtEnd = false;
     std::size_t bytesRead = 0;
+    std::string firstBytes;
 
     caller_server_fixture()
     {
@@ -46,8 +51,13 @@
             bound = at.address;
             return post_result::delivered;
         });
-        server = std::make_unique<caller_server_task>(
-            loop, box, caller_server_settings {{"127.0.0.1", 0}, 8000ms}, address(dispatcher), listening, event_log());
+        server = std::make_unique<caller_server_task>(loop,
+                                                      box,
+                                                      caller_server_settings {{"127.0.0.1", 0}, 8000ms},
+                                                      adapter.dialects().callers,
+                                                      address(dispatcher),
+                                                      listening,
+                                                      event_log());
         server->setHandlers([](const error &) {}, [this] { isFinished = true; });
         CHECK_TRUE(server->start().has_value());
     }
@@ -102,6 +112,8 @@
         std::array<char, 256 * 1024> buffer = {};
         ssize_t size = ::recv(caller, buffer.data(), buffer.size(), 0);
         while (size > 0) {
+            firstBytes.append(buffer.data(),
+                              std::min<std::size_t>(static_cast<std::size_t>(size), 1024 - std::min<std::size_t>(firstBytes.size(), 1024)));
             bytesRead += static_cast<std::size_t>(size);
             size = ::recv(caller, buffer.data(), buffer.size(), 0);
         }
@@ -178,3 +190,22 @@
     fixture.run(1300ms);
     CHECK_TRUE(fixture.isFinished);
 }
+
+// Guards against a caller whose connection ends without an answer because its request was only partly read at the end of the grace period.
+TEST(caller_server, refusesPartlyReadRequestsAtTheEndOfTheGracePeriod)
+{
+    caller_server_fixture fixture;
+    caller_limits limits;
+    limits.idleTimeout = 20s;
+    fixture.post(limits_changed {limits});
+    fixture.connectAndSend("POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 10\r\n\r\nhalf ");
+    fixture.run(50ms);
+    fixture.server->beginShutdown();
+    fixture.run(7500ms);
+    fixture.read();
+    CHECK(fixture.firstBytes.find("HTTP/1.1 503") == 0);
+    CHECK(fixture.firstBytes.find("Retry-After") != std::string::npos);
+    CHECK_FALSE(fixture.arrived.has_value());
+    fixture.run(400ms);
+    CHECK_TRUE(fixture.isFinished);
+}
--- a/tests/gateway/gateway_test.cpp
+++ b/tests/gateway/gateway_test.cpp
@@ -297,8 +297,13 @@
     deployment site;
     site.callUntil(site.request("GET", "/safe/x"), 200);
     site.gateway->beginShutdown();
+    // A stream that may last for the whole time of its route is refused at once; one whose caller waits less is taken until that time no
+    // longer fits into the grace period.
     http_request text = site.request("POST", "/text/x");
     text.headers.add("X-Token-Counts", "1000,50");
+    LONGS_EQUAL(503, site.callUntil(text, 503).status);
+    text.headers = {
+        {"Host", "h"}, {"X-Attempt-Id", "a1"}, {"X-Deadline-Ms", "2500"}, {"Authorization", "Bearer k1"}, {"X-Token-Counts", "1000,50"}};
     const http_response first = site.call(text);
     LONGS_EQUAL(200, first.status);
     CHECK(first.headers.value("Connection") == "close");
--- a/tests/gateway/scripted_deployment.h
+++ b/tests/gateway/scripted_deployment.h
@@ -27,6 +27,8 @@
     burdockshelf::event_loop loop;
     burdockshelf::timer guard;
     bool isTimedOut = false;
+    bool hasEnded = false;
+    std::chrono::milliseconds gracePeriod {8000};
     burdockshelf::standin_store store;
     burdockshelf::scripted_endpoint plain;
     burdockshelf::scripted_endpoint prefill;
@@ -105,9 +107,13 @@
         settings.dataCentre = data_centre_id("z");
         settings.callerAddress = settings.readinessAddress = settings.metricsAddress = settings.peerAddress = {"127.0.0.1", 0};
         settings.storeAddress = store.address();
+        settings.gracePeriod = gracePeriod;
         settings.silenceDetectionLimit = std::chrono::milliseconds(1500);
         settings.quotas.fixed = 190000;
-        gateway = std::make_unique<gateway_tree>(loop, settings, adapter.dialects(), log, [this](int) { loop.stop(); });
+        gateway = std::make_unique<gateway_tree>(loop, settings, adapter.dialects(), log, [this](int) {
+            hasEnded = true;
+            loop.stop();
+        });
         CHECK_TRUE(gateway->start().has_value());
         client = std::make_unique<http_client>(loop, gateway->callerAddress());
     }
