Count the calls to the store by kind

The metric store_calls_total counts them: joining and leaving the group, reading its holders, reading the newest records, reading updates, and writing.

--- a/src/gateway/gateway_tree.cpp
+++ b/src/gateway/gateway_tree.cpp
@@ -118,15 +118,16 @@
              to.metrics = makeSink<metric_batch>(address(m_monitorMailbox));
              return std::make_unique<dispatch_task>(m_loop, m_dispatchMailbox, dispatch, dialects, to, m_log, random_source());
          }});
-    m_root->addChild({"store", [this, settings, &store = dialects.store] {
-                          const store_settings at = {
-                              settings.storeAddress,
-                              settings.instance,
-                              {settings.maxConfigurationDelay, settings.silenceDetectionLimit, settings.maxDrainDelay},
-                          };
-                          const store_addresses to = {address(m_dispatchMailbox), address(m_groupMailbox), address(m_meshMailbox)};
-                          return std::make_unique<store_task>(m_loop, m_storeMailbox, at, store, to, m_log, random_source());
-                      }});
+    m_root->addChild(
+        {"store", [this, settings, &store = dialects.store] {
+             const store_settings at = {
+                 settings.storeAddress,
+                 settings.instance,
+                 {settings.maxConfigurationDelay, settings.silenceDetectionLimit, settings.maxDrainDelay},
+             };
+             const store_addresses to = {address(m_dispatchMailbox), address(m_groupMailbox), address(m_meshMailbox), storeCallCounter()};
+             return std::make_unique<store_task>(m_loop, m_storeMailbox, at, store, to, m_log, random_source());
+         }});
     m_root->addChild(
         {"duty", [this, settings, &endpoints = dialects.endpoints] {
              const stage_control_settings stageControl = {settings.instance, settings.minHandoverInterval, settings.prefillPercent};
@@ -135,8 +136,11 @@
          }});
     m_root->addChild({"group", [this, settings, &store = dialects.store] {
                           const group_settings group = {{settings.instance, m_peerAddress}, settings.storeAddress};
-                          const group_addresses to = {
-                              address(m_stageControlMailbox), address(m_quotaMailbox), address(m_storeMailbox), address(m_meshMailbox)};
+                          const group_addresses to = {address(m_stageControlMailbox),
+                                                      address(m_quotaMailbox),
+                                                      address(m_storeMailbox),
+                                                      address(m_meshMailbox),
+                                                      storeCallCounter()};
                           return std::make_unique<group_task>(m_loop, m_groupMailbox, group, store, to, m_log);
                       }});
     m_root->addChild({"callers", [this, settings, &callers = dialects.callers] {
@@ -169,6 +173,11 @@
     return m_root->start();
 }
 
+store_call_counter gateway_tree::storeCallCounter() const
+{
+    return store_call_counter(makeSink<metric_batch>(address(m_monitorMailbox)));
+}
+
 const socket_address &gateway_tree::callerAddress() const
 {
     return m_callerAddress;
--- a/src/gateway/gateway_tree.h
+++ b/src/gateway/gateway_tree.h
@@ -6,6 +6,7 @@
 #include "gateway/gateway_messages.h"
 #include "gateway/gateway_settings.h"
 #include "gateway/monitor_messages.h"
+#include "gateway/store_call_counter.h"
 #include "logging/log_writer_task.h"
 #include "runtime/supervisor.h"
 
@@ -40,6 +41,8 @@
     void logIgnoredReload();
 
 private:
+    store_call_counter storeCallCounter() const;
+
     event_loop &m_loop;
     end_handler m_onEnd;
     std::shared_ptr<mailbox<log_line>> m_logMailbox;
--- a/src/gateway/group_task.cpp
+++ b/src/gateway/group_task.cpp
@@ -51,6 +51,7 @@
     m_holdersCall.abandon();
     // Leaving lets the store reassign the work without waiting for the session timeout. The response is not needed.
     m_joinCall.abandon();
+    m_to.calls.count(store_call::leave_group);
     m_joinCall.begin(m_dialect.leaveGroup(m_settings.self),
                      deadline::after(boot_clock::now(), leaveTimeout),
                      [this](const outcome<http_response> &) { finish(); });
@@ -73,6 +74,7 @@
         return;
     }
     const http_request request = m_dialect.joinGroup(m_settings.self, m_assignment.generation, sessionTimeout);
+    m_to.calls.count(store_call::join_group);
     m_joinCall.begin(
         request, deadline::after(now, joinTimeout), [this, now](const outcome<http_response> &response) { handleJoined(response, now); });
 }
@@ -117,6 +119,7 @@
 {
     const instant now = boot_clock::now();
     m_nextHoldersReadAt = deadline::after(now, minHoldersReadInterval);
+    m_to.calls.count(store_call::read_holders);
     m_holdersCall.begin(m_dialect.readHolders(), deadline::after(now, holdersTimeout), [this](const outcome<http_response> &response) {
         handleHolders(response);
     });
--- a/src/gateway/group_task.h
+++ b/src/gateway/group_task.h
@@ -5,6 +5,7 @@
 #include "gateway/gateway_messages.h"
 #include "gateway/quota_broker_messages.h"
 #include "gateway/serial_http_client.h"
+#include "gateway/store_call_counter.h"
 #include "logging/log_writer_task.h"
 #include "runtime/task.h"
 
@@ -24,6 +25,7 @@
     address<quota_broker_message> quotas;
     address<store_message> store;
     address<mesh_supervisor_message> mesh;
+    store_call_counter calls;
 };
 
 /// Keeps this instance a member of the group to whose members the store assigns stage control and the partitions of the quota pool, and
--- a/src/gateway/store_task.cpp
+++ b/src/gateway/store_task.cpp
@@ -122,6 +122,7 @@
             loop,
             m_settings.address,
             m_dialect,
+            m_to.calls,
             topic,
             topic_relays {m_relayClient, m_relay},
             [this](dispatch_message update) { post(std::move(update)); },
@@ -152,6 +153,7 @@
     }
     const deadline until = deadline::after(boot_clock::now(), writeTimeout);
     const http_request request = m_dialect.write(store_topic::members, m_settings.instance.value(), state.value);
+    m_to.calls.count(store_call::write);
     m_writer.begin(request, until, [this](const outcome<http_response> &response) {
         const auto written = response ? m_dialect.decodeWriteResult(response.value()) : outcome<void>(response.error());
         if (!written) {
@@ -204,6 +206,7 @@
     m_crashReport.reset();
     const deadline until = deadline::after(boot_clock::now(), writeTimeout);
     const http_request request = m_dialect.write(store_topic::crash_reports, m_settings.instance.value(), value);
+    m_to.calls.count(store_call::write);
     m_crashReportWriter.begin(request, until, [this, value](const outcome<http_response> &response) {
         const auto written = response ? m_dialect.decodeWriteResult(response.value()) : outcome<void>(response.error());
         if (!written) {
--- a/src/gateway/store_task.h
+++ b/src/gateway/store_task.h
@@ -37,6 +37,7 @@
     address<dispatch_message> dispatcher;
     address<group_message> group;
     address<mesh_supervisor_message> mesh;
+    store_call_counter calls;
 };
 
 /// Follows the topics of the platform's store that a gateway needs, and writes this instance's member report. Only a few instances, which
--- a/src/gateway/topic_follower.cpp
+++ b/src/gateway/topic_follower.cpp
@@ -31,6 +31,7 @@
 topic_follower::topic_follower(event_loop &loop,
                                const socket_address &store,
                                const store_dialect &dialect,
+                               store_call_counter calls,
                                topic_follower_settings settings,
                                topic_relays links,
                                update_handler onUpdate,
@@ -38,6 +39,7 @@
                                event_log log,
                                random_source &random)
     : m_dialect(dialect)
+    , m_calls(std::move(calls))
     , m_settings(settings)
     , m_relays(links)
     , m_onUpdate(std::move(onUpdate))
@@ -90,6 +92,7 @@
 void topic_follower::readNewest()
 {
     const deadline until = deadline::after(boot_clock::now(), m_settings.responseTimeout);
+    m_calls.count(store_call::read_newest);
     m_call.begin(m_dialect.readNewest(m_settings.topic, m_afterKey), until, [this](const outcome<http_response> &response) {
         handlePage(response);
     });
@@ -99,6 +102,7 @@
 {
     const instant now = boot_clock::now();
     const milliseconds wait = pollTiming(now).wait;
+    m_calls.count(store_call::read_updates);
     m_call.begin(m_dialect.readFrom(m_settings.topic, m_position, wait),
                  deadline::after(now, wait + m_settings.responseTimeout),
                  [this](const outcome<http_response> &response) { handleBatch(response); });
--- a/src/gateway/topic_follower.h
+++ b/src/gateway/topic_follower.h
@@ -2,6 +2,7 @@
 
 #include "gateway/gateway_messages.h"
 #include "gateway/serial_http_client.h"
+#include "gateway/store_call_counter.h"
 #include "gateway/topic_relay.h"
 #include "gateway/topic_relay_client.h"
 #include "logging/log_writer_task.h"
@@ -65,6 +66,7 @@
     topic_follower(event_loop &loop,
                    const socket_address &store,
                    const store_dialect &dialect,
+                   store_call_counter calls,
                    topic_follower_settings settings,
                    topic_relays links,
                    update_handler onUpdate,
@@ -121,6 +123,7 @@
     bool hasUnreportedChange(const std::map<std::string, newest_record> &listed) const;
 
     const store_dialect &m_dialect;
+    store_call_counter m_calls;
     topic_follower_settings m_settings;
     topic_relays m_relays;
     update_handler m_onUpdate;
