Keep a member report of every instance for the relays

Change: 1024 records; the bound on their bytes is as before.

Result: record_history, keepsAReportOfEachOfManyInstances fails with 256 and passes.

--- a/src/gateway/record_history.cpp
+++ b/src/gateway/record_history.cpp
@@ -6,8 +6,9 @@
 namespace
 {
 
-// An instance that lacks more records reads the newest records at the store.
-constexpr std::size_t maxRecords = 256;
+// An instance that lacks more records reads the newest records at the store. Instances that started together report at the same time, so
+// the history must take a report of each.
+constexpr std::size_t maxRecords = 1024;
 // Up to 16 instances ask one reader at the same time; this much for each of them occupies a link of 10 Mbit/s for 0.8 s. The link of the
 // store is faster.
 constexpr std::size_t maxBytes = 64 * 1024;
--- a/tests/gateway/record_history_test.cpp
+++ b/tests/gateway/record_history_test.cpp
@@ -43,3 +43,19 @@
     CHECK_FALSE(history.from(store_offset(90)).has_value());
     LONGS_EQUAL(5, history.from(store_offset(95))->size());
 }
+
+// Guards against a read of all member reports at the store by each of 290 instances every ten seconds: instances that start together report
+// at the same moment, and a reader kept 256 records (rampa-hat-large trouble-3).
+TEST(record_history, keepsAReportOfEachOfManyInstances)
+{
+    constexpr int instances = 450;
+    constexpr std::size_t reportBytes = 100;
+    record_history history;
+    history.begin(store_offset(0));
+    for (int report = 0; report < instances; ++report) {
+        history.append({recordOf(reportBytes)});
+    }
+    const auto kept = history.from(store_offset(0));
+    CHECK_TRUE(kept.has_value());
+    LONGS_EQUAL(instances, kept->size());
+}
