Judge new streams during a stop by how long streams last

Cause: routes allow streams much more time (14 s) than the grace period (8 s), so that a stopping instance refused every stream from SIGTERM on, while the load balancer still sent it new connections.

Change: a stream is taken if the longest one of its route in the last 20 to 40 s would end in time. Calls are still judged by the whole time that their route and their caller allow, because an unfinished one has an unknown outcome; a stream that is not finished is visibly broken off.

--- a/src/forwarding/admission.cpp
+++ b/src/forwarding/admission.cpp
@@ -20,6 +20,16 @@
     return refused;
 }
 
+// By when the request will have ended. Routes allow streams much more time than nearly all of them take. The longest recent one decides,
+// because a stream that is not finished in time is visibly broken off, while a call that is not has an unknown outcome.
+deadline latestEndOf(const forward_facts &facts, const traffic_route &route, instant arrived, const admission_inputs &inputs, instant now)
+{
+    const deadline allowed = std::min(facts.callerDeadline, deadline::after(arrived, route.timeout));
+    const bool isStream = route.kind == request_kind::streaming;
+    const auto longest = isStream && inputs.durations != nullptr ? inputs.durations->longest(route.id, now) : std::nullopt;
+    return longest ? std::min(allowed, deadline::after(arrived, *longest)) : allowed;
+}
+
 } // namespace
 
 admission_decision decideAdmission(const forward_facts &facts, instant arrived, const admission_inputs &inputs, instant now)
@@ -46,8 +56,7 @@
         }
     }
     // A request that may last longer than the shutdown's grace period is left to other instances, which can finish it.
-    const deadline latestEnd = std::min(facts.callerDeadline, deadline::after(arrived, route->timeout));
-    if (inputs.finishBy < latestEnd) {
+    if (inputs.finishBy < latestEndOf(facts, *route, arrived, inputs, now)) {
         return refusal({refusal_cause::shutting_down}, now);
     }
     admission_decision decision;
--- a/src/forwarding/admission.h
+++ b/src/forwarding/admission.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "forwarding/forward_flow.h"
+#include "forwarding/route_durations.h"
 
 #include <chrono>
 #include <memory>
@@ -18,6 +19,8 @@
     bool hasInitialState = false;
     /// While shutting down, when the last response has to be complete; otherwise never.
     deadline finishBy = deadline::never();
+    /// Durations of streams; null when none are known.
+    const route_durations *durations = nullptr;
     /// Null when no prompts are refused.
     const prompt_quarantine *quarantine = nullptr;
 };
--- a/src/gateway/dispatch_actions.cpp
+++ b/src/gateway/dispatch_actions.cpp
@@ -123,7 +123,9 @@
 {
     if (flow.flow.isDone()) {
         const admitted_request &request = flow.flow.request();
-        flow.end.took = boot_clock::now() - request.arrived;
+        const instant now = boot_clock::now();
+        flow.end.took = now - request.arrived;
+        m_durations.note(request.route->id, flow.end.took, now);
         m_outbox.count("requests_total", "outcome", flow.end.outcome);
         m_outbox.recordLatency("request_seconds", "kind", requestKindName(request.route->kind), flow.end.took);
         m_requests.writeDone(request, flow.flow.attemptCount(), flow.end);
--- a/src/gateway/dispatch_task.cpp
+++ b/src/gateway/dispatch_task.cpp
@@ -75,7 +75,7 @@
         m_outbox.count("requests_total", "outcome", "dropped");
         return;
     }
-    const admission_inputs inputs = {m_fleet.plan(), m_fleet.hasInitialState(), m_finishBy, &m_fleet.quarantine()};
+    const admission_inputs inputs = {m_fleet.plan(), m_fleet.hasInitialState(), m_finishBy, &m_durations, &m_fleet.quarantine()};
     admission_decision decided = decideAdmission(facts, arrived.arrived, inputs, boot_clock::now());
     if (!decided.request) {
         refuse(arrived.flow, decided, facts);
--- a/src/gateway/dispatch_task.h
+++ b/src/gateway/dispatch_task.h
@@ -118,6 +118,7 @@
     plan_version m_publishedPlan;
     std::int64_t m_publishedInstanceCount = 1;
     service_retry_budget m_retryBudget;
+    route_durations m_durations;
     std::int64_t m_reportSequence = 0;
     std::int64_t m_crashReportSequence = 0;
     std::map<flow_id, awaiting_quota> m_awaitingQuota;
--- a/tests/forwarding/admission_test.cpp
+++ b/tests/forwarding/admission_test.cpp
@@ -15,6 +15,7 @@
     std::shared_ptr<const plan_index> limited;
     deadline finishBy = deadline::never();
     deadline callerDeadline = deadline::never();
+    route_durations durations;
 
     admission_fixture()
     {
@@ -37,7 +38,7 @@
         facts.path = path;
         facts.key = key;
         facts.callerDeadline = callerDeadline;
-        return decideAdmission(facts, now, {limited, true, finishBy}, now);
+        return decideAdmission(facts, now, {limited, true, finishBy, &durations}, now);
     }
 };
 
@@ -88,3 +89,26 @@
         CHECK_TRUE(fixture.decide(path, "k").request.has_value());
     }
 }
+
+// Guards against refusing every stream of a stopping instance because routes allow streams more time than the grace period: in a calm roll
+// 3 of 100 requests were not served (own-stops on rampa-hat).
+TEST(admission, judgesStreamsDuringShutdownByTheLongestRecentOne)
+{
+    admission_fixture fixture;
+    fixture.finishBy = deadline::after(fixture.now, 3s);
+    CHECK(fixture.decide("/stream/x", "k").cause == refusal_cause::shutting_down);
+    for (const char *name : {"stream", "unsafe", "safe"}) {
+        fixture.durations.note(route_id(name), 2s, fixture.now);
+        fixture.durations.note(route_id(name), 1s, fixture.now);
+    }
+    CHECK_TRUE(fixture.decide("/stream/x", "k").request.has_value());
+    CHECK_FALSE(fixture.decide("/unsafe/x", "k").request.has_value());
+    CHECK_FALSE(fixture.decide("/safe/x", "k").request.has_value());
+    fixture.durations.note(route_id("stream"), 4s, fixture.now);
+    CHECK_FALSE(fixture.decide("/stream/x", "k").request.has_value());
+    // Old durations are forgotten.
+    CHECK_TRUE(fixture.durations.longest(route_id("stream"), fixture.now + 30s).has_value());
+    fixture.durations.note(route_id("stream"), 1s, fixture.now + 50s);
+    CHECK(*fixture.durations.longest(route_id("stream"), fixture.now + 50s) == 1s);
+    CHECK_FALSE(fixture.durations.longest(route_id("stream"), fixture.now + 200s).has_value());
+}
