Spare a store that does not respond, or that all instances read at once

During an outage each of the topics of each instance tried again on its own. And whenever its reader changed, an instance read all four topics anew.

Change: the topics of an instance share a gate: after a failure one call at a time, with pauses up to 1 s, until one succeeds. The timeout of a response doubles with each failure, up to eight times. A reader tells how long ago it found a change without a record, and an instance that comes to it reads everything only if it has not done so since.

--- a/src/gateway/store_task.h
+++ b/src/gateway/store_task.h
@@ -86,6 +86,7 @@
     /// The newest crash report that has not been sent yet.
     std::optional<std::string> m_unsentCrashReport;
     timer m_sendCrashReportTimer;
+    store_gate m_gate;
     topic_relay m_relay;
     topic_relay_client m_relayClient;
     std::vector<quota_partition_holder> m_holders;
--- a/src/gateway/topic_follower.cpp
+++ b/src/gateway/topic_follower.cpp
@@ -1,5 +1,6 @@
 #include "gateway/topic_follower.h"
 
+#include <algorithm>
 #include <array>
 #include <utility>
 
@@ -17,6 +18,7 @@
 constexpr milliseconds staleRetryDelay {250};
 // Delay before repeating a check that was postponed because records before the end of its first page had not been read yet.
 constexpr milliseconds checkRetryDelay {1000};
+constexpr int maxTimeoutDoublings = 3;
 // An instance counts as relaying for this long after the last request for its records.
 constexpr milliseconds relayActivePeriod {3000};
 
@@ -78,9 +80,13 @@
     if (isReader && !m_fullReadCause && m_rereadAt.hasPassed(now)) {
         m_fullReadCause = full_read_cause::check;
     }
+    if ((m_fullReadCause || isReader) && waitForStore(now)) {
+        return;
+    }
     if (m_fullReadCause) {
         m_page.clear();
         m_afterKey.clear();
+        m_pagesBegunAt = now;
         readNewest();
     } else if (isReader) {
         readUpdates();
@@ -89,9 +95,20 @@
     }
 }
 
+bool topic_follower::waitForStore(instant now)
+{
+    const deadline next = m_relays.gate.nextCallAt(now);
+    if (!next.hasPassed(now)) {
+        m_next.start(next);
+        return true;
+    }
+    m_relays.gate.noteBegun(now);
+    return false;
+}
+
 void topic_follower::readNewest()
 {
-    const deadline until = deadline::after(boot_clock::now(), m_settings.responseTimeout);
+    const deadline until = deadline::after(boot_clock::now(), responseTimeout());
     m_calls.count(store_call::read_newest);
     m_call.begin(m_dialect.readNewest(m_settings.topic, m_afterKey), until, [this](const outcome<http_response> &response) {
         handlePage(response);
@@ -101,10 +118,10 @@
 void topic_follower::readUpdates()
 {
     const instant now = boot_clock::now();
-    const milliseconds wait = pollTiming(now).wait;
+    const milliseconds wait = m_relays.gate.isFailing() ? milliseconds::zero() : pollTiming(now).wait;
     m_calls.count(store_call::read_updates);
     m_call.begin(m_dialect.readFrom(m_settings.topic, m_position, wait),
-                 deadline::after(now, wait + m_settings.responseTimeout),
+                 deadline::after(now, wait + responseTimeout()),
                  [this](const outcome<http_response> &response) { handleBatch(response); });
 }
 
@@ -119,6 +136,13 @@
         });
 }
 
+milliseconds topic_follower::responseTimeout() const
+{
+    // A store that all instances read at once, as after a mass restart or a large change, responds late. With a fixed timeout all of them
+    // would give up, and begin again, before any response.
+    return m_settings.responseTimeout * (1 << std::min(m_failures, maxTimeoutDoublings));
+}
+
 bool topic_follower::isRelaying(instant now) const
 {
     return now - m_relays.relay.lastRequestAt() < relayActivePeriod;
@@ -145,7 +169,7 @@
         retryLater("a page announces more records and does not advance");
         return;
     }
-    recordSuccess();
+    recordStoreSuccess();
     if (m_page.empty() && m_afterKey.empty()) {
         // The pages do not show the topic at a single moment. Changes made while they are read have records at or after the end offset of
         // the first page, which is the offset of the next record to read.
@@ -183,6 +207,7 @@
         return;
     }
     m_rereadAt = deadline::after(now, m_settings.rereadInterval);
+    m_completeAt = m_pagesBegunAt;
     std::map<std::string, newest_record> listed;
     for (const store_record &record : m_page) {
         const auto known = m_newest.find(record.key);
@@ -192,7 +217,7 @@
     if (!isCheck || hasUnreportedChange(listed)) {
         m_newest = std::move(listed);
         m_position = m_pageEnd;
-        m_relays.relay.recordSnapshot(m_settings.topic, m_position);
+        m_relays.relay.recordSnapshot(m_settings.topic, m_position, now);
         m_onUpdate(topic_snapshot {m_settings.topic, std::exchange(m_page, {}), storeSilence(now)});
     }
     recordUpToDate(now);
@@ -224,7 +249,7 @@
     auto batch = m_dialect.decodeBatch(response.value());
     if (!batch && batch.error().code == error_code::not_found) {
         m_log.write(log_line("store", "history_gone").add("topic", topicName(m_settings.topic)).add("position", m_position));
-        recordSuccess();
+        recordStoreSuccess();
         m_fullReadCause = full_read_cause::needed;
         scheduleNextCall(milliseconds::zero());
         return;
@@ -233,7 +258,7 @@
         retryLater(batch.error().message);
         return;
     }
-    recordSuccess();
+    recordStoreSuccess();
     if (batch.value().end < m_position) {
         m_log.write(log_line("store", "stale_answer_ignored")
                         .add("topic", topicName(m_settings.topic))
@@ -279,7 +304,7 @@
     const bool isNewReader = !m_readerResyncCount;
     const bool hasReaderResynced = m_readerResyncCount && *m_readerResyncCount != read.resyncCount;
     m_readerResyncCount = read.resyncCount;
-    if (read.isTruncated || hasReaderResynced || (isNewReader && m_rereadAt.hasPassed(now))) {
+    if (read.isTruncated || hasReaderResynced || (isNewReader && mayHaveMissedChange(read, now))) {
         m_log.write(log_line("store", "newest_needed")
                         .add("topic", topicName(m_settings.topic))
                         .add("gone", read.isTruncated)
@@ -300,6 +325,11 @@
     scheduleNextCall(m_settings.askPause);
 }
 
+bool topic_follower::mayHaveMissedChange(const peer_records_response &response, instant now) const
+{
+    return m_rereadAt.hasPassed(now) && now - response.sinceResync > m_completeAt;
+}
+
 std::string_view topic_follower::unusableReason(const outcome<peer_records_response> &response) const
 {
     if (!response) {
@@ -314,10 +344,17 @@
 void topic_follower::recordSuccess()
 {
     m_isFailing = false;
+    m_failures = 0;
     m_backoff.reset();
     m_onContact(true);
 }
 
+void topic_follower::recordStoreSuccess()
+{
+    m_relays.gate.noteSuccess();
+    recordSuccess();
+}
+
 milliseconds topic_follower::storeSilence(instant now) const
 {
     return m_lastUpToDateAt ? std::chrono::floor<milliseconds>(now - *m_lastUpToDateAt) : milliseconds::zero();
@@ -332,6 +369,8 @@
 {
     m_log.write(log_line("store", "call_failed").add("topic", topicName(m_settings.topic)).add("cause", cause).add("position", m_position));
     m_isFailing = true;
+    ++m_failures;
+    m_relays.gate.noteFailure(boot_clock::now(), m_random);
     m_onContact(false);
     m_next.start(deadline::after(boot_clock::now(), m_backoff.next(m_random)));
 }
--- a/src/gateway/topic_follower.h
+++ b/src/gateway/topic_follower.h
@@ -3,6 +3,7 @@
 #include "gateway/gateway_messages.h"
 #include "gateway/serial_http_client.h"
 #include "gateway/store_call_counter.h"
+#include "gateway/store_gate.h"
 #include "gateway/topic_relay.h"
 #include "gateway/topic_relay_client.h"
 #include "logging/log_writer_task.h"
@@ -41,13 +42,16 @@
     std::chrono::milliseconds rereadInterval {};
 };
 
-/// Connections to other instances: the source of records besides the store, and the receivers of records.
+/// What the topics of an instance share: the source of records besides the store, the receivers of records, and the limit of calls to the
+/// store.
 struct topic_relays
 {
     /// Requests records from the instance that reads at the store.
     topic_relay_client &relayClient;
     /// Serves records to the instances that request them from this one.
     topic_relay &relay;
+    /// Shared by the topics of this instance.
+    store_gate &gate;
 };
 
 /// Follows one topic: reads the newest record of each key at the store, then the records that follow. These come from another instance that
@@ -82,6 +86,8 @@
 
 private:
     void startNextCall();
+    /// Postpones the next call while the store does not respond and another topic tries it. Returns whether it did.
+    bool waitForStore(instant now);
     void readNewest();
     void readUpdates();
     void requestFromReader();
@@ -89,13 +95,18 @@
     void finishPages();
     void handleBatch(const outcome<http_response> &response);
     void handleRelayed(const outcome<peer_records_response> &response);
+    /// True if the reader may have found a change without a record that this instance, which had another reader, does not know.
+    bool mayHaveMissedChange(const peer_records_response &response, instant now) const;
     /// Returns why a response of another instance cannot be used, or an empty string if it can.
     std::string_view unusableReason(const outcome<peer_records_response> &response) const;
     void applyRecords(std::vector<store_record> &&records, instant now);
+    /// Longest time for a response; grows with each failure.
+    std::chrono::milliseconds responseTimeout() const;
     /// True while other instances request records of any topic from this one.
     bool isRelaying(instant now) const;
     poll_timing pollTiming(instant now) const;
     void recordSuccess();
+    void recordStoreSuccess();
     /// Time since this instance last had all records of the topic.
     std::chrono::milliseconds storeSilence(instant now) const;
     /// Records that all records that the store had at a time are known.
@@ -136,6 +147,8 @@
     /// Set while the newest records have to be read.
     std::optional<full_read_cause> m_fullReadCause = full_read_cause::needed;
     bool m_isFailing = false;
+    /// Calls that have failed since the last success.
+    int m_failures = 0;
     /// When all records of the topic were last known.
     std::optional<instant> m_lastUpToDateAt;
     bool m_isRequestPending = false;
@@ -147,6 +160,9 @@
     store_offset m_position;
     std::map<std::string, newest_record> m_newest;
     deadline m_rereadAt;
+    instant m_pagesBegunAt;
+    /// Changes without a record are known up to this time, when the newest records were last read.
+    instant m_completeAt;
 };
 
 } // namespace burdockshelf
--- a/src/gateway/topic_relay.cpp
+++ b/src/gateway/topic_relay.cpp
@@ -26,11 +26,12 @@
 {
 }
 
-void topic_relay::recordSnapshot(store_topic topic, store_offset end)
+void topic_relay::recordSnapshot(store_topic topic, store_offset end, instant now)
 {
     topic_state &state = m_topics.at(indexOf(topic));
     state.history.begin(end);
     ++state.resyncCount;
+    state.resyncedAt = now;
 }
 
 void topic_relay::recordUpdates(store_topic topic, const std::vector<store_record> &records)
@@ -86,6 +87,7 @@
     if (state != nullptr && state->isReadAtStore) {
         response.isReader = true;
         response.resyncCount = state->resyncCount;
+        response.sinceResync = std::chrono::floor<std::chrono::milliseconds>(now - state->resyncedAt);
         response.end = log_offset(state->history.end().value());
         response.age = std::chrono::ceil<std::chrono::milliseconds>(now - state->lastContactAt);
         const bool isAhead = request.from > response.end;
--- a/src/gateway/topic_relay.h
+++ b/src/gateway/topic_relay.h
@@ -18,7 +18,7 @@
 
     /// This instance has read the newest record of each key, instead of the individual records up to the given offset. Clears the history,
     /// which continues at that offset, and increments resyncCount, so that the other instances read all newest records at the store.
-    void recordSnapshot(store_topic topic, store_offset end);
+    void recordSnapshot(store_topic topic, store_offset end, instant now);
     /// Appends records that this instance has received from the store or another instance.
     void recordUpdates(store_topic topic, const std::vector<store_record> &records);
     /// The store has responded to a read of the topic. Responds to the waiting requests for which there are records; the age reported to
@@ -41,6 +41,7 @@
         record_history history;
         bool isReadAtStore = false;
         std::int64_t resyncCount = 0;
+        instant resyncedAt;
         instant lastContactAt;
     };
 
--- a/src/policy/peer_message.h
+++ b/src/policy/peer_message.h
@@ -176,6 +176,8 @@
     log_offset end;
     /// How often the reader has found a change at the store that was not announced by a record.
     std::int64_t resyncCount = 0;
+    /// Time since the reader last found such a change, or since it began to read the topic.
+    std::chrono::milliseconds sinceResync {};
     /// Time since the store last answered the reader.
     std::chrono::milliseconds age {};
 };
--- a/src/wire/peer_codec.cpp
+++ b/src/wire/peer_codec.cpp
@@ -407,6 +407,7 @@
             {"r", std::move(entries)},
             {"e", response.end.value()},
             {"s", response.resyncCount},
+            {"t", response.sinceResync.count()},
             {"a", response.age.count()}};
 }
 
@@ -416,6 +417,7 @@
     body.read("g", response.isTruncated);
     body.read("e", response.end);
     body.read("s", response.resyncCount);
+    body.read("t", response.sinceResync);
     body.read("a", response.age);
     for (const json &entry : body.elements("r")) {
         const bool hasSize = entry.is_array() && !entry.empty() && entry.size() <= 2;
--- a/tests/gateway/topic_relay_test.cpp
+++ b/tests/gateway/topic_relay_test.cpp
@@ -48,7 +48,7 @@
     fixture.request(0, 500ms);
     LONGS_EQUAL(1, fixture.responses.size());
     CHECK_FALSE(fixture.responses.front().isReader);
-    fixture.relay.recordSnapshot(topic, store_offset(4));
+    fixture.relay.recordSnapshot(topic, store_offset(4), fixture.now);
     fixture.relay.recordContact(topic, fixture.now);
     fixture.relay.markNotReading(topic);
     fixture.request(4, 500ms);
@@ -57,7 +57,7 @@
 
 TEST(topic_relay, answersAWaitingRequestAsSoonAsThereAreRecords)
 {
-    fixture.relay.recordSnapshot(topic, store_offset(4));
+    fixture.relay.recordSnapshot(topic, store_offset(4), fixture.now);
     fixture.relay.recordContact(topic, fixture.now);
     fixture.request(4, 500ms);
     CHECK_TRUE(fixture.responses.empty());
@@ -75,7 +75,7 @@
 // Guards against skipping records that the relay no longer keeps.
 TEST(topic_relay, reportsTruncatedRecords)
 {
-    fixture.relay.recordSnapshot(topic, store_offset(4));
+    fixture.relay.recordSnapshot(topic, store_offset(4), fixture.now);
     fixture.relay.recordUpdates(topic, {record("a", "1"), record("b", "2")});
     fixture.relay.recordContact(topic, fixture.now);
     fixture.request(5, 0ms);
@@ -84,7 +84,7 @@
     fixture.request(3, 0ms);
     CHECK_TRUE(fixture.responses.back().isTruncated);
     const std::int64_t before = fixture.responses.back().resyncCount;
-    fixture.relay.recordSnapshot(topic, store_offset(6));
+    fixture.relay.recordSnapshot(topic, store_offset(6), fixture.now);
     fixture.request(5, 0ms);
     CHECK_TRUE(fixture.responses.back().isTruncated);
     CHECK(fixture.responses.back().resyncCount > before);
@@ -94,7 +94,7 @@
 // second in the run rampa-hat-grown trouble-1).
 TEST(topic_relay, letsARequesterThatIsAheadWait)
 {
-    fixture.relay.recordSnapshot(topic, store_offset(4));
+    fixture.relay.recordSnapshot(topic, store_offset(4), fixture.now);
     fixture.relay.recordContact(topic, fixture.now);
     fixture.request(9, 30ms);
     CHECK_TRUE(fixture.responses.empty());
@@ -108,13 +108,26 @@
 // The requesting instance decides by the age whether it has to read at the store itself.
 TEST(topic_relay, reportsTheAgeOfTheLastContact)
 {
-    fixture.relay.recordSnapshot(topic, store_offset(4));
+    fixture.relay.recordSnapshot(topic, store_offset(4), fixture.now);
     fixture.relay.recordContact(topic, fixture.now - 700ms);
     fixture.relay.recordUpdates(topic, {record("a", "1")});
     fixture.request(4, 0ms);
     LONGS_EQUAL(700, fixture.responses.back().age.count());
 }
 
+// A requester that has had another reader reads everything again only if this reader has found a change without a record since the
+// requester did. Guards against four reads of all records by each instance whenever its reader changes (rampa-hat-large trouble-3).
+TEST(topic_relay, reportsTheTimeSinceItsLastResync)
+{
+    fixture.relay.recordSnapshot(topic, store_offset(4), fixture.now - 900ms);
+    fixture.relay.recordContact(topic, fixture.now);
+    fixture.request(3, 0ms);
+    LONGS_EQUAL(900, fixture.responses.back().sinceResync.count());
+    fixture.relay.recordUpdates(topic, {record("a", "1")});
+    fixture.request(4, 0ms);
+    LONGS_EQUAL(900, fixture.responses.back().sinceResync.count());
+}
+
 TEST(topic_relay, answersRequestsForUnknownTopics)
 {
     const sink<peer_message> reply([this](const peer_message &message) {
--- a/tests/wire/peer_codec_test.cpp
+++ b/tests/wire/peer_codec_test.cpp
@@ -62,6 +62,7 @@
                                    {{anyText(), anyText()}, {anyText(), std::nullopt}},
                                    log_offset(anyCount()),
                                    anyCount(),
+                                   1ms * anyCount(),
                                    1ms * anyCount()},
             acknowledgement {anyFlag()}};
 }
