Report and renew membership less often in a large fleet

Cause: 295 instances write a report every 10 s each and call the store every second to stay in its group, though at most 24 of them hold a partition there.

Change: the interval of reports grows with the number of instances beyond 100, so that all together write at most ten a second; an instance counts as gone after three missed ones. A member without work renews its membership every 2.4 s, and every second for 8 s after it learns that a holder does not respond. The session lasts 6 s instead of 3, so that the quota pool bears an outage of the store of 5 s; a holder that is gone for good is replaced after 6 s. The list of holders is first read after 1 s instead of 3, until when every instance reads the store for itself.

--- a/src/forwarding/member_view.cpp
+++ b/src/forwarding/member_view.cpp
@@ -1,5 +1,6 @@
 #include "forwarding/member_view.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace burdockshelf
@@ -8,12 +9,22 @@
 namespace
 {
 
-// Reports are written and read every ten seconds, and one may be missed. Counting a stopped instance for too long only makes the shares of
-// the others smaller.
-constexpr std::chrono::seconds memberTimeout {32};
+constexpr std::chrono::milliseconds minReportInterval {10'000};
+// Beyond this number of instances they report less often, so that the reports of all together do not grow with it.
+constexpr std::int64_t instancesAtMinInterval = 100;
+// Reports of instances that were replaced stay in the store and must not lengthen the interval without end.
+constexpr std::int64_t instancesAtMaxInterval = 600;
+// Two reports may be missed. Counting a stopped instance for too long only makes the shares of the others smaller.
+constexpr std::int64_t reportsPerTimeout = 3;
+constexpr std::chrono::milliseconds reportDelay {2000};
 
 } // namespace
 
+std::chrono::milliseconds memberReportInterval(std::int64_t instances)
+{
+    return minReportInterval * std::clamp(instances, instancesAtMinInterval, instancesAtMaxInterval) / instancesAtMinInterval;
+}
+
 member_view::member_view(instance_id self)
     : m_self(std::move(self))
 {
@@ -39,18 +50,14 @@
 
 std::vector<instance_id> member_view::instances(instant now) const
 {
+    const auto timeout = memberReportInterval(static_cast<std::int64_t>(m_members.size())) * reportsPerTimeout + reportDelay;
     std::vector<instance_id> reporting = {m_self};
     for (const auto &[instance, entry] : m_members) {
-        if (instance != m_self && hasReportedRecently(entry, now)) {
+        if (instance != m_self && now - entry.changedAt <= timeout) {
             reporting.push_back(instance);
         }
     }
     return reporting;
 }
 
-bool member_view::hasReportedRecently(const member &entry, instant now) const
-{
-    return now - entry.changedAt <= memberTimeout;
-}
-
 } // namespace burdockshelf
--- a/src/forwarding/member_view.h
+++ b/src/forwarding/member_view.h
@@ -17,6 +17,9 @@
     std::int64_t sequence = 0;
 };
 
+/// Time between two reports of an instance, among so many instances.
+std::chrono::milliseconds memberReportInterval(std::int64_t instances);
+
 /// The instances that have reported recently. Freshness is judged by when a changed report was seen here, so that the instances' clocks
 /// need not agree.
 class member_view
@@ -37,8 +40,6 @@
         instant changedAt;
     };
 
-    bool hasReportedRecently(const member &entry, instant now) const;
-
     instance_id m_self;
     std::map<instance_id, member> m_members;
 };
--- a/src/forwarding/stage_control_lease.cpp
+++ b/src/forwarding/stage_control_lease.cpp
@@ -8,7 +8,7 @@
 namespace
 {
 
-// Validity of one confirmation: half of the time after which the store assigns stage control to another instance.
+// Validity of one confirmation, well below the time after which the store assigns stage control to another instance.
 constexpr std::chrono::milliseconds confirmationLifetime {1500};
 
 } // namespace
--- a/src/gateway/dispatch_task.cpp
+++ b/src/gateway/dispatch_task.cpp
@@ -16,10 +16,8 @@
 
 using std::chrono::milliseconds;
 
-// How often metrics are sent and the instance count, on which the shares depend, is refreshed.
+// How often metrics are sent and the instance count, on which the shares depend, is refreshed. Reports to the other instances are rarer.
 constexpr milliseconds stateReportInterval {1000};
-// Every tenth state report is also published to the other instances through the store.
-constexpr std::int64_t reportsPerMemberReport = 10;
 // Keeps one extra share of each endpoint's connections free for instances that are about to join.
 constexpr std::int64_t spareConnectionShares = 1;
 constexpr std::size_t minConnectionsPerEndpoint = 4;
@@ -355,8 +353,9 @@
     m_fleet.quarantine().review(now);
     publishQuarantine();
     publishChanges();
-    if (m_reportSequence++ % reportsPerMemberReport == 0) {
-        const member_report report = {m_settings.incarnation, m_reportSequence};
+    if (m_memberReportDue.hasPassed(now)) {
+        m_memberReportDue = deadline::after(now, memberReportInterval(m_fleet.instanceCount()));
+        const member_report report = {m_settings.incarnation, ++m_memberReportSequence};
         m_outbox.toStore(publish_member_report {encodeMemberReport(report)});
     }
     publishEngines();
--- a/src/gateway/dispatch_task.h
+++ b/src/gateway/dispatch_task.h
@@ -119,7 +119,8 @@
     std::int64_t m_publishedInstanceCount = 1;
     service_retry_budget m_retryBudget;
     route_durations m_durations;
-    std::int64_t m_reportSequence = 0;
+    std::int64_t m_memberReportSequence = 0;
+    deadline m_memberReportDue;
     std::int64_t m_crashReportSequence = 0;
     std::map<flow_id, awaiting_quota> m_awaitingQuota;
     active_flows m_flows;
--- a/src/gateway/group_task.cpp
+++ b/src/gateway/group_task.cpp
@@ -11,6 +11,10 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds joinInterval {1000};
+// A member without any work renews its membership less often, unless a holder of partitions does not respond and this member may get its
+// work.
+constexpr milliseconds idleJoinInterval {2400};
+constexpr milliseconds takeoverTime {8000};
 constexpr milliseconds joinTimeout {600};
 constexpr milliseconds holdersTimeout {600};
 // Many requests may request a refresh of the list at the same time.
@@ -46,6 +50,7 @@
 
 void group_task::beginShutdown()
 {
+    m_isLeaving = true;
     m_joinTimer.stop();
     m_holdersReadTimer.stop();
     m_holdersCall.abandon();
@@ -61,6 +66,14 @@
 {
     // holders_requested is the only alternative.
     static_cast<void>(std::get<holders_requested>(message));
+    if (m_isLeaving) {
+        return;
+    }
+    const instant now = boot_clock::now();
+    m_takeoverUntil = deadline::after(now, takeoverTime);
+    if (const deadline next = deadline::after(now, joinInterval); next < m_joinTimer.at()) {
+        m_joinTimer.start(next);
+    }
     if (!m_holdersCall.isBusy() && !m_holdersReadTimer.isArmed()) {
         m_holdersReadTimer.start(m_nextHoldersReadAt);
     }
@@ -69,7 +82,7 @@
 void group_task::join()
 {
     const instant now = boot_clock::now();
-    m_joinTimer.start(deadline::after(now, joinInterval));
+    m_joinTimer.start(deadline::after(now, isIdle(now) ? idleJoinInterval : joinInterval));
     if (m_joinCall.isBusy()) {
         return;
     }
@@ -79,6 +92,12 @@
         request, deadline::after(now, joinTimeout), [this, now](const outcome<http_response> &response) { handleJoined(response, now); });
 }
 
+bool group_task::isIdle(instant now) const
+{
+    const bool hasWork = m_assignment.holdsStageControl || !m_assignment.quotaPartitions.empty();
+    return m_isConfirmed && !hasWork && m_takeoverUntil.hasPassed(now);
+}
+
 void group_task::handleJoined(const outcome<http_response> &response, instant sentAt)
 {
     auto joined = response ? m_dialect.decodeAssignment(response.value()) : outcome<group_assignment>(response.error());
--- a/src/gateway/group_task.h
+++ b/src/gateway/group_task.h
@@ -34,7 +34,7 @@
 {
 public:
     /// The store reassigns the work of an instance that has not renewed its membership for this long.
-    static constexpr std::chrono::milliseconds sessionTimeout {3000};
+    static constexpr std::chrono::milliseconds sessionTimeout {6000};
 
     group_task(event_loop &loop,
                std::shared_ptr<mailbox<group_message>> box,
@@ -49,6 +49,8 @@
 private:
     void handle(group_message &&message) override;
     void join();
+    /// A confirmed member without work, while no holder is known to have failed.
+    bool isIdle(instant now) const;
     void handleJoined(const outcome<http_response> &response, instant sentAt);
     void handleGenerationChange(const group_assignment &joined);
     void readHolders();
@@ -69,6 +71,9 @@
     deadline m_nextHoldersReadAt;
     group_assignment m_assignment;
     bool m_isConfirmed = false;
+    bool m_isLeaving = false;
+    /// While the work of another member may be about to be reassigned.
+    deadline m_takeoverUntil;
 };
 
 } // namespace burdockshelf
--- a/src/gateway/store_task.cpp
+++ b/src/gateway/store_task.cpp
@@ -44,7 +44,7 @@
 // Number of instances that request records from the same reader.
 constexpr std::int64_t instancesPerReader = 16;
 // Instances that start at the same time have joined the group by then.
-constexpr milliseconds firstHoldersRequestDelay {3000};
+constexpr milliseconds firstHoldersRequestDelay {1000};
 constexpr milliseconds holdersRequestInterval {5000};
 
 milliseconds longPollWait(milliseconds bound, milliseconds silence)
