--- a/src/wire/json_reader.h
+++ b/src/wire/json_reader.h
@@ -60,8 +60,8 @@
     double fraction(std::string_view key);
     /// A number from 1 to the given maximum.
     double factor(std::string_view key, double most);
-    /// A number that may have a fraction, moved to the nearest bound when it lies outside of the range. No value when the member is missing,
-    /// null or false. Anything else, and a negative number, is reported as invalid.
+    /// A number that may have a fraction, moved to the nearest bound when it lies outside of the range. No value when the member is
+    /// missing, null or false. Anything else, and a negative number, is reported as invalid.
     std::optional<double> clampedNumber(std::string_view key, number_range range);
     /// A duration in seconds, possibly with a fraction. The range is in milliseconds.
     std::chrono::milliseconds seconds(std::string_view key, number_range range);
