--- a/src/forwarding/quota_broker.cpp
+++ b/src/forwarding/quota_broker.cpp
@@ -88,7 +88,15 @@
         m_needsHolders = true;
         return takeFromShare(workspace, cost, now);
     }
-    // The pool is reachable and empty, so the workspace is at its limit. A debt of the share is for times without the pool.
+    if (m_shares.hasLargeShares()) {
+        quota_decision decision = takeFromShare(workspace, cost, now);
+        if (auto *refused = std::get_if<quota_refused>(&decision)) {
+            refused->holder = holder.instance;
+            refused->retryAfter = std::min(verdict->retryAfter, refused->retryAfter);
+        }
+        return decision;
+    }
+    // The pool is reachable and empty, so the workspace is at its limit. Debts of small shares are for times without the pool.
     return quota_refused {verdict->retryAfter, m_shares.shareOf(workspace), holder.instance};
 }
 
@@ -125,8 +133,9 @@
     if (m_shares.take(workspace, cost, now)) {
         return quota_granted {{workspace, cost, std::nullopt}};
     }
-    // The pool may be reachable again after the pause.
-    const auto wait = std::min(std::chrono::ceil<milliseconds>(m_shares.waitFor(workspace, cost, now)), unresponsiveHolderPause);
+    const auto shareWait = std::chrono::ceil<milliseconds>(m_shares.waitFor(workspace, cost, now));
+    // Where shares are small, the pool is needed, which may be reachable again after the pause.
+    const milliseconds wait = m_shares.hasLargeShares() ? shareWait : std::min(shareWait, unresponsiveHolderPause);
     return quota_refused {wait, m_shares.shareOf(workspace), std::nullopt};
 }
 
--- a/src/forwarding/workspace_shares.cpp
+++ b/src/forwarding/workspace_shares.cpp
@@ -12,12 +12,14 @@
 namespace
 {
 
-// Fractions of the tolerance that are split as burst among the instances, and that cover their debts. The rest covers instances that do not
-// know of each other yet, instances that restart with a full share, and partitions of the pool that move.
-constexpr double burstFractionOfTolerance = 0.25;
-constexpr double debtFractionOfTolerance = 0.45;
-// Up to this many instances, a share is large enough for prompts.
-constexpr double instancesWithLargeShares = 16.0;
+// Fraction of the tolerance that is split as burst among the instances. The rest covers instances that do not know of each other yet,
+// instances that restart with a full share, and partitions of the pool that move.
+constexpr double burstFractionOfLargeShares = 0.6;
+// Small shares hardly use a burst; more of the tolerance covers their debts.
+constexpr double burstFractionOfSmallShares = 0.25;
+constexpr double debtFractionOfSmallShares = 0.45;
+// Up to this many instances, a share is large enough for prompts, and debts are rare.
+constexpr std::int64_t instancesWithLargeShares = 16;
 constexpr double maxEvenSplitFraction = 0.4;
 // Covers plain calls, which are small and frequent, so that they are not delayed by a request to the pool.
 constexpr double minEvenSplitFraction = 0.05;
@@ -26,8 +28,8 @@
 
 double workspace_shares::evenSplitFraction(std::int64_t instances)
 {
-    const double scaled = maxEvenSplitFraction * instancesWithLargeShares / static_cast<double>(std::max<std::int64_t>(instances, 1));
-    return std::clamp(scaled, minEvenSplitFraction, maxEvenSplitFraction);
+    const double scale = static_cast<double>(instancesWithLargeShares) / static_cast<double>(std::max<std::int64_t>(instances, 1));
+    return std::clamp(maxEvenSplitFraction * scale, minEvenSplitFraction, maxEvenSplitFraction);
 }
 
 workspace_shares::workspace_shares(instance_id self, quota_tolerance tolerance)
@@ -120,6 +122,11 @@
     target.window.setRateAndBurst(target.rate * share(), burstOf(target), now);
 }
 
+bool workspace_shares::hasLargeShares() const
+{
+    return m_instanceCount <= instancesWithLargeShares;
+}
+
 double workspace_shares::share() const
 {
     return evenSplitFraction(m_instanceCount) / static_cast<double>(m_instanceCount);
@@ -127,7 +134,8 @@
 
 double workspace_shares::burstOf(const account &target) const
 {
-    return target.burst * share() + toleranceOf(target) * burstFractionOfTolerance / static_cast<double>(m_instanceCount);
+    const double burstFraction = hasLargeShares() ? burstFractionOfLargeShares : burstFractionOfSmallShares;
+    return target.burst * share() + toleranceOf(target) * burstFraction / static_cast<double>(m_instanceCount);
 }
 
 double workspace_shares::toleranceOf(const account &target) const
@@ -138,7 +146,10 @@
 
 bool workspace_shares::mayOverdraw(const workspace_id &workspace, const account &target, double cost) const
 {
-    const double debtors = toleranceOf(target) * debtFractionOfTolerance / cost;
+    if (hasLargeShares()) {
+        return true;
+    }
+    const double debtors = toleranceOf(target) * debtFractionOfSmallShares / cost;
     // The hash spreads the instances evenly, so that about as many are below the bound.
     const std::uint64_t rank = stableHash(m_self.value(), stableHash(workspace.value()));
     const double position = static_cast<double>(rank) / static_cast<double>(std::numeric_limits<std::uint64_t>::max());
--- a/src/forwarding/workspace_shares.h
+++ b/src/forwarding/workspace_shares.h
@@ -38,8 +38,10 @@
     static double costOf(const workspace_plan &workspace, std::optional<token_count> prompt, token_count output);
     /// Takes the cost only when the share covers all of it.
     bool takeInFull(const workspace_id &workspace, double cost, instant now);
-    /// Takes the cost. A cost that is larger than the whole share needs a full share and leaves a debt. Only as many instances may have a
-    /// debt as the tolerance covers; which ones differs between workspaces.
+    /// True among few instances, whose shares are large enough for prompts.
+    bool hasLargeShares() const;
+    /// Takes the cost. A cost that is larger than the whole share needs a full share and leaves a debt. Among many instances only as many
+    /// may have a debt as the tolerance covers; which ones differs between workspaces.
     bool take(const workspace_id &workspace, double cost, instant now);
     /// Returns the cost of a request that was not executed.
     void refundCost(const workspace_id &workspace, double cost);
