--- a/src/forwarding/forward_flow.cpp
+++ b/src/forwarding/forward_flow.cpp
@@ -20,11 +20,6 @@
 // Only successful responses are streamed.
 constexpr int statusOk = 200;
 
-bool usesPrompt(attempt_kind attemptKind)
-{
-    return attemptKind == attempt_kind::prefill || attemptKind == attempt_kind::decode;
-}
-
 } // namespace
 
 forward_flow::forward_flow(admitted_request request)
@@ -123,8 +118,7 @@
         if (isUnsent(outcome)) {
             ++m_connectFailures;
             counterOf(ended->attemptKind) -= 1;
-        } else if (isNotExecuted(outcome) && usesPrompt(ended->attemptKind)) {
-            // The route limits the engines that run a request, and one engine that sheds load says nothing of the others.
+        } else if (isNotExecuted(outcome) && ended->attemptKind == attempt_kind::prefill) {
             ++m_rejections;
             counterOf(ended->attemptKind) -= 1;
         }
--- a/src/forwarding/forward_flow.h
+++ b/src/forwarding/forward_flow.h
@@ -178,7 +178,8 @@
     std::int64_t m_prefillsSent = 0;
     std::int64_t m_reservesSent = 0;
     std::int64_t m_connectFailures = 0;
-    /// Prefills and decodes that an engine rejected without execution.
+    /// Prefills that an engine rejected. They do not count as attempts of the route: nothing was processed, and one engine that sheds load
+    /// says nothing of the others.
     std::int64_t m_rejections = 0;
     bool m_mayHaveExecuted = false;
     bool m_isHeadRelayed = false;
--- a/src/forwarding/forward_flow_ends.cpp
+++ b/src/forwarding/forward_flow_ends.cpp
@@ -17,7 +17,7 @@
 // prefill that cannot be sent is left out in favour of a decode without its result, and a decode that cannot be sent, is refused or breaks
 // off is not repeated. No byte of the request was sent on any of these connections.
 constexpr std::int64_t maxConnectFailures = 4;
-// A request is refused after more rejections than this: where so many endpoints reject it, the others are busy as well.
+// A prompt is refused after more rejections than this: where so many prefill endpoints reject it, the others are busy as well.
 constexpr std::int64_t maxRejections = 3;
 
 } // namespace
@@ -176,8 +176,7 @@
         failRequest(refusal_cause::suspected);
         return;
     }
-    const bool mayContinue =
-        (!m_mayHaveExecuted || mayRetry()) && hasAttemptsLeft() && m_connectFailures < maxConnectFailures && m_rejections <= maxRejections;
+    const bool mayContinue = (!m_mayHaveExecuted || mayRetry()) && hasAttemptsLeft() && m_connectFailures < maxConnectFailures;
     const bool needsNoRetryBudget = isUnsent(outcome) && m_attempts.isNewest(ended.number) && m_attemptsUsed == 0;
     if (mayContinue && (needsNoRetryBudget || spendRetry())) {
         startReservationSearch();
