Send nothing on a connection that was given up

The first run began 241 ms after the booking had reached its instance and was cut by that instance after 6 ms.

Cause: a connection keeps its request until it is established. After the connect timeout the attempt was reported as not sent, and the connection was destroyed in the next iteration of the event loop. When it was established in the same iteration, the request was still written, while the dispatcher sent it to another endpoint.

Change: abandon() drops the request that has not been sent.

--- a/src/http1/client_connection.cpp
+++ b/src/http1/client_connection.cpp
@@ -78,6 +78,8 @@
     m_handlers = {};
     m_isBusy = false;
     m_isUsable = false;
+    // The connection may still be established before it is destroyed.
+    m_unsent.clear();
 }
 
 void client_connection::rejectResponse()
--- a/src/http1/client_connection.h
+++ b/src/http1/client_connection.h
@@ -59,7 +59,8 @@
 
     /// Starts an exchange; the connection must be idle.
     void send(const http_request &request, exchange_handlers handlers);
-    /// Ends the exchange without calling its handlers. The connection cannot be reused.
+    /// Ends the exchange without calling its handlers. A request that has not been sent yet is not sent any more. The connection cannot be
+    /// reused.
     void abandon();
     /// To be called by onHead or onBody when the response is larger than the receiver accepts. The exchange ends as too_large once the
     /// handler has returned.
--- a/tests/http1/client_connection_test.cpp
+++ b/tests/http1/client_connection_test.cpp
@@ -30,6 +30,7 @@
     std::vector<std::unique_ptr<byte_stream>> streams;
     std::vector<std::string> responses;
     std::size_t next = 0;
+    std::size_t receivedBytes = 0;
     bool closesAfterResponse = false;
     bool isTimedOut = false;
 
@@ -63,6 +64,7 @@
         byte_stream::handlers handlers;
         handlers.onReadable = [server, index] {
             byte_stream &stream = *server->streams[index];
+            server->receivedBytes += stream.peek().size();
             stream.drop(stream.peek().size());
             if (server->next < server->responses.size()) {
                 stream.write(server->responses[server->next++]);
@@ -202,3 +204,22 @@
     CHECK_TRUE(connection.isReusable(now + 4s));
     CHECK_FALSE(connection.isReusable(now + 5s));
 }
+
+// Guards against a request that reaches its server after the attempt was given up as not sent: when the connect timeout and the connection
+// came in the same iteration of the event loop, a booking was sent here and to a second server (rampa-hat-large trouble-1: TWICE).
+TEST(client_connection, sendsNothingAfterItWasAbandoned)
+{
+    scripted_server server;
+    client_connection connection(server.loop, server.address, {});
+    exchange_handlers handlers;
+    handlers.onEnd = [](exchange_outcome) {
+    };
+    connection.send({"POST", "/book", {}, "booking"}, std::move(handlers));
+    CHECK_FALSE(connection.isConnected());
+    connection.abandon();
+    timer end(server.loop, [&server] { server.loop.stop(); });
+    end.start(deadline::after(boot_clock::now(), 100ms));
+    server.loop.run();
+    LONGS_EQUAL(1, server.streams.size());
+    LONGS_EQUAL(0, server.receivedBytes);
+}
