--- a/tests/gateway/broken_response_test.cpp
+++ b/tests/gateway/broken_response_test.cpp
@@ -38,6 +38,12 @@
     return "HTTP/1.1 200 OK\r\nX-Server-Seal: seal\r\nContent-Type: text/event-stream\r\nX-Attempt-Id: " + id + "\r\n" + framing + "\r\n";
 }
 
+// The head of a successful response but for its framing.
+std::string sealedHead(const std::string &id)
+{
+    return "HTTP/1.1 200 OK\r\nX-Attempt-Id: " + id + "\r\nX-Server-Seal: seal\r\n";
+}
+
 std::string chunk(const std::string &bytes)
 {
     char size[16];
@@ -298,9 +304,7 @@
         for (const std::string &rest :
              {std::string("Content-Length: 50\r\n\r\nshort"), chunked + "\r\n" + chunk("short"), chunked + "\r\n5\r\nsh"}) {
             for (const connection_end how : {connection_end::closed, connection_end::reset}) {
-                scripts = {write(
-                    [&](const std::string &id) { return "HTTP/1.1 200 OK\r\nX-Attempt-Id: " + id + "\r\nX-Server-Seal: seal\r\n" + rest; },
-                    how)};
+                scripts = {write([&](const std::string &id) { return sealedHead(id) + rest; }, how)};
                 const auto caller = call(method, target);
                 CHECK(caller->status() >= 500);
             }
