--- a/review/harness.h
+++ b/review/harness.h
@@ -1117,8 +1117,11 @@
 public:
     scratch_folder()
     {
-        char name[] = "/tmp/burdockshelf-review-XXXXXX";
-        m_path = mkdtemp(name);
+        m_path = (std::filesystem::temp_directory_path() / "burdockshelf-review-XXXXXX").string();
+        if (mkdtemp(m_path.data()) == nullptr) {
+            std::perror("mkdtemp");
+            std::exit(exitNotRun);
+        }
     }
 
     ~scratch_folder()
