Log what a stopping instance expects of the requests it takes

admitted_in_shutdown names the request, how long it is expected to last, how long its route and its caller allow, and the time left.

--- a/src/forwarding/admission.cpp
+++ b/src/forwarding/admission.cpp
@@ -56,10 +56,12 @@
         }
     }
     // A request that may last longer than the shutdown's grace period is left to other instances, which can finish it.
-    if (inputs.finishBy < latestEndOf(facts, *route, arrived, inputs, now)) {
+    const deadline expectedEnd = latestEndOf(facts, *route, arrived, inputs, now);
+    if (inputs.finishBy < expectedEnd) {
         return refusal({refusal_cause::shutting_down}, now);
     }
     admission_decision decision;
+    decision.expectedEnd = expectedEnd;
     admitted_request admitted;
     admitted.facts = facts;
     admitted.plan = inputs.plan;
--- a/src/forwarding/admission.h
+++ b/src/forwarding/admission.h
@@ -37,6 +37,8 @@
     const workspace_plan *limited = nullptr;
     /// Cost of the request in the unit of the workspace's quota.
     double cost = 0.0;
+    /// When the request is taken to have ended, which is compared with the end of a shutdown.
+    deadline expectedEnd;
 };
 
 /// Decides whether a request that has just arrived is admitted. The workspace's quota is checked afterwards, so that a request
--- a/src/gateway/dispatch_task.cpp
+++ b/src/gateway/dispatch_task.cpp
@@ -79,6 +79,9 @@
         refuse(arrived.flow, decided, facts);
         return;
     }
+    if (m_isShuttingDown) {
+        m_requests.writeAdmittedInShutdown(decided, m_finishBy, boot_clock::now());
+    }
     if (decided.limited == nullptr) {
         begin(arrived.flow, std::move(arrived.request), std::move(*decided.request));
         return;
--- a/src/gateway/request_log.cpp
+++ b/src/gateway/request_log.cpp
@@ -62,6 +62,22 @@
     m_to.write(std::move(line));
 }
 
+void request_log::writeAdmittedInShutdown(const admission_decision &decision, deadline finishBy, instant now)
+{
+    if (!mayWrite(true)) {
+        return;
+    }
+    const admitted_request &request = *decision.request;
+    const deadline allowed = std::min(request.facts.callerDeadline, deadline::after(request.arrived, request.route->timeout));
+    m_to.write(log_line("dispatch", "admitted_in_shutdown")
+                   .add("request", request.facts.id)
+                   .add("route", request.route->id)
+                   .add("kind", requestKindName(request.route->kind))
+                   .add("expected_ms", decision.expectedEnd.remaining(now))
+                   .add("allowed_ms", allowed.remaining(now))
+                   .add("left_ms", finishBy.remaining(now)));
+}
+
 void request_log::writeDropped(const forward_facts &facts, std::string_view cause)
 {
     if (mayWrite(false)) {
--- a/src/gateway/request_log.h
+++ b/src/gateway/request_log.h
@@ -38,6 +38,8 @@
     explicit request_log(event_log to);
 
     void writeRefused(const forward_facts &facts, const admission_decision &decision, int status, plan_version plan);
+    /// A request that was admitted while the instance shuts down.
+    void writeAdmittedInShutdown(const admission_decision &decision, deadline finishBy, instant now);
     /// A request that was dropped before its flow began.
     void writeDropped(const forward_facts &facts, std::string_view cause);
     void
