Log how long a failed call to the store was waited for

The log named failed calls, but not whether an instance waited for a call that hung, was held back, or was given old records by the instance that reads for it.

call_failed has waited_ms. Holding back and old records of the reader are ruled out.

--- a/src/gateway/topic_follower.cpp
+++ b/src/gateway/topic_follower.cpp
@@ -110,6 +110,7 @@
 {
     const deadline until = deadline::after(boot_clock::now(), responseTimeout());
     m_calls.count(store_call::read_newest);
+    m_callBegunAt = boot_clock::now();
     m_call.begin(m_dialect.readNewest(m_settings.topic, m_afterKey), until, [this](const outcome<http_response> &response) {
         handlePage(response);
     });
@@ -120,6 +121,7 @@
     const instant now = boot_clock::now();
     const milliseconds wait = m_relays.gate.isFailing() ? milliseconds::zero() : pollTiming(now).wait;
     m_calls.count(store_call::read_updates);
+    m_callBegunAt = now;
     m_call.begin(m_dialect.readFrom(m_settings.topic, m_position, wait),
                  deadline::after(now, wait + responseTimeout()),
                  [this](const outcome<http_response> &response) { handleBatch(response); });
@@ -367,7 +369,11 @@
 
 void topic_follower::retryLater(std::string_view cause)
 {
-    m_log.write(log_line("store", "call_failed").add("topic", topicName(m_settings.topic)).add("cause", cause).add("position", m_position));
+    m_log.write(log_line("store", "call_failed")
+                    .add("topic", topicName(m_settings.topic))
+                    .add("cause", cause)
+                    .add("position", m_position)
+                    .add("waited_ms", boot_clock::now() - m_callBegunAt));
     m_isFailing = true;
     ++m_failures;
     m_relays.gate.noteFailure(boot_clock::now(), m_random);
--- a/src/gateway/topic_follower.h
+++ b/src/gateway/topic_follower.h
@@ -147,6 +147,8 @@
     /// Set while the newest records have to be read.
     std::optional<full_read_cause> m_fullReadCause = full_read_cause::needed;
     bool m_isFailing = false;
+    /// When the present or last call to the store began.
+    instant m_callBegunAt;
     /// Calls that have failed since the last success.
     int m_failures = 0;
     /// When all records of the topic were last known.
