Probe the store after a failed call before reading from it

After a silence of the store of 4.5 s, requests with withdrawn keys were run and requests with new keys got 401 for up to 3.6 s, which callers do not repeat.

Cause: what reaches the store during a silence is never answered, and after a few failures a read was waited for eight times as long as usual, 3.6 s, so as not to give up a busy store. A call sent just before the store's return kept its topic on old records.

Change: after a failure, a topic makes small calls with the usual timeout of 450 ms until one is answered, and only then reads, with the extended timeout (store_retry). A silence and a busy store are told apart, so the first is noticed as over after one short timeout and a pause, however long it lasted, and the second is still waited for. The extended timeout is limited by the bound on silences, for a read that is lost right after a probe. All pages of a read keep it; it was reset by the first page before.

--- a/src/gateway/dialects.h
+++ b/src/gateway/dialects.h
@@ -152,6 +152,8 @@
 
     /// Reads the newest record of each key, starting after the given key.
     virtual http_request readNewest(store_topic topic, const std::string &afterKey) const = 0;
+    /// A small request with the response of readNewest(), usually without records, which shows whether the store responds for the topic.
+    virtual http_request probe(store_topic topic) const = 0;
     virtual http_request readFrom(store_topic topic, store_offset from, std::chrono::milliseconds wait) const = 0;
     virtual http_request write(store_topic topic, const std::string &key, std::string_view value) const = 0;
     virtual outcome<store_page> decodeNewest(const http_response &response) const = 0;
--- a/src/gateway/store_call_counter.h
+++ b/src/gateway/store_call_counter.h
@@ -15,6 +15,8 @@
     read_newest,
     read_updates,
     write,
+    /// A small read after a failure, which shows whether the store responds.
+    probe,
 };
 
 /// Counts the calls to the platform's store in the metrics. A count that the metrics cannot take is lost.
--- a/src/gateway/store_task.cpp
+++ b/src/gateway/store_task.cpp
@@ -30,6 +30,8 @@
 // this long before the bound.
 constexpr milliseconds missedChangeMargin {400};
 constexpr milliseconds minWait {200};
+// A store that all instances read at once is waited for up to this many times the usual timeout.
+constexpr std::int64_t timeoutExtension = 8;
 // Endpoints rewrite their entries periodically; a pause between polls lets one poll return the changes of several endpoints. The pause is
 // the bound for draining endpoints divided by this number.
 constexpr std::int64_t drainPauseDivisor = 3;
@@ -59,6 +61,13 @@
     return std::max(bound - topic_relay_client::peerRequestTimeout - applyMargin, minWait);
 }
 
+// A call that is lost at the beginning of a silence may hang until the store is back. It must then fail early enough for the next ones to
+// bring the instance up to date within the bound.
+milliseconds extendedTimeout(milliseconds usual, milliseconds silence)
+{
+    return std::clamp(silence - topic_follower::maxRetryDelay - responseTimeout - applyMargin, usual, usual * timeoutExtension);
+}
+
 topic_follower_settings makeTopicSettings(store_topic topic, milliseconds bound, milliseconds silence, milliseconds pause)
 {
     topic_follower_settings settings;
@@ -67,11 +76,12 @@
     settings.whileRelaying = {std::max(relayedAgeLimit(bound) - maxRelayLatency - relayPause, minWait), relayPause};
     settings.maxRelayedAge = relayedAgeLimit(bound);
     settings.responseTimeout = responseTimeout;
+    settings.extendedTimeout = extendedTimeout(responseTimeout, silence);
     settings.rereadInterval = rereadInterval;
     return settings;
 }
 
-topic_follower_settings makeMembersSettings()
+topic_follower_settings makeMembersSettings(milliseconds silence)
 {
     topic_follower_settings settings;
     settings.topic = store_topic::members;
@@ -80,6 +90,7 @@
     settings.askPause = membersRelayPause;
     settings.maxRelayedAge = membersPause;
     settings.responseTimeout = membersResponseTimeout;
+    settings.extendedTimeout = extendedTimeout(membersResponseTimeout, silence);
     settings.rereadInterval = membersRereadInterval;
     return settings;
 }
@@ -91,7 +102,7 @@
     return {
         makeTopicSettings(store_topic::operators, bounds.configuration, bounds.silence, milliseconds(0)),
         makeTopicSettings(store_topic::endpoints, bounds.drain, bounds.silence, bounds.drain / drainPauseDivisor),
-        makeMembersSettings(),
+        makeMembersSettings(bounds.silence),
         makeTopicSettings(store_topic::crash_reports, bounds.configuration, bounds.silence, milliseconds(0)),
     };
 }
--- a/src/gateway/topic_follower.cpp
+++ b/src/gateway/topic_follower.cpp
@@ -13,12 +13,10 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds minRetryDelay {40};
-constexpr milliseconds maxRetryDelay {400};
 // Delay before retrying after a stale response of the store.
 constexpr milliseconds staleRetryDelay {250};
 // Delay before repeating a check that was postponed because records before the end of its first page had not been read yet.
 constexpr milliseconds checkRetryDelay {1000};
-constexpr int maxTimeoutDoublings = 3;
 // An instance counts as relaying for this long after the last request for its records.
 constexpr milliseconds relayActivePeriod {3000};
 
@@ -51,6 +49,7 @@
     , m_call(loop, store, deadline_scope::start_of_response)
     , m_next(loop, [this] { startNextCall(); })
     , m_backoff(minRetryDelay, maxRetryDelay)
+    , m_retry(settings.responseTimeout, settings.extendedTimeout)
 {
 }
 
@@ -63,7 +62,7 @@
 {
     const instant now = boot_clock::now();
     const bool isReaderHere = isRelaying(now) || !m_relays.relayClient.isUsable(now);
-    if (isReaderHere && !m_call.isBusy() && !m_isRequestPending && !m_isFailing) {
+    if (isReaderHere && !m_call.isBusy() && !m_isRequestPending && !m_retry.isFailing()) {
         scheduleNextCall(milliseconds::zero());
     }
 }
@@ -80,10 +79,13 @@
     if (isReader && !m_fullReadCause && m_rereadAt.hasPassed(now)) {
         m_fullReadCause = full_read_cause::check;
     }
-    if ((m_fullReadCause || isReader) && waitForStore(now)) {
+    const bool readsAtStore = m_fullReadCause || isReader;
+    if (readsAtStore && waitForStore(now)) {
         return;
     }
-    if (m_fullReadCause) {
+    if (readsAtStore && m_retry.mustProbe()) {
+        probeStore();
+    } else if (m_fullReadCause) {
         m_page.clear();
         m_afterKey.clear();
         m_pagesBegunAt = now;
@@ -106,11 +108,19 @@
     return false;
 }
 
+void topic_follower::probeStore()
+{
+    m_calls.count(store_call::probe);
+    m_callBegunAt = boot_clock::now();
+    const deadline until = deadline::after(m_callBegunAt, m_retry.probeTimeout());
+    m_call.begin(m_dialect.probe(m_settings.topic), until, [this](const outcome<http_response> &response) { handleProbe(response); });
+}
+
 void topic_follower::readNewest()
 {
-    const deadline until = deadline::after(boot_clock::now(), responseTimeout());
     m_calls.count(store_call::read_newest);
     m_callBegunAt = boot_clock::now();
+    const deadline until = deadline::after(m_callBegunAt, m_retry.readTimeout());
     m_call.begin(m_dialect.readNewest(m_settings.topic, m_afterKey), until, [this](const outcome<http_response> &response) {
         handlePage(response);
     });
@@ -119,11 +129,12 @@
 void topic_follower::readUpdates()
 {
     const instant now = boot_clock::now();
-    const milliseconds wait = m_relays.gate.isFailing() ? milliseconds::zero() : pollTiming(now).wait;
+    // A call that hangs after a failure must not be waited for longer than the extended timeout.
+    const milliseconds wait = m_retry.isFailing() || m_relays.gate.isFailing() ? milliseconds::zero() : pollTiming(now).wait;
     m_calls.count(store_call::read_updates);
     m_callBegunAt = now;
     m_call.begin(m_dialect.readFrom(m_settings.topic, m_position, wait),
-                 deadline::after(now, wait + responseTimeout()),
+                 deadline::after(now, wait + m_retry.readTimeout()),
                  [this](const outcome<http_response> &response) { handleBatch(response); });
 }
 
@@ -138,13 +149,6 @@
         });
 }
 
-milliseconds topic_follower::responseTimeout() const
-{
-    // A store that all instances read at once, as after a mass restart or a large change, responds late. With a fixed timeout all of them
-    // would give up, and begin again, before any response.
-    return m_settings.responseTimeout * (1 << std::min(m_failures, maxTimeoutDoublings));
-}
-
 bool topic_follower::isRelaying(instant now) const
 {
     return now - m_relays.relay.lastRequestAt() < relayActivePeriod;
@@ -155,6 +159,18 @@
     return isRelaying(now) ? m_settings.whileRelaying : m_settings.own;
 }
 
+void topic_follower::handleProbe(const outcome<http_response> &response)
+{
+    const auto answer = response ? m_dialect.decodeNewest(response.value()) : outcome<store_page>(response.error());
+    if (!answer) {
+        retryLater(answer.error().message);
+        return;
+    }
+    recordStoreContact();
+    m_retry.noteProbeAnswered();
+    startNextCall();
+}
+
 void topic_follower::handlePage(const outcome<http_response> &response)
 {
     if (!response) {
@@ -171,7 +187,7 @@
         retryLater("a page announces more records and does not advance");
         return;
     }
-    recordStoreSuccess();
+    recordStoreContact();
     if (m_page.empty() && m_afterKey.empty()) {
         // The pages do not show the topic at a single moment. Changes made while they are read have records at or after the end offset of
         // the first page, which is the offset of the next record to read.
@@ -182,6 +198,7 @@
                         .add("topic", topicName(m_settings.topic))
                         .add("end", m_pageEnd)
                         .add("position", m_position));
+        recordSuccess();
         scheduleNextCall(staleRetryDelay);
         return;
     }
@@ -201,6 +218,7 @@
     const instant now = boot_clock::now();
     const bool isCheck = m_fullReadCause == full_read_cause::check;
     m_fullReadCause.reset();
+    recordSuccess();
     m_relays.relay.recordContact(m_settings.topic, now);
     if (isCheck && m_pageEnd != m_position) {
         // The differences may be due to records that have not been read yet.
@@ -251,7 +269,7 @@
     auto batch = m_dialect.decodeBatch(response.value());
     if (!batch && batch.error().code == error_code::not_found) {
         m_log.write(log_line("store", "history_gone").add("topic", topicName(m_settings.topic)).add("position", m_position));
-        recordStoreSuccess();
+        recordStoreContact();
         m_fullReadCause = full_read_cause::needed;
         scheduleNextCall(milliseconds::zero());
         return;
@@ -260,12 +278,13 @@
         retryLater(batch.error().message);
         return;
     }
-    recordStoreSuccess();
+    recordStoreContact();
     if (batch.value().end < m_position) {
         m_log.write(log_line("store", "stale_answer_ignored")
                         .add("topic", topicName(m_settings.topic))
                         .add("end", batch.value().end)
                         .add("position", m_position));
+        recordSuccess();
         scheduleNextCall(staleRetryDelay);
         return;
     }
@@ -274,6 +293,7 @@
     m_relays.relay.recordContact(m_settings.topic, now);
     const bool hasMore = m_position < batch.value().end;
     if (!hasMore) {
+        recordSuccess();
         recordUpToDate(now);
     }
     scheduleNextCall(hasMore ? milliseconds::zero() : pollTiming(now).pause);
@@ -321,6 +341,7 @@
     for (const relayed_record &record : read.records) {
         records.push_back({record.key, record.value, {}});
     }
+    m_onContact(true);
     recordSuccess();
     applyRecords(std::move(records), now);
     recordUpToDate(now - read.age);
@@ -343,18 +364,16 @@
     return response.value().age > m_settings.maxRelayedAge ? "the instance's records are too old" : std::string_view();
 }
 
-void topic_follower::recordSuccess()
+void topic_follower::recordStoreContact()
 {
-    m_isFailing = false;
-    m_failures = 0;
-    m_backoff.reset();
+    m_relays.gate.noteSuccess();
     m_onContact(true);
 }
 
-void topic_follower::recordStoreSuccess()
+void topic_follower::recordSuccess()
 {
-    m_relays.gate.noteSuccess();
-    recordSuccess();
+    m_retry.noteComplete();
+    m_backoff.reset();
 }
 
 milliseconds topic_follower::storeSilence(instant now) const
@@ -374,8 +393,7 @@
                     .add("cause", cause)
                     .add("position", m_position)
                     .add("waited_ms", boot_clock::now() - m_callBegunAt));
-    m_isFailing = true;
-    ++m_failures;
+    m_retry.noteFailure();
     m_relays.gate.noteFailure(boot_clock::now(), m_random);
     m_onContact(false);
     m_next.start(deadline::after(boot_clock::now(), m_backoff.next(m_random)));
--- a/src/gateway/topic_follower.h
+++ b/src/gateway/topic_follower.h
@@ -4,6 +4,7 @@
 #include "gateway/serial_http_client.h"
 #include "gateway/store_call_counter.h"
 #include "gateway/store_gate.h"
+#include "gateway/store_retry.h"
 #include "gateway/topic_relay.h"
 #include "gateway/topic_relay_client.h"
 #include "logging/log_writer_task.h"
@@ -38,6 +39,8 @@
     std::chrono::milliseconds maxRelayedAge {};
     /// Longest time for a response, in addition to the wait.
     std::chrono::milliseconds responseTimeout {};
+    /// Longest time for a response after a failed call, once the store has answered a probe.
+    std::chrono::milliseconds extendedTimeout {};
     /// Interval at which all newest records are read again, to detect changes for which the topic has no record.
     std::chrono::milliseconds rereadInterval {};
 };
@@ -67,6 +70,9 @@
     /// called when a response of another instance is unusable or shows that the newest records have to be read at the store.
     using contact_handler = std::function<void(bool)>;
 
+    /// Longest pause before a failed call is repeated.
+    static constexpr std::chrono::milliseconds maxRetryDelay {400};
+
     topic_follower(event_loop &loop,
                    const socket_address &store,
                    const store_dialect &dialect,
@@ -88,9 +94,12 @@
     void startNextCall();
     /// Postpones the next call while the store does not respond and another topic tries it. Returns whether it did.
     bool waitForStore(instant now);
+    /// Makes a small call that shows whether the store responds, before the topic is read again.
+    void probeStore();
     void readNewest();
     void readUpdates();
     void requestFromReader();
+    void handleProbe(const outcome<http_response> &response);
     void handlePage(const outcome<http_response> &response);
     void finishPages();
     void handleBatch(const outcome<http_response> &response);
@@ -100,13 +109,13 @@
     /// Returns why a response of another instance cannot be used, or an empty string if it can.
     std::string_view unusableReason(const outcome<peer_records_response> &response) const;
     void applyRecords(std::vector<store_record> &&records, instant now);
-    /// Longest time for a response; grows with each failure.
-    std::chrono::milliseconds responseTimeout() const;
     /// True while other instances request records of any topic from this one.
     bool isRelaying(instant now) const;
     poll_timing pollTiming(instant now) const;
+    /// The store has sent a valid response.
+    void recordStoreContact();
+    /// All that was to be read has been read.
     void recordSuccess();
-    void recordStoreSuccess();
     /// Time since this instance last had all records of the topic.
     std::chrono::milliseconds storeSilence(instant now) const;
     /// Records that all records that the store had at a time are known.
@@ -146,11 +155,9 @@
     backoff m_backoff;
     /// Set while the newest records have to be read.
     std::optional<full_read_cause> m_fullReadCause = full_read_cause::needed;
-    bool m_isFailing = false;
+    store_retry m_retry;
     /// When the present or last call to the store began.
     instant m_callBegunAt;
-    /// Calls that have failed since the last success.
-    int m_failures = 0;
     /// When all records of the topic were last known.
     std::optional<instant> m_lastUpToDateAt;
     bool m_isRequestPending = false;
