Keep the deadlines of a shutdown in one place

shutdown_schedule has all deadlines of a shutdown: until when streams are judged by an estimate, from when idle connections are closed, from when the instance may end, and the two at the end of the grace period. allowedUntil() is the time that a request is allowed. Nothing behaves differently but for the comparison at the very moment of a deadline.

--- a/src/forwarding/admission.cpp
+++ b/src/forwarding/admission.cpp
@@ -26,8 +26,9 @@
 // instance.
 deadline expectedEndOf(const forward_facts &facts, const traffic_route &route, instant arrived, const admission_inputs &inputs, instant now)
 {
-    const deadline allowed = std::min(facts.callerDeadline, deadline::after(arrived, route.timeout));
-    const bool mayEstimate = route.kind == request_kind::streaming && inputs.durations != nullptr && !inputs.estimatesUntil.hasPassed(now);
+    const deadline allowed = allowedUntil(facts, route, arrived);
+    const bool mayEstimate =
+        route.kind == request_kind::streaming && inputs.durations != nullptr && !inputs.estimateStreamsUntil.hasPassed(now);
     const auto longest = mayEstimate ? inputs.durations->longest(route.id, now) : std::nullopt;
     return longest ? std::min(allowed, deadline::after(arrived, *longest)) : allowed;
 }
--- a/src/forwarding/admission.h
+++ b/src/forwarding/admission.h
@@ -20,7 +20,7 @@
     /// While shutting down, when the last response has to be complete; otherwise never.
     deadline finishBy = deadline::never();
     /// While shutting down, until when streams may be judged by how long they are expected to last.
-    deadline estimatesUntil;
+    deadline estimateStreamsUntil;
     /// Durations of streams; null when none are known.
     const route_durations *durations = nullptr;
     /// Null when no prompts are refused.
--- a/src/forwarding/forward_flow.cpp
+++ b/src/forwarding/forward_flow.cpp
@@ -22,9 +22,14 @@
 
 } // namespace
 
+deadline allowedUntil(const forward_facts &facts, const traffic_route &route, instant arrived)
+{
+    return std::min(facts.callerDeadline, deadline::after(arrived, route.timeout));
+}
+
 forward_flow::forward_flow(admitted_request request)
     : m_request(std::move(request))
-    , m_deadline(std::min(m_request.facts.callerDeadline, deadline::after(m_request.arrived, m_request.route->timeout)))
+    , m_deadline(allowedUntil(m_request.facts, *m_request.route, m_request.arrived))
 {
     m_events.setLastId(m_request.facts.resumeAfter);
 }
--- a/src/forwarding/forward_flow.h
+++ b/src/forwarding/forward_flow.h
@@ -38,6 +38,9 @@
     instant arrived;
 };
 
+/// Until when a request may take by its route and its caller.
+deadline allowedUntil(const forward_facts &facts, const traffic_route &route, instant arrived);
+
 /// State machine of one admitted request: chooses endpoints, decides on retries and determines the response to the caller. Takes typed
 /// events and returns typed actions; does no I/O and knows no encodings.
 class forward_flow
--- a/src/gateway/caller_server_task.cpp
+++ b/src/gateway/caller_server_task.cpp
@@ -16,10 +16,6 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds sweepInterval {100};
-// Callers have this long after the load balancer to close the connections of their last responses.
-constexpr milliseconds lastResponsesTime {1000};
-// After SIGTERM the load balancer needs two health checks, a second apart, before it sends new connections elsewhere.
-constexpr milliseconds loadBalancerDrainTime {2500};
 constexpr int listenBacklog = 1024;
 
 } // namespace
@@ -74,8 +70,7 @@
 void caller_server_task::beginShutdown()
 {
     m_isShuttingDown = true;
-    m_shutdownSince = boot_clock::now();
-    m_shutdown = shutdown_schedule(m_shutdownSince, m_settings.gracePeriod);
+    m_shutdown = shutdown_schedule(boot_clock::now(), m_settings.gracePeriod);
     armSweep();
 }
 
@@ -236,8 +231,7 @@
 void caller_server_task::continueShutdown()
 {
     const instant now = boot_clock::now();
-    const auto elapsed = now - m_shutdownSince;
-    if (elapsed > loadBalancerDrainTime) {
+    if (m_shutdown.closeIdleFrom.hasPassed(now)) {
         for (const auto &[key, candidate] : m_connections) {
             if (candidate->isIdle()) {
                 candidate->close();
@@ -249,12 +243,8 @@
             candidate->refuseUnreadRequest();
         }
     }
-    // False until the load balancer and the callers have had their time, even if every response has been sent.
-    const bool isDrained = elapsed > loadBalancerDrainTime + lastResponsesTime;
-    const bool areResponsesSent = isDrained && std::none_of(m_connections.begin(), m_connections.end(), [](const auto &entry) {
-                                      return entry.second->hasUnfinishedExchange();
-                                  });
-    if ((areResponsesSent || m_shutdown.closeBy.hasPassed(now)) && !m_isFinished) {
+    const bool mayEnd = (m_shutdown.endFrom.hasPassed(now) && areResponsesSent()) || m_shutdown.closeBy.hasPassed(now);
+    if (mayEnd && !m_isFinished) {
         m_isFinished = true;
         for (const auto &[key, candidate] : m_connections) {
             logIfCut(*candidate, "shutdown");
@@ -264,6 +254,12 @@
     }
 }
 
+bool caller_server_task::areResponsesSent() const
+{
+    return std::none_of(
+        m_connections.begin(), m_connections.end(), [](const auto &entry) { return entry.second->hasUnfinishedExchange(); });
+}
+
 void caller_server_task::logIfCut(const caller_connection &ended, std::string_view cause)
 {
     if (ended.isResponsePending() || ended.unsentBytes() > 0) {
--- a/src/gateway/caller_server_task.h
+++ b/src/gateway/caller_server_task.h
@@ -75,6 +75,7 @@
     caller_connection *findByFlow(flow_id flow);
     void sweep();
     void continueShutdown();
+    bool areResponsesSent() const;
     /// Logs a connection that is about to be closed while a response on it is incomplete.
     void logIfCut(const caller_connection &ended, std::string_view cause);
     void armSweep();
@@ -91,7 +92,6 @@
     std::map<flow_id, caller_connection *> m_connectionsByFlow;
     std::vector<std::unique_ptr<caller_connection>> m_pendingDestruction;
     flow_id m_lastFlow;
-    instant m_shutdownSince;
     shutdown_schedule m_shutdown;
     bool m_isShuttingDown = false;
     bool m_isFinished = false;
--- a/src/gateway/dispatch_task.cpp
+++ b/src/gateway/dispatch_task.cpp
@@ -75,7 +75,7 @@
     const admission_inputs inputs = {m_fleet.plan(),
                                      m_fleet.hasInitialState(),
                                      m_shutdown.finishRequestsBy,
-                                     m_shutdown.outOfRotationBy,
+                                     m_shutdown.estimateStreamsUntil,
                                      &m_durations,
                                      &m_fleet.quarantine()};
     admission_decision decided = decideAdmission(facts, arrived.arrived, inputs, boot_clock::now());
--- a/src/gateway/request_log.cpp
+++ b/src/gateway/request_log.cpp
@@ -68,7 +68,7 @@
         return;
     }
     const admitted_request &request = *decision.request;
-    const deadline allowed = std::min(request.facts.callerDeadline, deadline::after(request.arrived, request.route->timeout));
+    const deadline allowed = allowedUntil(request.facts, *request.route, request.arrived);
     m_to.write(log_line("dispatch", "admitted_in_shutdown")
                    .add("request", request.facts.id)
                    .add("route", request.route->id)
--- a/tests/forwarding/admission_test.cpp
+++ b/tests/forwarding/admission_test.cpp
@@ -14,7 +14,7 @@
 {
     std::shared_ptr<const plan_index> limited;
     deadline finishBy = deadline::never();
-    deadline estimatesUntil = deadline::never();
+    deadline estimateStreamsUntil = deadline::never();
     deadline callerDeadline = deadline::never();
     route_durations durations;
 
@@ -39,7 +39,7 @@
         facts.path = path;
         facts.key = key;
         facts.callerDeadline = callerDeadline;
-        return decideAdmission(facts, now, {limited, true, finishBy, estimatesUntil, &durations}, now);
+        return decideAdmission(facts, now, {limited, true, finishBy, estimateStreamsUntil, &durations}, now);
     }
 };
 
@@ -97,7 +97,7 @@
     CHECK_PROPERTY("a stream taken after the instance left the rotation ends in time", [](std::uint16_t left, std::uint16_t recent) {
         admission_fixture fixture;
         fixture.finishBy = deadline::after(fixture.now, std::chrono::milliseconds(left % 10000));
-        fixture.estimatesUntil = deadline(fixture.now);
+        fixture.estimateStreamsUntil = deadline(fixture.now);
         for (const char *path : {"/stream/x", "/single/x", "/resumed/x"}) {
             fixture.durations.note(fixture.limited->findRoute(fixture.host, path)->id, std::chrono::milliseconds(recent), fixture.now);
             const admission_decision decided = fixture.decide(path, "k");
