Give each soak a block of ports that no other one uses

Cause: a soak draws ports at random, finds them free and gives them to gateways, which bind them later; another soak can draw the same port in between.

Change: port_block holds a socket on the first port of a block of 64 for as long as the soak runs; ports come from the block.

--- a/tests/soak/soak_site.cpp
+++ b/tests/soak/soak_site.cpp
@@ -1,54 +1,14 @@
 #include "soak_site.h"
 
-#include "core/random_source.h"
-
 #include <array>
 #include <fstream>
-#include <set>
 #include <utility>
 
-#include <netinet/in.h>
 #include <nlohmann/json.hpp>
-#include <sys/socket.h>
-#include <unistd.h>
 
 namespace burdockshelf
 {
 
-namespace
-{
-
-// Below the range from which the kernel takes ports for connections, which could take one between the check and its use.
-constexpr std::uint16_t firstPort = 10000;
-constexpr std::uint64_t portCount = 20000;
-
-bool isFree(const socket_address &candidate)
-{
-    const int socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    sockaddr_in address = {};
-    address.sin_family = AF_INET;
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    address.sin_port = htons(candidate.port);
-    const bool isBound = ::bind(socket, reinterpret_cast<sockaddr *>(&address), sizeof(address)) == 0;
-    ::close(socket);
-    return isBound;
-}
-
-/// A port that no other process uses and that was not given out before. Not from the seed, because several soaks run at once.
-socket_address freeAddress()
-{
-    static random_source random;
-    static std::set<std::uint16_t> given;
-    socket_address candidate;
-    do {
-        candidate = {"127.0.0.1", static_cast<std::uint16_t>(firstPort + random.below(portCount))};
-    } while (given.count(candidate.port) > 0 || !isFree(candidate));
-    given.insert(candidate.port);
-    return candidate;
-}
-
-} // namespace
-
 soak_site::soak_site(event_loop &loop, const soak_plan &plan, const plain_answer &plainAnswer)
     : m_loop(loop)
     , m_logFolder(plan.logFolder.empty() ? m_scratch.path("") : plan.logFolder)
@@ -81,8 +41,8 @@
     for (std::size_t i = 0; i < gateways; ++i) {
         soak_gateway fresh;
         fresh.name = "gateway-" + std::to_string(i);
-        fresh.callers = freeAddress();
-        fresh.metrics = freeAddress();
+        fresh.callers = m_ports.next();
+        fresh.metrics = m_ports.next();
         fresh.storeLink = std::make_unique<fault_proxy>(m_loop, m_store.address());
         fresh.client = std::make_unique<http_client>(m_loop, fresh.callers);
         writeSettings(fresh);
@@ -114,11 +74,11 @@
         {"instance", target.name},
         {"dataCentre", "z"},
         {"callerAddress", target.callers.toString()},
-        {"readinessAddress", freeAddress().toString()},
+        {"readinessAddress", m_ports.next().toString()},
         {"metricsAddress", target.metrics.toString()},
         {"storeAddress", target.storeLink->address().toString()},
         {"graceSeconds", std::chrono::duration<double>(graceTime).count()},
-        {"peerAddress", freeAddress().toString()},
+        {"peerAddress", m_ports.next().toString()},
         {"configurationWithinMs", static_cast<double>(configurationTime.count()) + 0.5},
         {"silenceWithinMs", 3000.5},
         {"drainWithinMs", static_cast<double>(configurationTime.count()) + 0.5},
--- a/tests/soak/soak_site.h
+++ b/tests/soak/soak_site.h
@@ -3,6 +3,7 @@
 #include "fault_proxy.h"
 #include "http/http_client.h"
 #include "site/child_process.h"
+#include "soak/port_block.h"
 #include "standins/users_platform/standin_backend.h"
 #include "standins/users_platform/standin_store.h"
 #include "support/scratch_folder.h"
@@ -86,6 +87,7 @@
 
     event_loop &m_loop;
     scratch_folder m_scratch;
+    port_block m_ports;
     std::string m_logFolder;
     standin_store m_store;
     std::vector<soak_endpoint> m_endpoints;
