--- a/src/forwarding/admission.cpp
+++ b/src/forwarding/admission.cpp
@@ -20,10 +20,10 @@
     return refused;
 }
 
-// By when the request will have ended. Only the time that its route and its caller allow is a bound. Routes allow streams much more than
-// nearly all of them take, and while the load balancer still sends new connections here, to refuse every stream would cost callers more
-// than the few that outlast the longest recent one and are visibly broken off. After that time a refused caller soon finds another
-// instance.
+// When the request is expected to have ended. Only the deadline that its route and its caller set is a bound. Routes allow streams much
+// more than nearly all of them take, and while the load balancer still sends new connections here, to refuse every stream would cost
+// callers more than the few that outlast the longest recent one and are visibly broken off. After that time a refused caller soon finds
+// another instance.
 deadline expectedEndOf(const forward_facts &facts, const traffic_route &route, instant arrived, const admission_inputs &inputs, instant now)
 {
     const deadline allowed = allowedUntil(facts, route, arrived);
--- a/src/forwarding/admission.h
+++ b/src/forwarding/admission.h
@@ -39,7 +39,7 @@
     const workspace_plan *limited = nullptr;
     /// Cost of the request in the unit of the workspace's quota.
     double cost = 0.0;
-    /// When the request is taken to have ended, which is compared with the end of a shutdown.
+    /// When the request is expected to have ended; during a shutdown this is not later than finishBy.
     deadline expectedEnd;
 };
 
--- a/src/forwarding/forward_flow.h
+++ b/src/forwarding/forward_flow.h
@@ -38,7 +38,7 @@
     instant arrived;
 };
 
-/// Until when a request may take by its route and its caller.
+/// The earlier of the deadlines that the caller and the timeout of the route set.
 deadline allowedUntil(const forward_facts &facts, const traffic_route &route, instant arrived);
 
 /// State machine of one admitted request: chooses endpoints, decides on retries and determines the response to the caller. Takes typed
--- a/src/gateway/shutdown_schedule.cpp
+++ b/src/gateway/shutdown_schedule.cpp
@@ -14,7 +14,7 @@
 constexpr milliseconds rotationDelay {2000};
 // The second check may be answered, and the last connection made, a little later.
 constexpr milliseconds rotationMargin {500};
-// With a short grace period, streams are judged by an estimate for no longer than this fraction of it.
+// Streams are judged by an estimate for no longer than the grace period divided by this number.
 constexpr std::int64_t estimateDivisor = 4;
 // Callers have this long after the load balancer to close the connections of their last responses.
 constexpr milliseconds lastResponsesTime {1000};
