--- a/src/burdockshelfctl/command_table.cpp
+++ b/src/burdockshelfctl/command_table.cpp
@@ -27,7 +27,7 @@
                                            "burdockshelfctl key withdraw 5f0c2a9be1d34477 --in-advance"};
 constexpr example keyListExamples[] = {"burdockshelfctl key list --output json"};
 constexpr example drainExamples[] = {"burdockshelfctl drain data-centre ankara-a --wait --instance 10.0.0.11:9100",
-                                     "burdockshelfctl drain endpoint dil-hat-decode-3",
+                                     "burdockshelfctl drain endpoint search-decode-3",
                                      "burdockshelfctl drain instance entry-4"};
 constexpr example returnExamples[] = {"burdockshelfctl return data-centre ankara-a"};
 constexpr example rosterResetExamples[] = {"burdockshelfctl roster reset konya --old-instances-are-off"};
--- a/src/metrics/metric_batch.h
+++ b/src/metrics/metric_batch.h
@@ -11,7 +11,7 @@
 namespace burdockshelf
 {
 
-/// A label of a metric, for example service="dil-hat". Values come from the configuration and never from callers.
+/// A label of a metric, for example service="search". Values come from the configuration and never from callers.
 struct metric_label
 {
     std::string name;
