Request records from another reader when one is stale or silent

Cause: an instance that relays the store's topics for others and is turned away by the store answers with old records, and then each requester reads at the store itself. Ruled out: longer polls, which loosen the bounds on configuration and drain. Change: relay_readers keeps up to three readers in order of preference; one that refuses, is too old or silent is left out for 1.5 s and the next one is asked. After a silence the store is called once, because the bounds leave time for one unanswered request only. An instance whose own calls fail follows another reader. The list of holders is read twice at the start.

--- a/src/gateway/store_task.cpp
+++ b/src/gateway/store_task.cpp
@@ -1,7 +1,5 @@
 #include "gateway/store_task.h"
 
-#include "core/digest.h"
-
 #include <algorithm>
 #include <array>
 #include <set>
@@ -47,6 +45,7 @@
 constexpr std::int64_t instancesPerReader = 16;
 // Instances that start at the same time have joined the group by then.
 constexpr milliseconds firstHoldersRequestDelay {1000};
+constexpr std::int64_t holdersRequestsAtStart = 2;
 constexpr milliseconds holdersRequestInterval {5000};
 
 milliseconds longPollWait(milliseconds bound, milliseconds silence)
@@ -267,24 +266,16 @@
 void store_task::chooseReader()
 {
     const std::int64_t readers = (m_instanceCount + instancesPerReader - 1) / instancesPerReader;
-    const auto mine = static_cast<std::int64_t>(stableHash(m_settings.instance.value()) % static_cast<std::uint64_t>(readers));
-    std::optional<peer_instance> reader;
-    for (const quota_partition_holder &one : m_holders) {
-        if (one.quotaPartition.value() == mine && one.holder.instance != m_settings.instance) {
-            reader = one.holder;
-        }
-    }
-    if (m_relayClient.setReader(std::move(reader))) {
-        for (const auto &follower : m_followers) {
-            follower->onReaderChanged();
-        }
-    }
+    m_relayClient.setReaders(chooseReaders(m_settings.instance, readers, m_holders));
 }
 
 void store_task::requestHolders()
 {
-    // A reader that does not respond may have lost its partition to another instance.
-    if (!m_relayClient.isUsable(boot_clock::now()) && m_to.group.post(holders_requested {}) != post_result::delivered) {
+    // The first list may have been read before all instances that started together had joined. A reader that does not respond may have lost
+    // its partition to another instance.
+    const bool isStarting = m_holdersRequests < holdersRequestsAtStart;
+    ++m_holdersRequests;
+    if ((isStarting || !m_relayClient.isUsable(boot_clock::now())) && m_to.group.post(holders_requested {}) != post_result::delivered) {
         m_log.write(log_line("store", "message_dropped").add("receiver", "group"));
     }
     m_holdersTimer.start(deadline::after(boot_clock::now(), holdersRequestInterval));
--- a/src/gateway/store_task.h
+++ b/src/gateway/store_task.h
@@ -67,7 +67,7 @@
     void writeCrashReport();
     /// Sends the latest crash report directly to the holders of the quota pool's partitions, to which every instance is connected.
     void sendCrashReport();
-    /// Chooses the instance from which this one requests records.
+    /// Chooses the instances from which this one requests records.
     void chooseReader();
     void requestHolders();
     void recordContact(bool isReachable);
@@ -91,6 +91,7 @@
     topic_relay_client m_relayClient;
     std::vector<quota_partition_holder> m_holders;
     std::int64_t m_instanceCount = 1;
+    std::int64_t m_holdersRequests = 0;
     timer m_holdersTimer;
     std::vector<std::unique_ptr<topic_follower>> m_followers;
     bool m_isReachable = false;
--- a/src/gateway/topic_follower.cpp
+++ b/src/gateway/topic_follower.cpp
@@ -19,6 +19,8 @@
 constexpr milliseconds checkRetryDelay {1000};
 // An instance counts as relaying for this long after the last request for its records.
 constexpr milliseconds relayActivePeriod {3000};
+// A reader that refuses or has old records says so within this time.
+constexpr milliseconds promptResponseTime {60};
 
 std::string_view topicName(store_topic topic)
 {
@@ -61,29 +63,23 @@
 void topic_follower::readNow()
 {
     const instant now = boot_clock::now();
-    const bool isReaderHere = isRelaying(now) || !m_relays.relayClient.isUsable(now);
-    if (isReaderHere && !m_call.isBusy() && !m_isRequestPending && !m_retry.isFailing()) {
+    if (readsAtStore(now) && !m_call.isBusy() && !m_isRequestPending && !m_retry.isFailing()) {
         scheduleNextCall(milliseconds::zero());
     }
 }
 
-void topic_follower::onReaderChanged()
-{
-    m_readerResyncCount.reset();
-}
-
 void topic_follower::startNextCall()
 {
     const instant now = boot_clock::now();
-    const bool isReader = isRelaying(now) || !m_relays.relayClient.isUsable(now);
-    if (isReader && !m_fullReadCause && m_rereadAt.hasPassed(now)) {
+    const bool isReader = readsAtStore(now);
+    if (isReader && !m_readsOnceAtStore && !m_fullReadCause && m_rereadAt.hasPassed(now)) {
         m_fullReadCause = full_read_cause::check;
     }
-    const bool readsAtStore = m_fullReadCause || isReader;
-    if (readsAtStore && waitForStore(now)) {
+    const bool callsStore = m_fullReadCause || isReader;
+    if (callsStore && waitForStore(now)) {
         return;
     }
-    if (readsAtStore && m_retry.mustProbe()) {
+    if (callsStore && m_retry.mustProbe()) {
         probeStore();
     } else if (m_fullReadCause) {
         m_page.clear();
@@ -130,7 +126,8 @@
 {
     const instant now = boot_clock::now();
     // A call that hangs after a failure must not be waited for longer than the extended timeout.
-    const milliseconds wait = m_retry.isFailing() || m_relays.gate.isFailing() ? milliseconds::zero() : pollTiming(now).wait;
+    const bool mayWait = !m_retry.isFailing() && !m_relays.gate.isFailing() && !m_readsOnceAtStore;
+    const milliseconds wait = mayWait ? pollTiming(now).wait : milliseconds::zero();
     m_calls.count(store_call::read_updates);
     m_callBegunAt = now;
     m_call.begin(m_dialect.readFrom(m_settings.topic, m_position, wait),
@@ -141,11 +138,12 @@
 void topic_follower::requestFromReader()
 {
     m_isRequestPending = true;
+    m_requestedAt = boot_clock::now();
     m_relays.relay.markNotReading(m_settings.topic);
     m_relays.relayClient.sendRequest(
-        m_settings.topic, m_position, boot_clock::now(), [this](const outcome<peer_records_response> &response) {
+        m_settings.topic, m_position, m_requestedAt, [this](const instance_id &reader, const outcome<peer_records_response> &response) {
             m_isRequestPending = false;
-            handleRelayed(response);
+            handleRelayed(reader, response);
         });
 }
 
@@ -154,6 +152,14 @@
     return now - m_relays.relay.lastRequestAt() < relayActivePeriod;
 }
 
+bool topic_follower::readsAtStore(instant now) const
+{
+    if (!m_relays.relayClient.isUsable(now) || m_readsOnceAtStore) {
+        return true;
+    }
+    return isRelaying(now) && !m_retry.isFailing();
+}
+
 poll_timing topic_follower::pollTiming(instant now) const
 {
     return isRelaying(now) ? m_settings.whileRelaying : m_settings.own;
@@ -313,16 +319,22 @@
     m_onUpdate(topic_update {m_settings.topic, std::move(records), storeSilence(now)});
 }
 
-void topic_follower::handleRelayed(const outcome<peer_records_response> &response)
+void topic_follower::handleRelayed(const instance_id &reader, const outcome<peer_records_response> &response)
 {
     const instant now = boot_clock::now();
     const std::string_view reason = unusableReason(response);
     if (!reason.empty()) {
-        m_relays.relayClient.block(reason, now);
+        m_relays.relayClient.block(reader, reason, now);
+        // The bounds leave time for one reader that does not respond. After that the store itself is called, unless it has just failed.
+        m_readsOnceAtStore = now - m_requestedAt > promptResponseTime && !m_retry.isFailing();
         startNextCall();
         return;
     }
     const peer_records_response &read = response.value();
+    if (reader != m_lastReader) {
+        m_lastReader = reader;
+        m_readerResyncCount.reset();
+    }
     const bool isNewReader = !m_readerResyncCount;
     const bool hasReaderResynced = m_readerResyncCount && *m_readerResyncCount != read.resyncCount;
     m_readerResyncCount = read.resyncCount;
@@ -372,6 +384,7 @@
 
 void topic_follower::recordSuccess()
 {
+    m_readsOnceAtStore = false;
     m_retry.noteComplete();
     m_backoff.reset();
 }
@@ -393,6 +406,7 @@
                     .add("cause", cause)
                     .add("position", m_position)
                     .add("waited_ms", boot_clock::now() - m_callBegunAt));
+    m_readsOnceAtStore = false;
     m_retry.noteFailure();
     m_relays.gate.noteFailure(boot_clock::now(), m_random);
     m_onContact(false);
--- a/src/gateway/topic_follower.h
+++ b/src/gateway/topic_follower.h
@@ -58,7 +58,8 @@
 };
 
 /// Follows one topic: reads the newest record of each key at the store, then the records that follow. These come from another instance that
-/// reads the topic at the store if that instance is usable and no instance requests records from this one, else from the store. Ignores
+/// reads the topic at the store if there is a usable one, and no instance requests records from this one or the store does not respond to
+/// this one; else from the store. Ignores
 /// stale responses of the store, whose end is before the records already read. Of the pages with the newest records only the end of the
 /// first is compared, so a later page that is staler can lead to a report of a record older than one already reported. Owned by store_task.
 class topic_follower
@@ -87,8 +88,6 @@
     void start();
     /// Cuts a pause between polls short if this instance reads at the store. Does not cut the backoff after a failure short.
     void readNow();
-    /// The instance to request records from has changed, or there is none now, in which case this instance reads at the store.
-    void onReaderChanged();
 
 private:
     void startNextCall();
@@ -103,7 +102,7 @@
     void handlePage(const outcome<http_response> &response);
     void finishPages();
     void handleBatch(const outcome<http_response> &response);
-    void handleRelayed(const outcome<peer_records_response> &response);
+    void handleRelayed(const instance_id &reader, const outcome<peer_records_response> &response);
     /// True if the reader may have found a change without a record that this instance, which had another reader, does not know.
     bool mayHaveMissedChange(const peer_records_response &response, instant now) const;
     /// Returns why a response of another instance cannot be used, or an empty string if it can.
@@ -111,6 +110,8 @@
     void applyRecords(std::vector<store_record> &&records, instant now);
     /// True while other instances request records of any topic from this one.
     bool isRelaying(instant now) const;
+    /// True when the topic is to be read at the store and not through another instance.
+    bool readsAtStore(instant now) const;
     poll_timing pollTiming(instant now) const;
     /// The store has sent a valid response.
     void recordStoreContact();
@@ -161,7 +162,11 @@
     /// When all records of the topic were last known.
     std::optional<instant> m_lastUpToDateAt;
     bool m_isRequestPending = false;
-    /// Last known resyncCount of the reader; unset until its first response.
+    instant m_requestedAt;
+    /// The next call goes to the store although there is a reader.
+    bool m_readsOnceAtStore = false;
+    /// The reader that responded last, and its resyncCount; unset until its first response.
+    instance_id m_lastReader;
     std::optional<std::int64_t> m_readerResyncCount;
     std::vector<store_record> m_page;
     std::string m_afterKey;
--- a/src/gateway/topic_relay_client.cpp
+++ b/src/gateway/topic_relay_client.cpp
@@ -1,5 +1,6 @@
 #include "gateway/topic_relay_client.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace burdockshelf
@@ -8,7 +9,7 @@
 namespace
 {
 
-// The topics are read at the store while the reader is blocked.
+// The records are requested from another reader in the meantime, or read at the store when there is none.
 constexpr std::chrono::milliseconds readerBlockPeriod {1500};
 
 } // namespace
@@ -20,34 +21,35 @@
 {
 }
 
-bool topic_relay_client::setReader(std::optional<peer_instance> reader)
+bool topic_relay_client::setReaders(std::vector<peer_instance> readers)
 {
-    if (reader == m_reader) {
+    log_line line("store", "reader_chosen");
+    line.add("reader", readers.empty() ? "none" : readers.front().instance.value())
+        .add("alternatives", std::max<std::size_t>(readers.size(), 1) - 1);
+    if (!m_readers.set(std::move(readers))) {
         return false;
     }
-    m_reader = std::move(reader);
-    m_blockedUntil = deadline();
-    m_log.write(log_line("store", "reader_chosen").add("reader", m_reader ? m_reader->instance.value() : "none"));
+    m_log.write(std::move(line));
     return true;
 }
 
 bool topic_relay_client::isUsable(instant now) const
 {
-    return m_reader && m_blockedUntil.hasPassed(now);
+    return m_readers.current(now) != nullptr;
 }
 
 void topic_relay_client::sendRequest(store_topic topic, store_offset from, instant now, handler onAnswer)
 {
     const std::uint64_t exchange = ++m_lastExchange;
-    m_pending.emplace(exchange, std::move(onAnswer));
+    const instance_id reader = m_readers.current(now)->instance;
+    m_pending.emplace(exchange, pending_request {reader, std::move(onAnswer)});
     peer_request send;
     send.exchange = exchange;
     send.message = peer_records_request {relayed_topic(static_cast<std::int64_t>(topic)), log_offset(from.value()), maxRecordsWait};
     send.until = deadline::after(now, peerRequestTimeout);
     send.reply = m_responses;
-    if (m_mesh.post(peer_envelope {m_reader->instance, std::move(send)}) != post_result::delivered) {
-        receive(
-            {exchange, m_reader->instance, failure(error_code::overloaded, "the request could not be delivered to the mesh supervisor")});
+    if (m_mesh.post(peer_envelope {reader, std::move(send)}) != post_result::delivered) {
+        receive({exchange, reader, failure(error_code::overloaded, "the request could not be delivered to the mesh supervisor")});
     }
 }
 
@@ -57,24 +59,23 @@
     if (pending.empty()) {
         return;
     }
+    const pending_request &request = pending.mapped();
     if (!response.answer) {
-        pending.mapped()(boost::outcome_v2::failure(response.answer.error()));
+        request.onAnswer(request.reader, boost::outcome_v2::failure(response.answer.error()));
         return;
     }
     if (const auto *records = std::get_if<peer_records_response>(&response.answer.value())) {
-        pending.mapped()(*records);
+        request.onAnswer(request.reader, *records);
         return;
     }
-    pending.mapped()(failure(error_code::invalid_message, "the response is not a records response"));
+    request.onAnswer(request.reader, failure(error_code::invalid_message, "the response is not a records response"));
 }
 
-void topic_relay_client::block(std::string_view cause, instant now)
+void topic_relay_client::block(const instance_id &reader, std::string_view cause, instant now)
 {
-    if (!isUsable(now)) {
-        return;
+    if (m_readers.block(reader, deadline::after(now, readerBlockPeriod), now)) {
+        m_log.write(log_line("store", "reader_blocked").add("reader", reader).add("cause", cause));
     }
-    m_blockedUntil = deadline::after(now, readerBlockPeriod);
-    m_log.write(log_line("store", "reader_blocked").add("reader", m_reader->instance).add("cause", cause));
 }
 
 } // namespace burdockshelf
