Lease a part of each quota pool's rate to the instances that use it

Cause: while the holder of a partition of the quota pool cannot be reached, an instance among more than 16 has only its even share, which is smaller than a prompt, so requests within the quota of their workspace are refused with 429. Ruled out: returning tokens that accrued beyond a lease's burst, because they would be used in a later window; numbered leases, because a restarted holder would number them anew; the order of the requests' sending decides instead. Change: rate_lease_ledger (holder) reserves the rate of each lease until it has ended at the instance; rate_lease (instance) spends it, gives the rest back with each request, and goes on with it while the holder is silent. The lease is in the optional fields of the request to the pool and its response; metrics count tokens by source and refusals by cause.

--- a/src/forwarding/fractional_token_bucket.cpp
+++ b/src/forwarding/fractional_token_bucket.cpp
@@ -63,6 +63,11 @@
     return m_level;
 }
 
+double fractional_token_bucket::burst() const
+{
+    return m_burst;
+}
+
 void fractional_token_bucket::advance(instant now)
 {
     if (now <= m_updated) {
--- a/src/forwarding/fractional_token_bucket.h
+++ b/src/forwarding/fractional_token_bucket.h
@@ -23,6 +23,7 @@
     /// Time until the amount could be taken.
     boot_clock::duration waitFor(double amount, instant now);
     double level(instant now);
+    double burst() const;
 
 private:
     void advance(instant now);
--- a/src/forwarding/quota_pool.h
+++ b/src/forwarding/quota_pool.h
@@ -3,7 +3,9 @@
 #include "core/deadline.h"
 #include "forwarding/fractional_token_bucket.h"
 #include "forwarding/quota_messages.h"
+#include "forwarding/rate_lease_ledger.h"
 #include "forwarding/traffic_plan.h"
+#include "forwarding/workspace_shares.h"
 
 #include <unordered_map>
 #include <vector>
@@ -13,12 +15,13 @@
 
 /// The pooled fraction of each workspace's quota, which the holder of its partition grants to all instances, request by request. An
 /// instance that becomes holder starts with an empty bucket, because the previous holder may have granted everything; so a workspace never
-/// gets more than its quota, however often its partition moves.
+/// gets more than its quota, however often its partition moves. Among many instances a part of the rate is leased to those that use it
+/// regularly; the pool has the rest.
 class quota_pool
 {
 public:
     /// The number of partitions must be the same on all instances.
-    explicit quota_pool(std::int64_t parts);
+    explicit quota_pool(std::int64_t parts, quota_tolerance tolerance = {});
 
     /// Updates the limits; tokens that were spent stay spent.
     void setPlan(const traffic_plan &plan, instant now);
@@ -29,7 +32,10 @@
 
     quota_partition partitionOf(const workspace_id &workspace) const;
     bool isHolderOf(const workspace_id &workspace, instant now) const;
+    /// For a request of this instance, which needs no lease from itself.
     pool_response take(const workspace_id &workspace, double cost, instant now);
+    /// For a request of another instance. The response has a lease when one was granted.
+    pool_response take(const workspace_id &workspace, const instance_id &from, const pool_ask &ask, instant now);
     /// Returns the tokens of a request that was not executed.
     void refundCost(const workspace_id &workspace, double cost);
 
@@ -45,11 +51,18 @@
         double burst = 0.0;
         /// Token bucket with the rate and burst above; not a duration.
         fractional_token_bucket window;
+        rate_lease_ledger leases;
+        /// Burst of a lease on the whole leasable rate.
+        double wholeLeaseBurst = 0.0;
     };
 
+    account *findHeld(const workspace_id &workspace, instant now);
+    static pool_response takeFrom(account &target, double cost, instant now);
     void applyFraction(account &target, instant now) const;
+    static void applyLeases(account &target, instant now);
 
     std::int64_t m_parts;
+    quota_tolerance m_tolerance;
     std::int64_t m_instanceCount = 1;
     std::unordered_map<workspace_id, account> m_accounts;
     std::vector<quota_partition> m_held;
--- a/src/forwarding/workspace_shares.cpp
+++ b/src/forwarding/workspace_shares.cpp
@@ -26,12 +26,23 @@
 
 } // namespace
 
+double quota_tolerance::amountFor(double ratePerSecond, double burst) const
+{
+    const std::chrono::duration<double> seconds = window;
+    return fixed + part * (ratePerSecond * seconds.count() + burst);
+}
+
 double workspace_shares::evenSplitFraction(std::int64_t instances)
 {
     const double scale = static_cast<double>(instancesWithLargeShares) / static_cast<double>(std::max<std::int64_t>(instances, 1));
     return std::clamp(maxEvenSplitFraction * scale, minEvenSplitFraction, maxEvenSplitFraction);
 }
 
+bool workspace_shares::areSharesLarge(std::int64_t instances)
+{
+    return instances <= instancesWithLargeShares;
+}
+
 workspace_shares::workspace_shares(instance_id self, quota_tolerance tolerance)
     : m_self(std::move(self))
     , m_tolerance(tolerance)
@@ -78,6 +89,11 @@
 }
 
 bool workspace_shares::take(const workspace_id &workspace, double cost, instant now)
+{
+    return take(workspace, cost, cost, now);
+}
+
+bool workspace_shares::take(const workspace_id &workspace, double cost, double wholeCost, instant now)
 {
     account *target = find(workspace);
     if (target == nullptr) {
@@ -85,7 +101,7 @@
     }
     const double burst = std::max(burstOf(*target), 1.0);
     const double level = target->window.level(now);
-    if (level < std::min(cost, burst * 0.99) || (level < cost && !mayOverdraw(workspace, *target, cost))) {
+    if (level < std::min(cost, burst * 0.99) || (level < cost && !mayOverdraw(workspace, *target, wholeCost))) {
         return false;
     }
     // A negative refund charges the cost.
@@ -124,7 +140,7 @@
 
 bool workspace_shares::hasLargeShares() const
 {
-    return m_instanceCount <= instancesWithLargeShares;
+    return areSharesLarge(m_instanceCount);
 }
 
 double workspace_shares::share() const
@@ -135,13 +151,7 @@
 double workspace_shares::burstOf(const account &target) const
 {
     const double burstFraction = hasLargeShares() ? burstFractionOfLargeShares : burstFractionOfSmallShares;
-    return target.burst * share() + toleranceOf(target) * burstFraction / static_cast<double>(m_instanceCount);
-}
-
-double workspace_shares::toleranceOf(const account &target) const
-{
-    const std::chrono::duration<double> window = m_tolerance.window;
-    return m_tolerance.fixed + m_tolerance.part * (target.rate * window.count() + target.burst);
+    return target.burst * share() + m_tolerance.amountFor(target.rate, target.burst) * burstFraction / static_cast<double>(m_instanceCount);
 }
 
 bool workspace_shares::mayOverdraw(const workspace_id &workspace, const account &target, double cost) const
@@ -149,7 +159,7 @@
     if (hasLargeShares()) {
         return true;
     }
-    const double debtors = toleranceOf(target) * debtFractionOfSmallShares / cost;
+    const double debtors = m_tolerance.amountFor(target.rate, target.burst) * debtFractionOfSmallShares / cost;
     // The hash spreads the instances evenly, so that about as many are below the bound.
     const std::uint64_t rank = stableHash(m_self.value(), stableHash(workspace.value()));
     const double position = static_cast<double>(rank) / static_cast<double>(std::numeric_limits<std::uint64_t>::max());
--- a/src/forwarding/workspace_shares.h
+++ b/src/forwarding/workspace_shares.h
@@ -16,6 +16,9 @@
     /// As a fraction of what rate and burst allow within a window.
     double part = 0.0;
     std::chrono::milliseconds window {0};
+
+    /// The tolerance for a workspace, in cost units.
+    double amountFor(double ratePerSecond, double burst) const;
 };
 
 /// This instance's own share of each workspace's quota. A fraction of each quota is split evenly among the instances, and an instance
@@ -26,6 +29,8 @@
     /// Fraction of every quota that is split evenly among so many instances. The rest is in the pool. Among many instances a share is
     /// smaller than one prompt, and what is split can hardly be used.
     static double evenSplitFraction(std::int64_t instances);
+    /// True for so few instances that their shares are large enough for prompts.
+    static bool areSharesLarge(std::int64_t instances);
 
     /// A fraction of the tolerance is split among the instances as additional burst.
     workspace_shares(instance_id self, quota_tolerance tolerance);
@@ -41,7 +46,9 @@
     /// True among few instances, whose shares are large enough for prompts.
     bool hasLargeShares() const;
     /// Takes the cost. A cost that is larger than the whole share needs a full share and leaves a debt. Among many instances only as many
-    /// may have a debt as the tolerance covers; which ones differs between workspaces.
+    /// may have a debt as the tolerance covers; which ones differs between workspaces. The cost is the part of the whole request's cost
+    /// that the share has to pay.
+    bool take(const workspace_id &workspace, double cost, double wholeCost, instant now);
     bool take(const workspace_id &workspace, double cost, instant now);
     /// Returns the cost of a request that was not executed.
     void refundCost(const workspace_id &workspace, double cost);
@@ -65,7 +72,6 @@
     void applyShare(account &target, instant now) const;
     double share() const;
     double burstOf(const account &target) const;
-    double toleranceOf(const account &target) const;
     /// Whether this instance is among those that may be in debt for requests of that cost.
     bool mayOverdraw(const workspace_id &workspace, const account &target, double cost) const;
 
--- a/src/gateway/gateway_tree.cpp
+++ b/src/gateway/gateway_tree.cpp
@@ -100,7 +100,10 @@
                       }});
     m_root->addChild({"quotas", [this, settings] {
                           const quota_broker_settings quotas = {settings.instance, settings.quotas, settings.quotaPartitions};
-                          const quota_broker_addresses to = {address(m_dispatchMailbox), address(m_groupMailbox), address(m_meshMailbox)};
+                          const quota_broker_addresses to = {address(m_dispatchMailbox),
+                                                             address(m_groupMailbox),
+                                                             address(m_meshMailbox),
+                                                             makeSink<metric_batch>(address(m_monitorMailbox))};
                           return std::make_unique<quota_broker_task>(m_quotaMailbox, quotas, to, m_log);
                       }});
     m_root->addChild(
--- a/src/gateway/quota_broker_task.cpp
+++ b/src/gateway/quota_broker_task.cpp
@@ -18,11 +18,61 @@
 // The holder stops using its partitions before the store may assign them to another instance, whose clock may run slightly faster.
 constexpr milliseconds leaseMargin {300};
 
+// Each workspace renews its lease about once a second.
+constexpr milliseconds leaseLineInterval {10'000};
+
 token_count roundedCost(double cost)
 {
     return token_count(std::llround(cost));
 }
 
+// What is given to another instance is rounded down, so that no tokens are created.
+token_count roundedDown(double amount)
+{
+    return token_count(static_cast<std::int64_t>(std::floor(amount)));
+}
+
+double toCost(token_count amount)
+{
+    return static_cast<double>(amount.value());
+}
+
+peer_message toMessage(const workspace_id &workspace, const pool_ask &ask)
+{
+    const lease_report &lease = ask.lease;
+    return peer_pool_request {
+        workspace, roundedCost(ask.cost), roundedDown(lease.returned), roundedCost(lease.spent), roundedDown(lease.givenUpRate)};
+}
+
+pool_ask fromMessage(const peer_pool_request &request)
+{
+    return {toCost(request.cost), {toCost(request.returned), toCost(request.spent), toCost(request.givenUpRate)}};
+}
+
+peer_message toMessage(const pool_response &response)
+{
+    peer_pool_response message {response.isHolder, response.isGranted, response.retryAfter, response.isFirstPeriod};
+    if (const auto &lease = response.lease) {
+        message.lease = {roundedDown(lease->rate),
+                         roundedDown(lease->burst),
+                         lease->validFor,
+                         roundedCost(lease->workspaceRate),
+                         roundedCost(lease->workspaceBurst)};
+    }
+    return message;
+}
+
+pool_response fromMessage(const peer_pool_response &message)
+{
+    pool_response response {message.isHolder, message.isGranted, message.retryAfter};
+    response.isFirstPeriod = message.isFirstPeriod;
+    if (const auto &lease = message.lease) {
+        response.lease = {
+            toCost(lease->rate), toCost(lease->burst), lease->validFor, toCost(lease->workspaceRate), toCost(lease->workspaceBurst)};
+    }
+    return response;
+}
+
 } // namespace
 
 quota_broker_task::quota_broker_task(std::shared_ptr<mailbox<quota_broker_message>> box,
@@ -59,7 +109,7 @@
 
 void quota_broker_task::apply(const quota_request &request)
 {
-    const pending_quota_request pending = {request.flow, request.workspace, request.cost, {}};
+    const pending_quota_request pending = {request.flow, request.workspace, request.cost, {}, {}};
     handleDecision(pending, m_broker.ask(request.workspace, request.cost, boot_clock::now()));
 }
 
@@ -97,21 +147,27 @@
     std::optional<pool_response> decision;
     if (response.answer) {
         if (const auto *poolResponse = std::get_if<peer_pool_response>(&response.answer.value())) {
-            decision = pool_response {poolResponse->isHolder, poolResponse->isGranted, poolResponse->retryAfter};
+            decision = fromMessage(*poolResponse);
         }
     } else {
-        m_log.write(log_line("quotas", "holder_silent").add("holder", response.from).add("cause", response.answer.error().message));
+        m_log.write(log_line("quotas", "holder_silent")
+                        .add("holder", response.from)
+                        .add("cause", response.answer.error().message)
+                        .add("leased_rate", static_cast<std::int64_t>(m_broker.leasedRate(request.workspace, boot_clock::now()))));
     }
-    handleDecision(request, m_broker.applyHolderResponse(request.workspace, request.cost, request.holder, decision, boot_clock::now()));
+    const instant now = boot_clock::now();
+    if (decision) {
+        m_broker.acceptLease(request.workspace, request.holder, *decision, request.sentAt, now);
+        logLease(request, *decision, now);
+    }
+    handleDecision(request, m_broker.applyHolderResponse(request.workspace, request.cost, request.holder, decision, now));
 }
 
 void quota_broker_task::apply(const peer_message_received &received)
 {
     peer_message reply = acknowledgement {};
     if (const auto *request = std::get_if<peer_pool_request>(&received.message)) {
-        const auto cost = static_cast<double>(request->cost.value());
-        const pool_response decision = m_broker.grantFromPool(request->workspace, cost, boot_clock::now());
-        reply = peer_pool_response {decision.isHolder, decision.isGranted, decision.retryAfter};
+        reply = toMessage(m_broker.grantFromPool(request->workspace, received.from.instance, fromMessage(*request), boot_clock::now()));
     } else if (const auto *returned = std::get_if<peer_pool_refund>(&received.message)) {
         m_broker.acceptRefund(returned->workspace, static_cast<double>(returned->cost.value()));
     }
@@ -133,6 +189,11 @@
 
 void quota_broker_task::perform(const pending_quota_request &request, const quota_granted &granted)
 {
+    if (granted.grant.leased > 0.0) {
+        count("quota_tokens_total", "source", "lease", static_cast<std::uint64_t>(granted.grant.leased));
+    }
+    const std::string_view payer = granted.grant.chargedHolder ? "pool" : "share";
+    count("quota_tokens_total", "source", payer, static_cast<std::uint64_t>(granted.grant.cost - granted.grant.leased));
     respond(request.flow, granted);
 }
 
@@ -141,15 +202,42 @@
     const std::uint64_t exchange = ++m_lastExchange;
     pending_quota_request waiting = request;
     waiting.holder = asked.holder;
+    // Taken before the message is sent, because the holder counts the lease from its response.
+    waiting.sentAt = boot_clock::now();
     m_pending.emplace(exchange, std::move(waiting));
-    post(asked.holder, exchange, peer_pool_request {request.workspace, roundedCost(request.cost)});
+    post(asked.holder, exchange, toMessage(request.workspace, asked.ask));
 }
 
 void quota_broker_task::perform(const pending_quota_request &request, const quota_refused &refused)
 {
+    count("quota_refusals_total", "cause", quotaRefusalCauseName(refused.cause), 1);
     respond(request.flow, refused);
 }
 
+void quota_broker_task::count(std::string name, std::string label, std::string_view value, std::uint64_t amount)
+{
+    if (amount == 0) {
+        return;
+    }
+    metric_batch batch;
+    batch.counters.push_back({{std::move(name), {{std::move(label), std::string(value)}}}, amount});
+    static_cast<void>(m_to.metrics.post(std::move(batch)));
+}
+
+void quota_broker_task::logLease(const pending_quota_request &request, const pool_response &response, instant now)
+{
+    if (!response.lease || !m_nextLeaseLine.hasPassed(now)) {
+        return;
+    }
+    m_nextLeaseLine = deadline::after(now, leaseLineInterval);
+    m_log.write(log_line("quotas", "lease_granted")
+                    .add("workspace", request.workspace)
+                    .add("holder", request.holder.instance)
+                    .add("rate", static_cast<std::int64_t>(response.lease->rate))
+                    .add("burst", static_cast<std::int64_t>(response.lease->burst))
+                    .add("valid_ms", response.lease->validFor));
+}
+
 void quota_broker_task::respond(flow_id flow, std::variant<quota_granted, quota_refused> decision)
 {
     noteUndelivered(m_to.dispatcher.post(quota_response {flow, std::move(decision)}), "dispatcher");
--- a/src/gateway/quota_broker_task.h
+++ b/src/gateway/quota_broker_task.h
@@ -3,6 +3,7 @@
 #include "gateway/gateway_messages.h"
 #include "gateway/quota_broker_messages.h"
 #include "logging/log_writer_task.h"
+#include "metrics/metric_batch.h"
 #include "runtime/task.h"
 
 #include <map>
@@ -24,6 +25,7 @@
     address<dispatch_message> dispatcher;
     address<group_message> group;
     address<mesh_supervisor_message> mesh;
+    sink<metric_batch> metrics;
 };
 
 /// Grants requests the tokens of their workspaces' quotas: from this instance's own share, or by asking the holder of the workspace's quota
@@ -46,6 +48,7 @@
         workspace_id workspace;
         double cost = 0.0;
         peer_instance holder;
+        instant sentAt;
     };
 
     void handle(quota_broker_message &&message) override;
@@ -64,8 +67,11 @@
     void perform(const pending_quota_request &request, const quota_pending &asked);
     void perform(const pending_quota_request &request, const quota_refused &refused);
     void respond(flow_id flow, std::variant<quota_granted, quota_refused> decision);
+    /// Posts one increment of a counter; a count that the metrics cannot take is lost.
+    void count(std::string name, std::string label, std::string_view value, std::uint64_t amount);
     void post(const peer_instance &to, std::uint64_t exchange, peer_message message);
     void requestHolders();
+    void logLease(const pending_quota_request &request, const pool_response &response, instant now);
     void noteUndelivered(post_result result, std::string_view receiver);
 
     quota_broker_settings m_settings;
@@ -75,6 +81,8 @@
     std::map<std::uint64_t, pending_quota_request> m_pending;
     std::uint64_t m_lastExchange = 0;
     std::vector<quota_partition> m_heldPartitions;
+    /// At most one line about leases is written before this.
+    deadline m_nextLeaseLine;
 };
 
 } // namespace burdockshelf
--- a/src/gateway/request_log.cpp
+++ b/src/gateway/request_log.cpp
@@ -100,7 +100,9 @@
                    .add("rate_per_s", static_cast<std::int64_t>(decision.limited->ratePerSecond))
                    .add("share_permille", static_cast<std::int64_t>(refused.share * 1000.0))
                    .add("instances", instances)
-                   .add("holder", refused.holder ? refused.holder->value() : "none"));
+                   .add("holder", refused.holder ? refused.holder->value() : "none")
+                   .add("cause", quotaRefusalCauseName(refused.cause))
+                   .add("leased_rate", static_cast<std::int64_t>(refused.leasedRate)));
 }
 
 void request_log::writeSent(const admitted_request &request, const start_attempt &sent, const endpoint_state *endpoint, instant now)
--- a/src/policy/peer_message.h
+++ b/src/policy/peer_message.h
@@ -128,6 +128,25 @@
 {
     workspace_id workspace;
     token_count cost;
+    /// Unused tokens of the sender's lease that it gives back. Older builds omit this and the next two.
+    token_count returned;
+    /// Tokens of leases that the sender has used since its previous request to the receiver.
+    token_count spent;
+    /// Rate in tokens per second of a lease from the previous holder that the sender has given up.
+    token_count givenUpRate;
+};
+
+/// A part of the pool's rate for the receiver alone, until it ends.
+struct peer_pool_lease
+{
+    /// Per second.
+    token_count rate;
+    token_count burst;
+    /// Measured by the receiver from its request.
+    std::chrono::milliseconds validFor {};
+    /// The limits of the workspace in the sender's configuration; the receiver may have a newer one with lower limits.
+    token_count workspaceRate;
+    token_count workspaceBurst;
 };
 
 struct peer_pool_response
@@ -137,6 +156,9 @@
     bool isGranted = false;
     /// How long to wait before a retry.
     std::chrono::milliseconds retryAfter {};
+    /// True while a new holder keeps a part of the rate back for leases of the previous one.
+    bool isFirstPeriod = false;
+    std::optional<peer_pool_lease> lease = std::nullopt;
 };
 
 /// Refunds to the pool the tokens that a request has taken and not used.
--- a/src/wire/peer_codec.cpp
+++ b/src/wire/peer_codec.cpp
@@ -118,6 +118,27 @@
         return member == nullptr ? none : *member;
     }
 
+    /// The non-negative integers of an array member that older builds do not send.
+    template<std::size_t Count>
+    std::optional<std::array<std::int64_t, Count>> optionalNumbers(const char *name)
+    {
+        if (m_failure || !m_object.contains(name)) {
+            return std::nullopt;
+        }
+        std::array<std::int64_t, Count> numbers {};
+        const json &member = m_object[name];
+        bool isValid = member.is_array() && member.size() == Count;
+        for (std::size_t i = 0; isValid && i < Count; ++i) {
+            isValid = member[i].is_number_integer() && member[i].get<std::int64_t>() >= 0;
+            numbers[i] = isValid ? member[i].get<std::int64_t>() : 0;
+        }
+        if (!isValid) {
+            reject(std::string("member '") + name + "' does not consist of the expected numbers");
+            return std::nullopt;
+        }
+        return numbers;
+    }
+
     void reject(std::string message)
     {
         if (!m_failure) {
@@ -348,18 +369,36 @@
 
 json write(const peer_pool_request &request, const record_codec_table & /*records*/)
 {
-    return {{"w", request.workspace.value()}, {"t", request.cost.value()}};
+    json body = {{"w", request.workspace.value()}, {"t", request.cost.value()}};
+    if (request.returned != token_count() || request.spent != token_count() || request.givenUpRate != token_count()) {
+        body["l"] = {request.returned.value(), request.spent.value(), request.givenUpRate.value()};
+    }
+    return body;
 }
 
 void read(member_reader &body, peer_pool_request &request, const record_codec_table & /*records*/)
 {
     body.read("w", request.workspace);
     body.read("t", request.cost);
+    if (const auto numbers = body.optionalNumbers<3>("l")) {
+        request.returned = token_count((*numbers)[0]);
+        request.spent = token_count((*numbers)[1]);
+        request.givenUpRate = token_count((*numbers)[2]);
+    }
 }
 
 json write(const peer_pool_response &response, const record_codec_table & /*records*/)
 {
-    return {{"h", response.isHolder}, {"g", response.isGranted}, {"r", response.retryAfter.count()}};
+    json body = {{"h", response.isHolder}, {"g", response.isGranted}, {"r", response.retryAfter.count()}};
+    if (response.isFirstPeriod) {
+        body["f"] = {1};
+    }
+    if (response.lease) {
+        const peer_pool_lease &lease = *response.lease;
+        body["l"] = {
+            lease.rate.value(), lease.burst.value(), lease.validFor.count(), lease.workspaceRate.value(), lease.workspaceBurst.value()};
+    }
+    return body;
 }
 
 void read(member_reader &body, peer_pool_response &response, const record_codec_table & /*records*/)
@@ -367,6 +406,14 @@
     body.read("h", response.isHolder);
     body.read("g", response.isGranted);
     body.read("r", response.retryAfter);
+    response.isFirstPeriod = body.optionalNumbers<1>("f").has_value();
+    if (const auto numbers = body.optionalNumbers<5>("l")) {
+        response.lease = {token_count((*numbers)[0]),
+                          token_count((*numbers)[1]),
+                          std::chrono::milliseconds((*numbers)[2]),
+                          token_count((*numbers)[3]),
+                          token_count((*numbers)[4])};
+    }
 }
 
 json write(const peer_pool_refund &refund, const record_codec_table & /*records*/)
