--- a/src/forwarding/quota_broker.cpp
+++ b/src/forwarding/quota_broker.cpp
@@ -94,7 +94,7 @@
     if (!isHolderAskable) {
         return takeWithoutPool(workspace, cost, quota_refusal_cause::holder_silent, now);
     }
-    return quota_pending {holder->second, {cost, reportTo(holder->second.instance, workspace, now)}};
+    return quota_pending {holder->second, {cost, reportTo(holder->second.instance, workspace, cost, now)}};
 }
 
 void quota_broker::acceptLease(
@@ -135,6 +135,9 @@
         }
         return decision;
     }
+    if (auto granted = takeLocally(workspace, cost, now)) {
+        return *std::move(granted);
+    }
     // The pool is reachable and empty, so the workspace is at its limit. Debts of small shares are for times without the pool.
     return quota_refused {
         verdict->retryAfter, m_shares.shareOf(workspace), holder.instance, quota_refusal_cause::used_up, leasedRate(workspace, now)};
@@ -226,14 +229,14 @@
     return found != m_unresponsiveUntil.end() && !found->second.hasPassed(now);
 }
 
-lease_report quota_broker::reportTo(const instance_id &holder, const workspace_id &workspace, instant now)
+lease_report quota_broker::reportTo(const instance_id &holder, const workspace_id &workspace, double cost, instant now)
 {
     const auto state = m_leases.find(workspace);
     // A holder that may not receive the request, or may not hold the partition, is given nothing back.
     if (state == m_leases.end() || state->second.respondingHolder != holder || m_unresponsiveUntil.count(holder) > 0) {
         return {};
     }
-    return state->second.lease.report(holder, now);
+    return state->second.lease.report(holder, cost, now);
 }
 
 quota_decision quota_broker::takeWithoutPool(const workspace_id &workspace, double cost, quota_refusal_cause cause, instant now)
--- a/src/forwarding/quota_broker.h
+++ b/src/forwarding/quota_broker.h
@@ -107,7 +107,7 @@
     quota_decision takeWithoutPool(const workspace_id &workspace, double cost, quota_refusal_cause cause, instant now);
     double leasedLevel(const workspace_id &workspace, instant now);
     quota_granted chargeLease(const workspace_id &workspace, double cost, double leased, instant now);
-    lease_report reportTo(const instance_id &holder, const workspace_id &workspace, instant now);
+    lease_report reportTo(const instance_id &holder, const workspace_id &workspace, double cost, instant now);
     bool isUnresponsive(const instance_id &holder, instant now) const;
 
     instance_id m_self;
--- a/src/forwarding/rate_lease.cpp
+++ b/src/forwarding/rate_lease.cpp
@@ -65,7 +65,7 @@
     m_spent = std::max(m_spent - amount, 0.0);
 }
 
-lease_report rate_lease::report(const instance_id &holder, instant now)
+lease_report rate_lease::report(const instance_id &holder, double cost, instant now)
 {
     advance(now);
     lease_report made;
@@ -74,7 +74,9 @@
         return made;
     }
     if (m_holder == holder) {
-        made.returned = std::exchange(m_level, 0.0);
+        made.returned = std::max(m_level - cost, 0.0);
+        m_level -= made.returned;
+
     } else {
         made.givenUpRate = m_grant.rate;
         m_holder.reset();
--- a/src/forwarding/rate_lease.h
+++ b/src/forwarding/rate_lease.h
@@ -32,8 +32,9 @@
     void take(double amount, instant now);
     /// Returns tokens that were taken and not used.
     void refundCost(double amount);
-    /// The report for a request to a holder. Gives up the saved tokens, or the whole lease when another holder granted it.
-    lease_report report(const instance_id &holder, instant now);
+    /// The report for a request to a holder. Gives up the tokens saved beyond the cost of the request, which the lease has to pay if the
+    /// holder does not respond, or the whole lease when another holder granted it.
+    lease_report report(const instance_id &holder, double cost, instant now);
 
 private:
     void advance(instant now);
