Let an instance keep its lease when the workspace needs its whole rate

Change: above 0.7 of the rate an instance keeps its larger lease until that ends. The test of the holders' accounts asks them for so much that a lease which is not counted shows.

--- a/src/forwarding/rate_lease_ledger.cpp
+++ b/src/forwarding/rate_lease_ledger.cpp
@@ -26,6 +26,8 @@
 constexpr double maxLeaseToUse = 4.0;
 // A lease that shrinks less keeps its size, which bounds the reservations that are kept for one instance.
 constexpr double steadyFraction = 0.8;
+// Above this fraction of the pool's rate, rate that is reserved and not used is missed elsewhere.
+constexpr double scarceFraction = 0.7;
 constexpr milliseconds sweepInterval {100};
 // Long enough for a lessee without reservations to have no regular use any more.
 constexpr milliseconds lesseeMemory {10'000};
@@ -97,7 +99,10 @@
     dropEnded(target, now);
     const double available = std::max(leasableRate() - unknownRate(now) - m_reserved, 0.0);
     const double rate = std::min(steadySize(target, sizeFor(target, now)), available);
-    const bool isWorthwhile = rate > 0.0;
+    // A smaller lease would replace the one that the instance has, whose rate stays reserved all the same. When the workspace needs its
+    // whole rate, the instance uses the larger one until that ends.
+    const bool isScarce = m_demand.perSecond(now) > m_poolRate * scarceFraction;
+    const bool isWorthwhile = rate > 0.0 && (!isScarce || rate >= reservedFor(target));
     if (isWorthwhile) {
         reserve(target, rate, now);
     }
--- a/tests/forwarding/rate_lease_test.cpp
+++ b/tests/forwarding/rate_lease_test.cpp
@@ -22,7 +22,6 @@
 constexpr double burst = 600'000.0;
 constexpr quota_tolerance tolerance {190'000.0, 0.1, 8000ms};
 constexpr std::int64_t parts = 4;
-constexpr std::chrono::milliseconds messageTimeout {100};
 const workspace_id workspace("w");
 
 /// What goes wrong, per request or per step of 2 ms on average.
@@ -81,7 +80,12 @@
         asked = refused = messages = refusedInCut = askedInCut = 0;
     }
 
-    bool isLeaseUsed = true;
+    void move(std::size_t holder)
+    {
+        m_brokers[m_holder].setHeldPartitions({}, deadline::after(m_now, 5700ms), m_now);
+        assign(holder);
+    }
+
     bool isWithinQuota = true;
     int asked = 0;
     int refused = 0;
@@ -142,8 +146,7 @@
         if (m_now - m_confirmedAt > 6s) {
             assign(draw());
         } else if (happens(m_faults.move)) {
-            m_brokers[m_holder].setHeldPartitions({}, deadline::after(m_now, 5700ms), m_now);
-            assign(draw());
+            move(draw());
         } else if (m_now - m_confirmedAt > 1s && m_pausedUntil[m_holder] <= m_now) {
             confirm();
         }
@@ -180,8 +183,7 @@
         std::optional<pool_response> response;
         const bool isReachable = m_isCutOff[index] == m_isCutOff[holder] && m_pausedUntil[holder] <= m_now;
         if (isReachable && !happens(m_faults.lostMessage)) {
-            response = isLeaseUsed ? m_brokers[holder].grantFromPool(workspace, nameOf(index), pending.ask, m_now)
-                                   : m_brokers[holder].grantFromPool(workspace, pending.ask.cost, m_now);
+            response = m_brokers[holder].grantFromPool(workspace, nameOf(index), pending.ask, m_now);
         }
         if (response && happens(m_faults.lateResponse)) {
             // What the late response grants is not used, except for the lease.
@@ -290,6 +292,23 @@
     CHECK(leased > 0.0);
 }
 
+// Guards against rate that is both leased and granted: by a holder that no longer hears of its leases, and by the next holder, which never
+// heard of them. Both are asked for more than the rate while the instances that are cut off spend their leases.
+TEST(rate_leases, areCountedByHoldersThatDoNotHearOfThem)
+{
+    for (const bool isMoved : {false, true}) {
+        leasing_fleet fleet(64, 3, {});
+        fleet.offer(0.5, 30s);
+        fleet.cutOff(62, true);
+        if (isMoved) {
+            fleet.move(1);
+        }
+        fleet.offer(60.0, 10s);
+        CHECK(fleet.leased > rate);
+        CHECK(fleet.isWithinQuota);
+    }
+}
+
 // Guards against refusals within the quota in a data centre that is cut off from the holder for as long as the holder keeps its partition:
 // 390 of 1,017 requests in 7 s of one day. Without leases 0.7 are refused. An unused lease must not starve the pool afterwards.
 TEST(rate_leases, serveADataCentreThatIsCutOff)
