Read the work time from the load report of endpoints

Some services report a fourth figure in the load header: how long work takes at the endpoint, 100 meaning as usual. parseLoad() read three figures and ignored the rest. The figure becomes endpoint_load::workTimePercent; values outside 10 to 10,000 and malformed ones are dropped, and the three other figures are still used.

--- a/src/forwarding/endpoint_entry.h
+++ b/src/forwarding/endpoint_entry.h
@@ -53,6 +53,8 @@
     std::int64_t running = 0;
     std::int64_t waiting = 0;
     std::int64_t slots = 0;
+    /// How long work takes at the endpoint at this moment, where 100 is usual; unset when the endpoint does not report it.
+    std::optional<std::int64_t> workTimePercent;
 };
 
 } // namespace burdockshelf
--- a/tests/platform/platform_test.cpp
+++ b/tests/platform/platform_test.cpp
@@ -202,6 +202,21 @@
     CHECK_FALSE(endpoints.decodeResponseHead({200, {{"X-Server-Load", "broken"}}, ""}, now).load.has_value());
 }
 
+// A broken fourth figure must not make an endpoint look endlessly slow or fast, nor cost the three figures beside it.
+TEST(platform, dropsAbsurdWorkTimes)
+{
+    const auto decode = [&](const std::string &text) {
+        return *adapter.dialects().endpoints.decodeResponseHead({200, {{"X-Server-Load", text}}, ""}, instant(1000s)).load;
+    };
+    LONGS_EQUAL(250, decode("3,1,8,250").workTimePercent.value());
+    for (const char *figure : {"-", "0", "9", "-100", "10001", "99999999999999999999", "1e2", "x", "100,7"}) {
+        const endpoint_load load = decode(std::string("3,1,8,") + figure);
+        CHECK_FALSE(load.workTimePercent.has_value());
+        LONGS_EQUAL(8, load.slots);
+    }
+    CHECK_FALSE(decode("3,1,8").workTimePercent.has_value());
+}
+
 // The store returns only the names of group members, so a name must include the member's address.
 TEST(platform, decodesQuotaPartitionHoldersFromMemberNames)
 {
