Pace endpoints that have started or recovered

An endpoint that starts under traffic looks idle to all instances at once, and one that answers again after failures, a pause or the loss of its data centre gets the requests of all of them. endpoint_pace limits the requests that all instances together send there. The limit is estimated at each instance by adaptive_pace_rule from how the endpoint responds: times and the reported work time against the usual ones of the service (usual_figures), refusals, failures and the load report. Each instance takes an even share of the limit as a rate with a phase of its own, so that limits below one request for each instance work; a limit of concurrent requests for the first instances of an order was ruled out, because the other instances then learn nothing. Instances exchange nothing; the load report carries what the others do.

choose() leaves out an endpoint whose share is used up unless the others are suspected, unreachable or blocked, and prefers one that has not responded for a second and has a free share. Pacing applies to services that report the work time, and to all with the setting endpointPacing. Steps are logged as endpoint_pace, at most 40 between two reports of the state, and the gauge paced_endpoints counts the endpoints.

--- a/src/forwarding/endpoint_table.cpp
+++ b/src/forwarding/endpoint_table.cpp
@@ -24,11 +24,7 @@
 // engine stage, plainCallSuspectTime to those without one.
 constexpr milliseconds plainCallSuspectTime {250};
 constexpr milliseconds engineSuspectTime {1200};
-// This many consecutive failures at endpoints of a data centre mean that the data centre is unreachable. These are attempts that found no
-// connection or were misdirected (another endpoint has the address), and attempts that failed before a response head could be relayed: no
-// response, a server error (5xx), or a truncated or invalid response that was not streamed. Requests may try the data centre again after
-// the interval.
-constexpr std::int64_t failuresToPartition = 2;
+// Requests may try an unreachable data centre again after this interval.
 constexpr milliseconds partitionProbeInterval {700};
 // The reported load of other instances decays to zero over this time, because an endpoint reports again only when it responds to a request.
 constexpr milliseconds loadReportLifetime {4000};
@@ -54,8 +50,6 @@
 // The average time per token follows faster prefills quickly and slower ones slowly: a slow prefill has mostly waited in a queue.
 constexpr double fasterPrefillWeight = 0.2;
 constexpr double slowerPrefillWeight = 0.01;
-// The time of shorter prompts depends more on the network than on the speed of the endpoint.
-constexpr token_count minTokensToMeasure {200};
 // The measured delay is assumed to shrink at half the speed of real time, because other instances keep sending.
 constexpr double prefillDelayDecay = 0.5;
 // Assumed size of a request of another instance; load reports contain only the number of requests.
@@ -119,6 +113,7 @@
     }
     added->coldStartBucket = fractional_token_bucket(0.0, 1.0, now);
     setColdStartLimit(*added, service, now);
+    beginPace(*added, pace_cause::started, now);
     m_byService[entry.service].push_back(added.get());
     m_endpoints[entry.id] = std::move(added);
     return true;
@@ -137,7 +132,12 @@
 
 void endpoint_table::setEvacuated(std::set<data_centre_id> dataCentres)
 {
-    m_evacuated = std::move(dataCentres);
+    const std::set<data_centre_id> before = std::exchange(m_evacuated, std::move(dataCentres));
+    for (const data_centre_id &dataCentre : before) {
+        if (m_evacuated.count(dataCentre) == 0) {
+            noteRecovered(dataCentre);
+        }
+    }
 }
 
 void endpoint_table::setInstances(std::vector<instance_id> instances)
@@ -167,7 +167,11 @@
         if (!candidate->coldUntil.hasPassed(now) && candidate->coldStartBucket.level(now) < 1.0) {
             continue;
         }
-        const double candidateScore = score(*candidate, attemptKind, tokens, profile, now) + random.uniform() * tieBreakRange;
+        const std::optional<double> pacing = paceTerm(*candidate, now);
+        if (!pacing) {
+            continue;
+        }
+        const double candidateScore = score(*candidate, attemptKind, tokens, profile, now) + *pacing + random.uniform() * tieBreakRange;
         if (best == nullptr || candidateScore < bestScore) {
             best = candidate;
             bestScore = candidateScore;
@@ -219,6 +223,7 @@
         ++known->outstanding;
         known->outstandingTokens += tokens;
         known->unanswered.insert(now);
+        notePaceSent(*known);
         m_restrictions.noteSent({endpoint, known->entry.startTime}, now);
     }
 }
@@ -261,6 +266,7 @@
     if (isUnreachable || hadResponse || verdict == health_verdict::good || verdict == health_verdict::refused) {
         noteReachability(known->entry.dataCentre, !isUnreachable, now);
     }
+    notePaceEnded(*known, tokens, sentAt, hadResponse, verdict, now);
     switch (verdict) {
     case health_verdict::good: {
         const std::chrono::duration<double> elapsed = now - sentAt;
@@ -295,6 +301,7 @@
     if (endpoint_state *known = state(endpoint)) {
         known->requestsOfOtherInstances = static_cast<double>(std::max<std::int64_t>(load.running + load.waiting - known->outstanding, 0));
         known->loadReportedAt = now;
+        notePaceLoad(*known, load);
     }
 }
 
@@ -400,13 +407,6 @@
         && now - found->second.lastFailure < partitionProbeInterval;
 }
 
-void endpoint_table::noteReachability(const data_centre_id &dataCentre, bool isReachable, instant now)
-{
-    reachability_state &reachability = m_reachability[dataCentre];
-    reachability.consecutiveFailures = isReachable ? 0 : reachability.consecutiveFailures + 1;
-    reachability.lastFailure = isReachable ? reachability.lastFailure : now;
-}
-
 void endpoint_table::setColdStartLimit(endpoint_state &endpoint, const traffic_service *service, instant now) const
 {
     const double rate = service == nullptr ? 0.0 : service->coldRequestsPerSecond;
--- a/src/forwarding/endpoint_table.h
+++ b/src/forwarding/endpoint_table.h
@@ -2,9 +2,11 @@
 
 #include "core/random_source.h"
 #include "forwarding/endpoint_entry.h"
+#include "forwarding/endpoint_pace_log.h"
 #include "forwarding/endpoint_restrictions.h"
 #include "forwarding/fractional_token_bucket.h"
 #include "forwarding/traffic_plan.h"
+#include "forwarding/usual_figures.h"
 
 #include <functional>
 #include <map>
@@ -59,6 +61,7 @@
     /// Requests of other instances at the endpoint, according to its last load report.
     double requestsOfOtherInstances = 0.0;
     instant loadReportedAt;
+    endpoint_load lastLoad;
     double failureRate = 0.0;
     double meanLatencySeconds = 0.0;
     /// How much longer the last prefill took here than processing its prompt takes at an idle endpoint, and when that was measured.
@@ -77,6 +80,9 @@
     /// When the endpoint last responded to any attempt.
     instant lastResponseAt;
     bool isListed = true;
+    endpoint_pace pace;
+    /// The endpoint or its data centre is usable again; pacing begins when the endpoint is next considered.
+    bool hasRecovered = false;
 };
 
 /// How far the requests that reach a cold endpoint within a second may exceed its cold rate, over all instances.
@@ -94,6 +100,8 @@
     instance_id self;
     data_centre_id dataCentre;
     cold_start_tolerance cold;
+    /// Paces endpoints that have started or recovered also in services that do not report their work time.
+    bool pacesAllServices = false;
 };
 
 /// The end of a restriction that followed from an endpoint's responses.
@@ -172,6 +180,9 @@
     void noteStatus(const endpoint_id &endpoint, instant sentAt, int status, const attempt_id &request);
     /// The endpoints that got rid of a restriction since the last call.
     std::vector<lifted_restriction> takeLifted();
+    /// The steps of paced endpoints since the last call.
+    endpoint_pace_log::content takePaceChanges();
+    std::size_t pacedEndpoints() const;
 
 private:
     using service_endpoints = std::vector<endpoint_state *>;
@@ -180,9 +191,17 @@
     struct reachability_state
     {
         std::int64_t consecutiveFailures = 0;
+        instant firstFailure;
         instant lastFailure;
     };
 
+    /// This many consecutive failures at endpoints of a data centre mean that the data centre is unreachable. These are attempts that found
+    /// no connection or were misdirected (another endpoint has the address), and attempts that failed before a response head could be
+    /// relayed: no response, a server error (5xx), or a truncated or invalid response that was not streamed.
+    static constexpr std::int64_t failuresToPartition = 2;
+    /// The time of shorter prompts depends more on the network than on the speed of the endpoint.
+    static constexpr token_count minTokensToMeasure {200};
+
     bool isPartitioned(const data_centre_id &dataCentre, instant now) const;
     void noteReachability(const data_centre_id &dataCentre, bool isReachable, instant now);
     void notePrefillTime(endpoint_state &prefillEndpoint, token_count tokens, boot_clock::duration elapsed, instant now);
@@ -194,6 +213,21 @@
     score(const endpoint_state &candidate, attempt_kind attemptKind, token_count tokens, const traffic_service *profile, instant now) const;
     static double
     load(const endpoint_state &candidate, attempt_kind attemptKind, token_count tokens, const traffic_service *profile, instant now);
+    usual_figures &usualOf(const endpoint_entry &entry);
+    pace_surroundings paceSurroundings(const endpoint_state &endpoint);
+    /// Paces an endpoint that has started or recovered while its service had traffic, unless pacing is disabled for the service.
+    void beginPace(endpoint_state &endpoint, pace_cause cause, instant now);
+    void noteRecovered(const data_centre_id &dataCentre);
+    /// What the pace adds to a candidate's score; empty when the candidate must be left out.
+    std::optional<double> paceTerm(endpoint_state &candidate, instant now);
+    void notePaceSent(endpoint_state &endpoint);
+    void notePaceLoad(endpoint_state &endpoint, const endpoint_load &load);
+    void notePaceEnded(endpoint_state &endpoint, token_count tokens, instant sentAt, bool hadResponse, health_verdict verdict, instant now);
+    void notePace(endpoint_state &endpoint, const pace_observation &observed, instant now);
+    void logPace(const endpoint_state &endpoint, pace_step step, std::optional<pace_observation> observed, instant now);
+    /// Seconds for each unit of an attempt's work; empty when its duration says nothing about the endpoint's speed.
+    static std::optional<double>
+    paceTime(const endpoint_state &endpoint, token_count tokens, instant sentAt, bool hadResponse, instant now);
     void setColdStartLimit(endpoint_state &endpoint, const traffic_service *service, instant now) const;
     /// True when this instance is one of the count instances that share the endpoint's cold rate.
     bool isAmongSharers(const endpoint_id &endpoint, std::int64_t count) const;
@@ -209,6 +243,8 @@
     std::vector<instance_id> m_instances;
     endpoint_restrictions m_restrictions;
     std::vector<lifted_restriction> m_lifted;
+    std::map<std::pair<service_id, std::optional<engine_stage>>, usual_figures> m_usual;
+    endpoint_pace_log m_paceLog;
 };
 
 } // namespace burdockshelf
--- a/src/forwarding/endpoint_table_availability.cpp
+++ b/src/forwarding/endpoint_table_availability.cpp
@@ -95,8 +95,9 @@
 
 void endpoint_table::noteStatus(const endpoint_id &endpoint, instant sentAt, int status, const attempt_id &request)
 {
-    const endpoint_state *known = find(endpoint);
+    endpoint_state *known = state(endpoint);
     if (known != nullptr && m_restrictions.noteAnswered({endpoint, known->entry.startTime}, sentAt, status)) {
+        known->hasRecovered = true;
         m_lifted.push_back({endpoint, request});
     }
 }
--- a/src/gateway/dispatch_task.cpp
+++ b/src/gateway/dispatch_task.cpp
@@ -41,7 +41,10 @@
     , m_log(std::move(log))
     , m_random(random)
     , m_requests(m_log)
-    , m_fleet({m_settings.instance, m_settings.dataCentre, m_settings.cold}, m_settings.entries, dialects.records, m_log)
+    , m_fleet({m_settings.instance, m_settings.dataCentre, m_settings.cold, m_settings.pacesAllServices},
+              m_settings.entries,
+              dialects.records,
+              m_log)
     , m_retryBudget(m_settings.retryBudget)
     , m_deadlines(
           loop, [this](flow_id due) { handleDeadline(due); }, m_log)
@@ -289,6 +292,7 @@
 void dispatch_task::publishChanges()
 {
     publishLiftedRestrictions();
+    m_fleet.logPaceChanges();
     const bool isPlanChanged = std::exchange(m_publishedPlan, m_fleet.planVersion()) != m_fleet.planVersion();
     const bool isCountChanged = std::exchange(m_publishedInstanceCount, m_fleet.instanceCount()) != m_fleet.instanceCount();
     if (isPlanChanged) {
@@ -367,6 +371,7 @@
     }
     publishEngines();
     m_outbox.setGauge("endpoints", static_cast<double>(m_fleet.endpoints().size()));
+    m_outbox.setGauge("paced_endpoints", static_cast<double>(m_fleet.endpoints().pacedEndpoints()));
     m_outbox.setGauge("instances", static_cast<double>(m_fleet.instanceCount()));
     m_outbox.setGauge("active_requests", static_cast<double>(m_flows.size()));
     m_outbox.setGauge("requests_awaiting_quota", static_cast<double>(m_awaitingQuota.size()));
--- a/src/gateway/dispatch_task.h
+++ b/src/gateway/dispatch_task.h
@@ -23,6 +23,7 @@
     incarnation_id incarnation;
     data_centre_id dataCentre;
     cold_start_tolerance cold;
+    bool pacesAllServices = false;
     retry_limits retryBudget;
     registration_grace_settings entries;
     /// Time from the start of the shutdown until the process is killed.
--- a/src/gateway/fleet_notices.cpp
+++ b/src/gateway/fleet_notices.cpp
@@ -2,11 +2,20 @@
 
 #include "gateway/fleet_state.h"
 
+#include <cmath>
 #include <vector>
 
 namespace burdockshelf
 {
 
+namespace
+{
+
+// Log lines hold whole numbers only.
+constexpr double hundredths = 100.0;
+
+} // namespace
+
 notice_change fleet_state::noteNotice(const endpoint_notice_received &received, instant now, random_source &random)
 {
     notice_change change = m_endpoints.noteNotice(received.from, received.notice, now, random);
@@ -44,4 +53,28 @@
     return lifted.size();
 }
 
+void fleet_state::logPaceChanges()
+{
+    const endpoint_pace_log::content steps = m_endpoints.takePaceChanges();
+    for (const pace_change &change : steps.changes) {
+        log_line line("dispatch", "endpoint_pace");
+        line.add("endpoint", change.endpoint)
+            .add("step", paceStepName(change.step))
+            .add("cause", paceCauseName(change.cause))
+            .add("limit_hundredths", std::llround(change.limit * hundredths))
+            .add("instances", m_instanceCount);
+        if (change.observed) {
+            line.add("evidence", paceEvidenceName(change.observed->evidence))
+                .add("slowness_hundredths", std::llround(change.observed->slowness * hundredths));
+            if (change.observed->reportedRequests) {
+                line.add("reported_requests", std::llround(*change.observed->reportedRequests));
+            }
+        }
+        m_log.write(std::move(line));
+    }
+    if (steps.leftOut > 0) {
+        m_log.write(log_line("dispatch", "endpoint_pace_left_out").add("steps", steps.leftOut));
+    }
+}
+
 } // namespace burdockshelf
--- a/src/gateway/fleet_state.h
+++ b/src/gateway/fleet_state.h
@@ -42,6 +42,8 @@
     notice_change noteNotice(const endpoint_notice_received &received, instant now, random_source &random);
     /// Logs the endpoints that got rid of a restriction since the last call. Returns how many there are.
     std::size_t logLiftedRestrictions();
+    /// Logs the steps of paced endpoints since the last call.
+    void logPaceChanges();
     /// False until the plan, at least one endpoint and the reports of the other instances have been read. Without the reports this instance
     /// would use all quotas by itself.
     bool hasInitialState() const;
--- a/src/gateway/gateway_settings.cpp
+++ b/src/gateway/gateway_settings.cpp
@@ -140,6 +140,7 @@
             rule.set(settings, *value);
         }
     }
+    settings.pacesAllServices = reader.booleanOr("endpointPacing", false);
     settings.prefillPercent = reader.integer("prefillPercent", percentRange);
     BOOST_OUTCOME_TRYV(reader.finish());
     return settings;
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -34,6 +34,8 @@
     /// Maximum time from the store's acknowledgement that an endpoint leaves until the endpoint gets no more requests.
     std::chrono::milliseconds maxDrainDelay {2000};
     cold_start_tolerance cold;
+    /// Paces endpoints that have started or recovered also in services that do not report their work time.
+    bool pacesAllServices = false;
     retry_limits retryBudget = {10, 0};
     quota_tolerance quotas;
     /// Number of partitions of the quota pool; must be the same on all instances.
--- a/tests/gateway/gateway_settings_test.cpp
+++ b/tests/gateway/gateway_settings_test.cpp
@@ -71,7 +71,11 @@
         std::string section = text.substr(at + open.size(), end - at - open.size());
         const std::optional<std::string> value = nextBound();
         const std::string placeholder = "{{.|json}}";
-        section = value ? section.replace(section.find(placeholder), placeholder.size(), *value) : "";
+        const std::size_t filled = section.find(placeholder);
+        if (filled != std::string::npos && value) {
+            section.replace(filled, placeholder.size(), *value);
+        }
+        section = value ? section : "";
         text.replace(at, end + close.size() - at, section);
     }
     for (std::size_t at = text.find("{{"); at != std::string::npos; at = text.find("{{", at)) {
@@ -160,6 +164,20 @@
     LONGS_EQUAL(0, settings.retryBudget.fixedAllowance);
 }
 
+// Guards against pacing in deployments that have not asked for it, and against a template that loses the setting.
+TEST(gateway_settings_files, pacesEndpointsOnlyWhereAsked)
+{
+    CHECK_FALSE(parsed(completeSettings()).pacesAllServices);
+    const auto filled = [](std::optional<std::string> bound) {
+        return parseGatewaySettings(render(readTemplate(), [&] { return bound; })).value();
+    };
+    CHECK_TRUE(filled("1").pacesAllServices);
+    CHECK_FALSE(filled(std::nullopt).pacesAllServices);
+    nlohmann::json invalid = completeSettings();
+    invalid["endpointPacing"] = 1;
+    CHECK_TRUE(isRejectedByName(invalid, "endpointPacing"));
+}
+
 // Guards against a template that a deployment without some of the bounds turns into text that is not JSON.
 TEST(gateway_settings_files, areValidForAllBoundsOfADeployment)
 {
