Test outages of data centres, cold bounds and used-up shares of pacing

The first tests cover the rule and the begin of a pace. These add that a short loss of contact paces nothing, that the last resort does not exceed the rate of a cold endpoint, and that choose() leaves out a starter whose share is used up: 1 of 400 requests goes there while it does not respond.

--- a/tests/forwarding/endpoint_pace_test.cpp
+++ b/tests/forwarding/endpoint_pace_test.cpp
@@ -231,3 +231,68 @@
     }
     CHECK_TRUE(isProbed);
 }
+
+// Guards against the flood that follows when a data centre is reachable again, and against pacing it after two failures in a row by chance.
+TEST(endpoint_pace, pacesADataCentreAfterAnOutage)
+{
+    for (const auto outage : {100ms, 3000ms}) {
+        paced_table one;
+        for (const char *name : {"p1", "p2", "p3"}) {
+            one.endpoints.put(entryOf(name, remote), nullptr, one.now);
+        }
+        one.serve("p1", health_verdict::good, usualLoad);
+        one.serve("p1", health_verdict::failed, usualLoad, 1ms);
+        one.serve("p2", health_verdict::failed, usualLoad, 1ms);
+        one.now += outage;
+        one.serve("p3", health_verdict::good, {0, 0, 6, 100});
+        one.choose();
+        CHECK_EQUAL(outage >= 1s, one.endpoints.pacedEndpoints() == 3);
+    }
+}
+
+// Guards against a last resort that exceeds what a cold endpoint bears.
+TEST(endpoint_pace, keepsTheBoundOfColdEndpoints)
+{
+    traffic_service profile;
+    profile.id = service;
+    profile.coldRequestsPerSecond = 1.0;
+    table.endpoints.put(entryOf("p1", home), &profile, table.now);
+    table.serve("p1", health_verdict::good, usualLoad);
+    endpoint_entry cold = entryOf("p1", home, 20);
+    cold.coldRemaining = 60s;
+    table.endpoints.put(cold, &profile, table.now);
+    LONGS_EQUAL(1, table.endpoints.pacedEndpoints());
+    int sent = 0;
+    for (const instant end = table.now + 10s; table.now < end; table.now += 10ms) {
+        const endpoint_state *chosen = table.choose();
+        if (chosen != nullptr && table.endpoints.takeColdStartToken(chosen->entry.id, table.now)) {
+            table.serve("p1", health_verdict::good, {0, 0, 6, 100}, 1ms);
+            ++sent;
+        }
+    }
+    // A rate of one per second among up to five instances.
+    CHECK(sent <= 11);
+}
+
+// Guards against a pace that has no effect on the choice: an idle starter looks better than its loaded peers to all instances.
+TEST(endpoint_pace, leavesOutAStarterWhoseShareIsUsedUp)
+{
+    table.endpoints.put(entryOf("p1", home), nullptr, table.now);
+    table.serve("p1", health_verdict::good, {5, 0, 6, 100});
+    table.endpoints.put(entryOf("p2", home), nullptr, table.now);
+    int atStarter = 0;
+    for (int request = 0; request < 400; ++request) {
+        const endpoint_state *chosen = table.choose();
+        if (chosen->entry.id == endpoint_id("p2")) {
+            // It does not respond.
+            table.endpoints.noteSent(chosen->entry.id, {}, table.now);
+            ++atStarter;
+        } else {
+            table.serve("p1", health_verdict::good, {5, 0, 6, 100});
+        }
+    }
+    LONGS_EQUAL(1, atStarter);
+    LONGS_EQUAL(1, table.endpoints.pacedEndpoints());
+    const endpoint_pace_log::content steps = table.endpoints.takePaceChanges();
+    CHECK(steps.changes.front().step == pace_step::begun);
+}
