--- a/tests/forwarding/endpoint_pace_test.cpp
+++ b/tests/forwarding/endpoint_pace_test.cpp
@@ -33,8 +33,10 @@
     explicit paced_table(bool pacesAllServices = true)
         : endpoints({instance_id("i0"), home, {1.5, 5}, pacesAllServices})
     {
+        constexpr int instanceCount = 64;
         std::vector<instance_id> instances;
-        for (int i = 0; i < 64; ++i) {
+        instances.reserve(instanceCount);
+        for (int i = 0; i < instanceCount; ++i) {
             instances.emplace_back("i" + std::to_string(i));
         }
         endpoints.setInstances(instances);
