--- a/src/gateway/dispatch_task.h
+++ b/src/gateway/dispatch_task.h
@@ -23,11 +23,11 @@
     incarnation_id incarnation;
     data_centre_id dataCentre;
     cold_start_tolerance cold;
-    bool pacesAllServices = false;
     retry_limits retryBudget;
     registration_grace_settings entries;
     /// Time from the start of the shutdown until the process is killed.
     std::chrono::milliseconds gracePeriod {8000};
+    bool pacesAllServices = false;
 };
 
 /// Admits requests under the plan in force, runs their flows and sends the flows' actions to the tasks that own the sockets. Owns this
--- a/src/gateway/gateway_tree.cpp
+++ b/src/gateway/gateway_tree.cpp
@@ -103,26 +103,22 @@
                           const quota_broker_addresses to = {address(m_dispatchMailbox), address(m_groupMailbox), address(m_meshMailbox)};
                           return std::make_unique<quota_broker_task>(m_quotaMailbox, quotas, to, m_log);
                       }});
-    m_root->addChild({"dispatcher", [this, settings, dialects, incarnation] {
-                          const registration_grace_settings entries = {settings.silenceDetectionLimit, settings.maxDrainDelay};
-                          const dispatch_settings dispatch = {settings.instance,
-                                                              incarnation,
-                                                              settings.dataCentre,
-                                                              settings.cold,
-                                                              settings.pacesAllServices,
-                                                              settings.retryBudget,
-                                                              entries,
-                                                              settings.gracePeriod};
-                          dispatch_addresses to;
-                          to.callers = address(m_callerServerMailbox);
-                          to.endpoints = address(m_endpointClientMailbox);
-                          to.store = address(m_storeMailbox);
-                          to.quotas = address(m_quotaMailbox);
-                          to.stageControl = address(m_stageControlMailbox);
-                          to.readiness = makeSink<readiness_report>(address(m_monitorMailbox));
-                          to.metrics = makeSink<metric_batch>(address(m_monitorMailbox));
-                          return std::make_unique<dispatch_task>(m_loop, m_dispatchMailbox, dispatch, dialects, to, m_log, random_source());
-                      }});
+    m_root->addChild(
+        {"dispatcher", [this, settings, dialects, incarnation] {
+             const registration_grace_settings entries = {settings.silenceDetectionLimit, settings.maxDrainDelay};
+             dispatch_settings dispatch = {
+                 settings.instance, incarnation, settings.dataCentre, settings.cold, settings.retryBudget, entries, settings.gracePeriod};
+             dispatch.pacesAllServices = settings.pacesAllServices;
+             dispatch_addresses to;
+             to.callers = address(m_callerServerMailbox);
+             to.endpoints = address(m_endpointClientMailbox);
+             to.store = address(m_storeMailbox);
+             to.quotas = address(m_quotaMailbox);
+             to.stageControl = address(m_stageControlMailbox);
+             to.readiness = makeSink<readiness_report>(address(m_monitorMailbox));
+             to.metrics = makeSink<metric_batch>(address(m_monitorMailbox));
+             return std::make_unique<dispatch_task>(m_loop, m_dispatchMailbox, dispatch, dialects, to, m_log, random_source());
+         }});
     m_root->addChild(
         {"store", [this, settings, &store = dialects.store] {
              const store_settings at = {
