Test the pace of a starter with 64 and 295 endpoint tables

One endpoint starts beside another, takes 400 ms instead of 50 ms for 10 s, and gets 100 requests a second from all instances together.

--- a/tests/forwarding/endpoint_pace_test.cpp
+++ b/tests/forwarding/endpoint_pace_test.cpp
@@ -298,3 +298,62 @@
     const endpoint_pace_log::content steps = table.endpoints.takePaceChanges();
     CHECK(steps.changes.front().step == pace_step::begun);
 }
+
+// Guards against instances that together flood a small endpoint while it is slow after its start, or leave it idle once it is fast,
+// although each keeps to its own estimate.
+TEST(endpoint_pace, neitherFloodsNorStarvesAStarterOfManyInstances)
+{
+    struct call
+    {
+        std::size_t instance;
+        endpoint_id endpoint;
+        instant sentAt;
+        instant endsAt;
+    };
+
+    for (const std::size_t count : {64, 295}) {
+        std::vector<paced_table> fleet(count);
+        std::vector<instance_id> names;
+        names.reserve(count);
+        for (std::size_t i = 0; i < count; ++i) {
+            names.emplace_back("i" + std::to_string(i));
+        }
+        for (std::size_t i = 0; i < count; ++i) {
+            fleet[i].endpoints = endpoint_table({names[i], home, {1.5, 5}, true});
+            fleet[i].endpoints.setInstances(names);
+            fleet[i].endpoints.put(entryOf("p1", home), nullptr, now);
+            fleet[i].serve("p1", health_verdict::good, usualLoad);
+            fleet[i].endpoints.put(entryOf("p2", home), nullptr, now);
+        }
+        random_source random(7);
+        std::vector<call> calls;
+        int atStarterInTheEnd = 0;
+        const instant begin = now + 1s;
+        for (instant at = begin; at < begin + 40s; at += 10ms) {
+            std::int64_t present = 0;
+            std::erase_if(calls, [&](const call &one) {
+                if (one.endsAt > at) {
+                    present += one.endpoint == endpoint_id("p2") ? 1 : 0;
+                    return false;
+                }
+                endpoint_table &table = fleet[one.instance].endpoints;
+                table.noteLoad(one.endpoint, {present + 1, 0, 6, 100}, at);
+                table.noteEnded(one.endpoint, {}, one.sentAt, false, health_verdict::good, at);
+                return true;
+            });
+            // 100 requests a second.
+            paced_table &sender = fleet[random.below(count)];
+            sender.now = at;
+            const endpoint_state *chosen = sender.choose();
+            CHECK(chosen != nullptr);
+            const bool isStarter = chosen->entry.id == endpoint_id("p2");
+            const auto time = isStarter && at < begin + 10s ? 400ms : 50ms;
+            calls.push_back({static_cast<std::size_t>(&sender - fleet.data()), chosen->entry.id, at, at + time});
+            sender.endpoints.noteSent(chosen->entry.id, {}, at);
+            CHECK(present <= 18);
+            atStarterInTheEnd += isStarter && at >= begin + 30s ? 1 : 0;
+        }
+        // Half of 1000 requests is its part.
+        CHECK(atStarterInTheEnd >= 250);
+    }
+}
