--- a/src/gateway/gateway_tree.cpp
+++ b/src/gateway/gateway_tree.cpp
@@ -109,8 +109,9 @@
     m_root->addChild(
         {"dispatcher", [this, settings, dialects, incarnation] {
              const registration_grace_settings entries = {settings.silenceDetectionLimit, settings.maxDrainDelay};
-             const dispatch_settings dispatch = {
+             dispatch_settings dispatch = {
                  settings.instance, incarnation, settings.dataCentre, settings.cold, settings.retryBudget, entries, settings.gracePeriod};
+             dispatch.pacesAllServices = settings.pacesAllServices;
              dispatch_addresses to;
              to.callers = address(m_callerServerMailbox);
              to.endpoints = address(m_endpointClientMailbox);
