--- a/src/forwarding/flow_messages.h
+++ b/src/forwarding/flow_messages.h
@@ -177,6 +177,20 @@
     capacity_reservation capacityReservation;
 };
 
+/// What a search for capacity is decided by where a service's requests have different priorities.
+struct search_facts
+{
+    priority_rank rank;
+    /// Fraction of the recent reservations that were refused.
+    double scarcity = 0.0;
+    /// Waiting requests of this instance that go first.
+    std::size_t ahead = 0;
+    /// When capacity is expected for the request.
+    std::chrono::milliseconds expectedWait {};
+    /// The request is refused although its search could go on, because no capacity is expected in time.
+    bool isRefusedAtOnce = false;
+};
+
 /// A round of reservation attempts has ended without success. The request tries another round, continues without a reservation, or is
 /// refused.
 struct report_failed_reservations
@@ -186,6 +200,7 @@
     std::vector<endpoint_id> asked;
     /// When the search for capacity ends.
     deadline until;
+    std::optional<search_facts> facts;
 };
 
 /// Relays the head of an attempt's response; parts of the body follow.
--- a/src/forwarding/refusal_policy.cpp
+++ b/src/forwarding/refusal_policy.cpp
@@ -16,6 +16,12 @@
 // Bursts last for seconds, and a request that is retried for lack of capacity misses its target anyway; so it is retried when the burst is
 // likely to be over.
 constexpr milliseconds noCapacityWait {3000};
+// A caller that returns before capacity is free spends its only retry, so the estimate is not trusted below the first time. The spread
+// keeps callers that were refused together from returning together.
+constexpr milliseconds minCapacityWait {1000};
+constexpr double capacityWaitSpread = 0.5;
+// Callers ignore a later time than a third of what they have left. The rest of the third covers the way to the caller.
+constexpr double returnFractionOfTimeLeft = 0.3;
 constexpr milliseconds notReadyWait {250};
 constexpr milliseconds shutdownWait {50};
 // After a pause, callers return within this fraction of what was left of the pause, within the limits. The most urgent ones return in the
@@ -33,6 +39,20 @@
     return remaining + offset + (facts.priority > 0 ? half : milliseconds::zero());
 }
 
+milliseconds waitForCapacity(const refusal_facts &facts, instant now)
+{
+    if (!facts.capacityWait) {
+        return noCapacityWait;
+    }
+    const milliseconds expected = std::max(*facts.capacityWait, minCapacityWait);
+    const auto spread = std::chrono::duration_cast<milliseconds>(expected * (capacityWaitSpread * facts.jitter));
+    if (facts.callerDeadline.isNever()) {
+        return std::min(expected + spread, noCapacityWait * 2);
+    }
+    const auto latest = std::chrono::duration_cast<milliseconds>(facts.callerDeadline.remaining(now) * returnFractionOfTimeLeft);
+    return std::min(expected + spread, latest);
+}
+
 /// Whether the endpoints' own notices are the reason.
 refusal_cause causeOf(const refusal_facts &facts)
 {
@@ -58,7 +78,7 @@
     case refusal_cause::endpoints_leaving:
         return {cause, noEndpointWait};
     case refusal_cause::overloaded:
-        return {cause, facts.isCapacityExhausted ? noCapacityWait : overloadWait};
+        return {cause, facts.isCapacityExhausted ? waitForCapacity(facts, now) : overloadWait};
     case refusal_cause::expired:
         return {cause, overloadWait};
     case refusal_cause::not_ready:
--- a/src/forwarding/refusal_policy.h
+++ b/src/forwarding/refusal_policy.h
@@ -17,6 +17,10 @@
     service_availability endpoints;
     /// Endpoints were asked for capacity until the end of the search, and none had any.
     bool isCapacityExhausted = false;
+    /// When capacity is expected; unset where all requests to a service have the same priority.
+    std::optional<std::chrono::milliseconds> capacityWait;
+    /// When the caller stops waiting; never if that is not known.
+    deadline callerDeadline = deadline::never();
     /// When the quarantine of a part of the prompt ends; unset for other causes.
     std::optional<deadline> quarantineEnds;
     /// When the token bucket of the workspace covers the request; unset when no bucket refused it.
--- a/src/forwarding/reservation_search.cpp
+++ b/src/forwarding/reservation_search.cpp
@@ -3,23 +3,20 @@
 namespace burdockshelf
 {
 
-namespace
-{
-
-// Endpoints asked for a reservation before the request pauses.
-constexpr std::size_t maxAskedPerRound = 3;
-constexpr std::chrono::milliseconds roundInterval {70};
-
-} // namespace
-
 void reservation_search::begin(const std::vector<endpoint_id> &tried, deadline until)
 {
     m_tried = tried;
     m_excluded = tried;
-    m_deadline = until;
+    m_pace = {};
+    m_pace.until = until;
     m_nextRoundAt = deadline::never();
 }
 
+void reservation_search::setPace(const search_pace &pace)
+{
+    m_pace = pace;
+}
+
 void reservation_search::stop()
 {
     m_nextRoundAt = deadline::never();
@@ -42,27 +39,28 @@
 
 bool reservation_search::isRoundFull() const
 {
-    return m_excluded.size() >= m_tried.size() + maxAskedPerRound;
+    return m_excluded.size() >= m_tried.size() + m_pace.maxAsked;
 }
 
-report_failed_reservations reservation_search::endRound(token_count tokens)
+report_failed_reservations reservation_search::endRound(token_count tokens, std::optional<search_facts> facts)
 {
     const auto asked = m_excluded.begin() + static_cast<std::ptrdiff_t>(m_tried.size());
-    return {++m_rounds, tokens, {asked, m_excluded.end()}, m_deadline};
+    return {++m_rounds, tokens, {asked, m_excluded.end()}, m_pace.until, facts};
 }
 
 bool reservation_search::scheduleNextRound(instant now)
 {
-    if (m_deadline.hasPassed(now)) {
+    if (m_pace.until.hasPassed(now)) {
         return false;
     }
-    m_nextRoundAt = deadline::after(now, roundInterval);
+    m_nextRoundAt = deadline::after(now, m_pace.interval);
     return true;
 }
 
-bool reservation_search::startDueRound(instant now)
+bool reservation_search::startDueRound(instant now, bool isCapacityOffered)
 {
-    if (!m_nextRoundAt.hasPassed(now)) {
+    const bool isDue = m_nextRoundAt.hasPassed(now) || (isCapacityOffered && !m_nextRoundAt.isNever());
+    if (!isDue) {
         return false;
     }
     m_nextRoundAt = deadline::never();
--- a/src/forwarding/traffic_plan.cpp
+++ b/src/forwarding/traffic_plan.cpp
@@ -30,6 +30,9 @@
 {
     for (const traffic_route &route : m_plan.routes) {
         m_routesByHost[lowerCase(route.host)].push_back(&route);
+        for (const route_target &target : route.targets) {
+            m_prioritiesByService[target.service].insert(route.priority);
+        }
     }
     for (auto &[host, routes] : m_routesByHost) {
         std::stable_sort(routes.begin(), routes.end(), [](const traffic_route *left, const traffic_route *right) {
@@ -71,6 +74,15 @@
     return found == m_services.end() ? nullptr : found->second;
 }
 
+std::optional<priority_rank> plan_index::rankOf(const service_id &service, std::int64_t priority) const
+{
+    const auto found = m_prioritiesByService.find(service);
+    if (found == m_prioritiesByService.end() || found->second.size() < 2) {
+        return std::nullopt;
+    }
+    return priority_rank(std::distance(found->second.begin(), found->second.lower_bound(priority)));
+}
+
 const workspace_plan *plan_index::findWorkspaceByKey(std::string_view key) const
 {
     const auto found = m_workspaceByKey.find(std::string(key));
--- a/src/forwarding/traffic_plan.h
+++ b/src/forwarding/traffic_plan.h
@@ -6,6 +6,7 @@
 
 #include <chrono>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -16,6 +17,8 @@
 using route_id = strong_id<struct route_tag>;
 /// Version of the traffic plan as numbered by the operator, rising with gaps; 0 when none is in force.
 using plan_version = quantity<struct plan_version_unit>;
+/// Place of a priority among those of the routes to a service; 0 is the first priority.
+using priority_rank = quantity<struct priority_rank_tag>;
 
 /// Whether the requests of a route may be retried.
 enum class request_kind
@@ -124,6 +127,8 @@
     /// The host's route with the longest prefix of the path; nullptr when none matches.
     const traffic_route *findRoute(std::string_view host, std::string_view path) const;
     const traffic_service *findService(const service_id &service) const;
+    /// The rank of a priority at a service; unset when all routes to the service have the same priority.
+    std::optional<priority_rank> rankOf(const service_id &service, std::int64_t priority) const;
     /// The workspace with this API key; nullptr when the key is unknown.
     const workspace_plan *findWorkspaceByKey(std::string_view key) const;
     bool requiresKeys() const;
@@ -133,6 +138,7 @@
     std::unordered_map<std::string, std::vector<const traffic_route *>> m_routesByHost;
     std::unordered_map<std::string, const workspace_plan *> m_workspaceByKey;
     std::unordered_map<service_id, const traffic_service *> m_services;
+    std::unordered_map<service_id, std::set<std::int64_t>> m_prioritiesByService;
 };
 
 } // namespace burdockshelf
