Search for capacity by rank and order

forward_flow asks as the policy of its rank says, joins the queue of its service while it searches, and is refused at once when no capacity is expected in time. When a stream of this instance ends, its engine is offered to the first request in the queue, whose next round is due at once. Streams that have begun keep the uniform rule, because their work is invested. Services whose routes all have the same priority are served as before.

The line no_room states rank, scarcity, the requests ahead and the expected time; new metrics count reservations by priority and the queue's length.

--- a/src/forwarding/forward_flow.cpp
+++ b/src/forwarding/forward_flow.cpp
@@ -117,6 +117,7 @@
             m_context->endpoints.noteMisdirected(ended->endpoint);
         }
         recordLoss(*ended, outcome, response);
+        noteCapacityFreed(*ended);
         if (outcome == attempt_outcome::lost || outcome == attempt_outcome::whole) {
             m_mayHaveExecuted = m_mayHaveExecuted || executesRequest(ended->attemptKind);
         }
@@ -148,8 +149,9 @@
             endAtDeadline();
             return;
         }
-        if (!m_isFinal && m_reservationSearch.startDueRound(m_now)) {
-            sendNextReservation();
+        const bool isOffered = m_isQueued && m_context->sharing.of(m_service).queue.hasOffer(m_request.flow);
+        if (!m_isFinal && m_reservationSearch.startDueRound(m_now, isOffered)) {
+            startReservationRound();
         }
         for (const flow_attempt &attempt : m_attempts.all()) {
             if (attempt.timeoutAt.hasPassed(m_now) && !m_isFinal) {
@@ -264,6 +266,7 @@
     const health_verdict verdict = wasOverdue ? health_verdict::failed : health_verdict::abandoned;
     m_context->endpoints.noteEnded(ended->endpoint, tokensFor(ended->attemptKind), ended->sentAt, ended->hasResponse, verdict, m_now);
     m_actions.emplace_back(cancel_flow_attempt {ended->number});
+    noteCapacityFreed(*ended);
 }
 
 void forward_flow::cancelAll()
@@ -279,6 +282,9 @@
     m_now = now;
     m_actions.clear();
     step();
+    if (m_isFinal) {
+        leaveReservationQueue();
+    }
     m_context = nullptr;
     return std::exchange(m_actions, {});
 }
--- a/src/forwarding/forward_flow.h
+++ b/src/forwarding/forward_flow.h
@@ -2,12 +2,13 @@
 
 #include "core/random_source.h"
 #include "forwarding/attempt_list.h"
+#include "forwarding/capacity_sharing.h"
 #include "forwarding/event_splitter.h"
 #include "forwarding/flow_messages.h"
 #include "forwarding/prompt_quarantine.h"
 #include "forwarding/quota_messages.h"
 #include "forwarding/refusal_policy.h"
-#include "forwarding/reservation_search.h"
+#include "forwarding/search_policy.h"
 #include "forwarding/service_retry_budget.h"
 
 #include <functional>
@@ -22,11 +23,13 @@
     service_retry_budget &retryBudget;
     prompt_quarantine &quarantine;
     random_source &random;
+    capacity_sharing &sharing;
 };
 
 /// A request that was admitted under a plan.
 struct admitted_request
 {
+    flow_id flow;
     forward_facts facts;
     /// Keeps the route and the services alive while the request is in progress.
     std::shared_ptr<const plan_index> plan;
@@ -120,8 +123,18 @@
     /// Starts to reserve capacity for the whole request, prompt and output: before the prompt is processed, and again before a decode is
     /// repeated.
     void startReservationSearch();
+    /// Asks as the policy of the request's rank says, or refuses the request if the policy expects no capacity in time.
+    void startReservationRound();
+    /// The step of the policy, and what it was decided by.
+    search_step planReservationRound();
+    void joinReservationQueue();
+    void leaveReservationQueue();
+    /// The next endpoint to ask: one that was offered to this request, or else the best one.
+    const endpoint_state *chooseForReservation();
     void sendNextReservation();
     void endReservationRound();
+    /// Waits for the next round, or ends the search when its deadline has passed.
+    void pauseReservationSearch();
     /// Cancels the silent decode and sends its replacement, for which capacity has just been reserved. Without a reservation that can be
     /// used the silent decode goes on.
     void replaceSilentDecode();
@@ -156,6 +169,8 @@
     void retryDecode(const flow_attempt &ended, attempt_outcome outcome);
     /// Refuses a request that ran nowhere, or fails it when the caller already has a part of the response.
     void refuseNotExecuted(refusal_cause cause, bool isCapacityExhausted = false);
+    /// Tells the shared state that capacity has become free at the endpoint of a decode.
+    void noteCapacityFreed(const flow_attempt &ended);
     void failRequest(refusal_cause cause);
     void refuse(const refusal_decision &decision);
     void cancel(const flow_attempt &target);
@@ -197,6 +212,14 @@
     std::optional<endpoint_id> m_lastPrefillEndpoint;
     std::optional<capacity_reservation> m_reservation;
     reservation_search m_reservationSearch;
+    /// Place of the request's priority at its service; unset when all requests there have the same priority.
+    std::optional<priority_rank> m_rank;
+    /// The request waits in the queue of its service.
+    bool m_isQueued = false;
+    instant m_searchBegun;
+    instant m_lastAsked;
+    /// What the last round of a request with a rank was decided by.
+    std::optional<search_facts> m_searchFacts;
     /// The reservation attempt whose result the search waits for. Reservations that other attempts still return are released.
     std::optional<attempt_number> m_awaitedReserve;
     /// The decode that is silent while capacity for a replacement is searched. It goes on until the replacement can be sent.
--- a/src/forwarding/forward_flow_ends.cpp
+++ b/src/forwarding/forward_flow_ends.cpp
@@ -77,12 +77,21 @@
 {
     const endpoint_state *endpoint = m_context->endpoints.find(ended.endpoint);
     if (outcome == attempt_outcome::whole && handle && endpoint != nullptr) {
+        if (m_isQueued) {
+            shared_capacity &capacity = m_context->sharing.of(m_service);
+            capacity.monitor.noteGranted(*m_rank, m_now);
+            capacity.queue.noteGranted(m_request.flow, m_now);
+            m_isQueued = false;
+        }
         m_reservation = capacity_reservation {ended.endpoint, endpoint->entry.address, *handle};
         continueAfterReservation();
         return;
     }
     if (outcome == attempt_outcome::whole || outcome == attempt_outcome::rejected) {
         m_context->endpoints.noteFull(ended.endpoint, m_now);
+        if (m_isQueued) {
+            m_context->sharing.of(m_service).monitor.noteRefused(*m_rank, m_now);
+        }
     }
     m_reservationSearch.noteFull(ended.endpoint);
     sendNextReservation();
@@ -305,6 +314,7 @@
 
 void forward_flow::stopReservationSearch()
 {
+    leaveReservationQueue();
     m_silentDecode.reset();
     m_awaitedReserve.reset();
     m_reservationSearch.stop();
--- a/src/forwarding/forward_flow_refusals.cpp
+++ b/src/forwarding/forward_flow_refusals.cpp
@@ -39,6 +39,10 @@
     facts.cause = cause;
     facts.isCapacityExhausted = isCapacityExhausted;
     facts.priority = m_request.priority;
+    facts.callerDeadline = m_request.facts.callerDeadline;
+    if (m_searchFacts) {
+        facts.capacityWait = m_searchFacts->expectedWait;
+    }
     facts.jitter = m_context->random.uniform();
     const attempt_kind runs = usesEngine() ? attempt_kind::decode : attempt_kind::plain_call;
     facts.endpoints = m_context->endpoints.availabilityOf(m_service, runs, m_now);
--- a/src/forwarding/forward_flow_sends.cpp
+++ b/src/forwarding/forward_flow_sends.cpp
@@ -1,8 +1,7 @@
-// Choice of the next attempt of a request and of the endpoint that it is sent to.
+// Choice of the next attempt of a request and of the endpoint that it is sent to. forward_flow_search.cpp has the search for capacity.
 
 #include "forwarding/forward_flow.h"
 
-#include <algorithm>
 #include <utility>
 
 namespace burdockshelf
@@ -11,13 +10,9 @@
 namespace
 {
 
-using std::chrono::milliseconds;
-
 // A decode endpoint processes a prompt at half the speed of a prefill endpoint, and other streams there are delayed meanwhile.
 constexpr double decodePrefillFactor = 2.0;
 constexpr std::chrono::duration<double> decodePrefillCost {0.12};
-// A request that gets no reservation within this fraction of its route's target is refused, so that its caller can retry later.
-constexpr double reservationFractionOfTarget = 0.7;
 
 } // namespace
 
@@ -39,59 +34,6 @@
     }
 }
 
-void forward_flow::startReservationSearch()
-{
-    const auto wait = std::chrono::duration_cast<milliseconds>(m_request.route->target * reservationFractionOfTarget);
-    m_reservationSearch.begin(m_attempts.tried(), deadline::after(m_now, wait));
-    sendNextReservation();
-}
-
-void forward_flow::sendNextReservation()
-{
-    if (endIfQuarantined()) {
-        return;
-    }
-    const endpoint_state *chosen = m_context->endpoints.choose(m_service,
-                                                               attempt_kind::reserve,
-                                                               tokensFor(attempt_kind::reserve),
-                                                               m_reservationSearch.excluded(),
-                                                               m_profile,
-                                                               m_now,
-                                                               m_context->random);
-    if (chosen == nullptr && m_reservationSearch.isRoundEmpty()) {
-        // No endpoint can take a reservation at all.
-        continueAfterReservation();
-        return;
-    }
-    if (chosen == nullptr || m_reservationSearch.isRoundFull()) {
-        endReservationRound();
-        return;
-    }
-    if (!sendTo(*chosen, attempt_kind::reserve, std::nullopt)) {
-        endReservationRound();
-        return;
-    }
-    m_awaitedReserve = m_attempts.newest();
-}
-
-void forward_flow::endReservationRound()
-{
-    m_actions.emplace_back(m_reservationSearch.endRound(tokensFor(attempt_kind::reserve)));
-    if (m_reservationSearch.scheduleNextRound(m_now)) {
-        return;
-    }
-    if (m_silentDecode) {
-        keepSilentDecode();
-        return;
-    }
-    if (m_mayHaveExecuted) {
-        // A stream that has begun waits in an endpoint's queue rather than being aborted.
-        continueAfterReservation();
-        return;
-    }
-    refuseNotExecuted(refusal_cause::overloaded, true);
-}
-
 void forward_flow::continueAfterReservation()
 {
     if (m_silentDecode) {
--- a/src/gateway/dispatch_actions.cpp
+++ b/src/gateway/dispatch_actions.cpp
@@ -136,4 +136,25 @@
     m_deadlines.set(flow.id, flow.flow.nextDeadline());
 }
 
+void dispatch_task::wakeSearches()
+{
+    for (const flow_id flow : m_sharing.takeWoken()) {
+        if (m_flows.contains(flow)) {
+            m_deadlines.set(flow, deadline(boot_clock::now()));
+        }
+    }
+}
+
+void dispatch_task::recordReservation(const active_flow &flow, const attempt_ended &ended, bool isGranted)
+{
+    const admitted_request &request = flow.flow.request();
+    const std::string priority = std::to_string(request.priority);
+    if (isGranted) {
+        m_outbox.count("reservations_granted_total", "priority", priority);
+        m_outbox.recordLatency("reservation_wait_seconds", "priority", priority, boot_clock::now() - request.arrived);
+    } else if (ended.end == attempt_outcome::whole || ended.end == attempt_outcome::rejected) {
+        m_outbox.count("reservations_refused_total", "priority", priority);
+    }
+}
+
 } // namespace burdockshelf
--- a/src/gateway/dispatch_task.cpp
+++ b/src/gateway/dispatch_task.cpp
@@ -62,6 +62,7 @@
 {
     std::visit([this](auto &&typed) { apply(std::forward<decltype(typed)>(typed)); }, std::move(message));
     publishQuarantine();
+    wakeSearches();
 }
 
 void dispatch_task::apply(request_arrived &&arrived)
@@ -138,6 +139,7 @@
 
 void dispatch_task::begin(flow_id flow, http_request &&original, admitted_request &&admitted)
 {
+    admitted.flow = flow;
     auto created = std::make_unique<active_flow>(flow, std::move(original), std::move(admitted));
     active_flow &target = *created;
     target.flow.limitDeadline(m_shutdown.finishRequestsBy);
@@ -196,6 +198,9 @@
             recordFailure(*target, sent->second, ended);
         }
         m_outbox.count("attempts_total", "end", attemptOutcomeName(ended.end));
+        if (sent->second.attemptKind == attempt_kind::reserve) {
+            recordReservation(*target, ended, handle.has_value());
+        }
         if (ended.facts.load) {
             m_fleet.endpoints().noteLoad(sent->second.endpoint, *ended.facts.load, now);
         }
@@ -349,6 +354,7 @@
     if (active_flow *target = find(flow)) {
         carryOut(*target, target->flow.onDeadline(context(), boot_clock::now()));
     }
+    wakeSearches();
 }
 
 void dispatch_task::reportState()
@@ -369,6 +375,8 @@
     m_outbox.setGauge("endpoints", static_cast<double>(m_fleet.endpoints().size()));
     m_outbox.setGauge("instances", static_cast<double>(m_fleet.instanceCount()));
     m_outbox.setGauge("active_requests", static_cast<double>(m_flows.size()));
+    m_outbox.setGauge("reservation_queue_length_first_priority", static_cast<double>(m_sharing.waiting(true)));
+    m_outbox.setGauge("reservation_queue_length_later_priorities", static_cast<double>(m_sharing.waiting(false)));
     m_outbox.setGauge("requests_awaiting_quota", static_cast<double>(m_awaitingQuota.size()));
     m_outbox.sendMetrics();
 }
@@ -417,7 +425,7 @@
 
 flow_context dispatch_task::context()
 {
-    return {m_fleet.endpoints(), m_retryBudget, m_fleet.quarantine(), m_random};
+    return {m_fleet.endpoints(), m_retryBudget, m_fleet.quarantine(), m_random, m_sharing};
 }
 
 } // namespace burdockshelf
--- a/src/gateway/dispatch_task.h
+++ b/src/gateway/dispatch_task.h
@@ -104,6 +104,10 @@
     void publishQuarantine();
     /// Logs and counts the endpoints that got rid of a restriction, and tells the stage control.
     void publishLiftedRestrictions();
+    /// Makes the rounds due of the searches to which freed capacity was offered.
+    void wakeSearches();
+    /// Counts the result of a reservation by the request's priority.
+    void recordReservation(const active_flow &flow, const attempt_ended &ended, bool isGranted);
     /// Sends a call that releases something at an endpoint, unless the endpoint is pausing.
     void release(const endpoint_id &endpoint, const socket_address &heldAt, http_request call);
     void updateReadiness();
@@ -120,6 +124,7 @@
     std::int64_t m_publishedInstanceCount = 1;
     service_retry_budget m_retryBudget;
     route_durations m_durations;
+    capacity_sharing m_sharing;
     std::int64_t m_memberReportSequence = 0;
     deadline m_memberReportDue;
     std::int64_t m_crashReportSequence = 0;
--- a/src/gateway/request_log.cpp
+++ b/src/gateway/request_log.cpp
@@ -158,12 +158,20 @@
     for (const endpoint_id &endpoint : round.asked) {
         asked.append(asked.empty() ? "" : ",").append(endpoint.value());
     }
-    m_to.write(log_line("dispatch", "no_room")
-                   .add("request", request.facts.id)
-                   .add("round", round.round)
-                   .add("tokens", round.tokens)
-                   .add("asked", asked)
-                   .add("waits_until_ms", round.until.remaining(now)));
+    log_line line("dispatch", "no_room");
+    line.add("request", request.facts.id)
+        .add("round", round.round)
+        .add("tokens", round.tokens)
+        .add("asked", asked)
+        .add("waits_until_ms", round.until.remaining(now));
+    if (round.facts) {
+        line.add("rank", round.facts->rank)
+            .add("scarcity", round.facts->scarcity)
+            .add("ahead", round.facts->ahead)
+            .add("capacity_expected_ms", round.facts->expectedWait)
+            .add("refused_at_once", round.facts->isRefusedAtOnce);
+    }
+    m_to.write(std::move(line));
 }
 
 void request_log::writeCancelled(const admitted_request &request,
--- a/tests/forwarding/plan_fixture.h
+++ b/tests/forwarding/plan_fixture.h
@@ -18,6 +18,7 @@
     service_retry_budget retryBudget {retry_limits {100, 1000}};
     prompt_quarantine quarantine {instance_id("i0"), instant()};
     random_source random {7};
+    capacity_sharing sharing;
     instant now {std::chrono::seconds(1000)};
 
     plan_fixture()
@@ -100,7 +101,7 @@
 
     flow_context context()
     {
-        return {endpoints, retryBudget, quarantine, random};
+        return {endpoints, retryBudget, quarantine, random, sharing};
     }
 
     forward_flow flow(const std::string &routeName, prompt_parts parts = {})
