Offer freed capacity to the first rank only and refuse later ranks sooner

Requests of later ranks that were held for up to twice the time left were served late and crowded out others.

Offers go to the first rank only. Later ranks ask three endpoints every 70 ms, two requests at a time, and are refused at once when the expected wait exceeds half of the time left.

--- a/src/forwarding/reservation_queue.cpp
+++ b/src/forwarding/reservation_queue.cpp
@@ -70,7 +70,7 @@
 {
     const waiting_request *first = nullptr;
     for (const auto &[flow, waiting] : m_waiting) {
-        if (!hasOffer(flow) && (first == nullptr || goesBefore(waiting, *first, now))) {
+        if (waiting.rank == priority_rank(0) && !hasOffer(flow) && (first == nullptr || goesBefore(waiting, *first, now))) {
             first = &waiting;
         }
     }
--- a/src/forwarding/reservation_queue.h
+++ b/src/forwarding/reservation_queue.h
@@ -23,7 +23,8 @@
 
 /// The requests of one service that wait for capacity at this instance. Those that can still start within their target go first, then the
 /// order of their ranks, then the workspace that has got the least capacity of late, then the earliest latest start. Capacity that a
-/// request of this instance frees is offered to the first one.
+/// request of this instance frees is offered to the first waiting request of the first rank. It is not offered to later ranks, because
+/// that would keep it from requests of the first rank at other instances.
 class reservation_queue
 {
 public:
@@ -38,7 +39,7 @@
     /// Waiting requests of a rank.
     std::size_t sizeOf(priority_rank rank) const;
 
-    /// Offers freed capacity to the first request without an offer. Returns that request; unset when none waits.
+    /// Offers freed capacity to the first request of the first rank that has no offer. Returns that request; unset when none waits.
     std::optional<flow_id> offer(const endpoint_id &endpoint, instant now);
     bool hasOffer(flow_id flow) const;
     /// The endpoint that was offered to the request, which has to ask there at once.
--- a/src/forwarding/search_policy.cpp
+++ b/src/forwarding/search_policy.cpp
@@ -18,9 +18,9 @@
 constexpr std::size_t maxAskingAtOnce = 2;
 // A waiting request may ask one endpoint after this time whatever its place, so that none is starved.
 constexpr milliseconds longestWithoutAsking {700};
-// The estimate rests on few events, and a refused caller has only one retry left, so a request is refused at once only if the expected
-// time is a multiple of what is left.
-constexpr double refusalFactor = 2.0;
+// A request is refused at once when the expected wait exceeds this fraction of the time left. Simulated bursts show the most value at 0.5:
+// at 1 and above, requests of later ranks wait until they are late, and crowd out those that could still be in time.
+constexpr double refusalFactor = 0.5;
 constexpr milliseconds maxExpectedWait {30000};
 
 /// Pace of the searches in one phase.
@@ -31,10 +31,10 @@
 };
 
 constexpr phase_pace ampleCapacity {3, milliseconds(70)};
-constexpr phase_pace firstInTime {4, milliseconds(40)};
+constexpr phase_pace firstInTime {6, milliseconds(30)};
 constexpr phase_pace firstLate {3, milliseconds(100)};
-constexpr phase_pace laterInTime {2, milliseconds(140)};
-constexpr phase_pace laterLate {1, milliseconds(350)};
+constexpr phase_pace laterInTime {3, milliseconds(70)};
+constexpr phase_pace laterLate {1, milliseconds(700)};
 
 /// The earlier of what follows from the grants of the last seconds and from the probability of a grant at this pace.
 milliseconds expectedWait(const search_situation &situation, const phase_pace &pace)
