--- a/src/forwarding/endpoint_entry.h
+++ b/src/forwarding/endpoint_entry.h
@@ -53,6 +53,8 @@
     std::int64_t running = 0;
     std::int64_t waiting = 0;
     std::int64_t slots = 0;
+    /// How long work takes on the endpoint's machine at this moment; 100 is as usual.
+    std::optional<std::int64_t> workTimePercent;
 };
 
 } // namespace burdockshelf
