Place by expected completion where endpoints report how long work takes

The score counted requests only, so consistently slow endpoints and disturbed ones got as many requests as the others. On deployment B 23 to 29% of the streams are late.

endpoint_speed keeps the reported figure with a weight that decays over 300 ms, observed times relative to the service's usual ones, and what other instances have seen; the median of at most nine samples is the slowdown that persists. One sample per 700 ms keeps a disturbance of 600 ms out of it. Reports that contradict the observed times by more than a factor of three are ignored. Instances tell each other up to 16 endpoints in their member reports, slow or not: a list of slow ones only would also have the disturbed ones. The score is a strategy object: utilisation_score is the old rule, and expected_completion_score is used for services of which a figure was seen within two minutes, by this instance or another.

attempt_sent logs slowdown_percent and steady_slowdown_percent, and the gauge endpoints_by_speed{class} counts the endpoints.

forwarding_test: 114 tests passed; gateway_test: 101; platform_test: 27. None of them sends the figure, so they show that services without it are served as before.

--- a/src/forwarding/endpoint_table.cpp
+++ b/src/forwarding/endpoint_table.cpp
@@ -15,68 +15,18 @@
 
 // Weight of the newest sample in the moving averages of failure rate and latency.
 constexpr double newestSampleWeight = 0.15;
-// Consecutive failures after which an endpoint is avoided for a while, and then probed with one request at a time until one succeeds. An
-// endpoint that is unreachable (health_verdict::unreachable) is avoided after the first failure.
-constexpr std::int64_t failuresToBlock = 2;
 constexpr milliseconds minBlockTime {300};
 constexpr milliseconds maxBlockTime {2400};
-// An endpoint with a response outstanding for longer than this is suspected to have failed. engineSuspectTime applies to endpoints with an
-// engine stage, plainCallSuspectTime to those without one.
-constexpr milliseconds plainCallSuspectTime {250};
-constexpr milliseconds engineSuspectTime {1200};
 // This many consecutive failures at endpoints of a data centre mean that the data centre is unreachable. These are attempts that found no
 // connection or were misdirected (another endpoint has the address), and attempts that failed before a response head could be relayed: no
 // response, a server error (5xx), or a truncated or invalid response that was not streamed. Requests may try the data centre again after
 // the interval.
 constexpr std::int64_t failuresToPartition = 2;
 constexpr milliseconds partitionProbeInterval {700};
-// The reported load of other instances decays to zero over this time, because an endpoint reports again only when it responds to a request.
-constexpr milliseconds loadReportLifetime {4000};
-// Terms of the score, where 1.0 is the load of a fully used endpoint.
-constexpr double failurePenalty = 3.0;
-constexpr double suspectPenalty = 6.0;
-constexpr double blockedPenalty = 20.0;
-constexpr double fullPenalty = 4.0;
-constexpr double partitionPenalty = 10.0;
-constexpr double unreliableHandlePenalty = 5.0;
-constexpr double coldPenalty = 0.6;
-constexpr double remotePenalty = 0.12;
-constexpr double tieBreakRange = 0.02;
-// The mean latency, divided by this one and limited to 1.0, increases the utilisation in the score of a plain call by that fraction: an
-// endpoint that is ten times slower scores as if it were used twice as much. An idle endpoint is not affected, however slow it is.
-constexpr double latencyScaleSeconds = 0.2;
 // Streams last for seconds, so an endpoint that refused a reservation stays full for some tens of milliseconds.
 constexpr milliseconds fullDuration {60};
 // A prefill whose result is lost costs more than leaving out one of several prefill endpoints for two seconds.
 constexpr milliseconds unreliableHandleDuration {2000};
-// A wait of this length counts as much as the load of a fully used endpoint.
-constexpr double prefillWaitScaleSeconds = 0.35;
-// The average time per token follows faster prefills quickly and slower ones slowly: a slow prefill has mostly waited in a queue.
-constexpr double fasterPrefillWeight = 0.2;
-constexpr double slowerPrefillWeight = 0.01;
-// The time of shorter prompts depends more on the network than on the speed of the endpoint.
-constexpr token_count minTokensToMeasure {200};
-// The measured delay is assumed to shrink at half the speed of real time, because other instances keep sending.
-constexpr double prefillDelayDecay = 0.5;
-// Assumed size of a request of another instance; load reports contain only the number of requests.
-constexpr double typicalRequestTokens = 3300.0;
-
-milliseconds suspectTimeOf(const endpoint_state &endpoint)
-{
-    return endpoint.entry.stage ? engineSuspectTime : plainCallSuspectTime;
-}
-
-bool isSuspect(const endpoint_state &endpoint, instant now)
-{
-    return !endpoint.unanswered.empty() && now - *endpoint.unanswered.begin() > suspectTimeOf(endpoint);
-}
-
-double requestsOfOtherInstancesAt(const endpoint_state &endpoint, instant now)
-{
-    const std::chrono::duration<double> age = now - endpoint.loadReportedAt;
-    const std::chrono::duration<double> lifetime = loadReportLifetime;
-    return age >= lifetime ? 0.0 : endpoint.requestsOfOtherInstances * (1.0 - age / lifetime);
-}
 
 } // namespace
 
@@ -157,6 +107,7 @@
     if (found == m_byService.end()) {
         return nullptr;
     }
+    const placement_rule rule = ruleFor(service, now);
     endpoint_state *best = nullptr;
     double bestScore = 0.0;
     for (endpoint_state *candidate : found->second) {
@@ -167,7 +118,8 @@
         if (!candidate->coldUntil.hasPassed(now) && candidate->coldStartBucket.level(now) < 1.0) {
             continue;
         }
-        const double candidateScore = score(*candidate, attemptKind, tokens, profile, now) + random.uniform() * tieBreakRange;
+        const double candidateScore =
+            score(*candidate, rule, attemptKind, tokens, profile, now) + random.uniform() * rule.strategy.randomRange();
         if (best == nullptr || candidateScore < bestScore) {
             best = candidate;
             bestScore = candidateScore;
@@ -228,6 +180,9 @@
     if (endpoint_state *known = state(endpoint)) {
         removeUnanswered(*known, sentAt);
         known->lastResponseAt = now;
+        if (!known->entry.stage) {
+            noteSpeed(*known, &service_speed::plainCall, std::chrono::duration<double>(now - sentAt).count(), now);
+        }
     }
 }
 
@@ -270,6 +225,8 @@
         known->meanLatencySeconds += (elapsed.count() - known->meanLatencySeconds) * newestSampleWeight;
         if (known->entry.stage == engine_stage::prefill) {
             notePrefillTime(*known, tokens, now - sentAt, now);
+        } else if (!known->entry.stage && !hadResponse) {
+            noteSpeed(*known, &service_speed::plainCall, elapsed.count(), now);
         }
         break;
     }
@@ -290,14 +247,6 @@
     }
 }
 
-void endpoint_table::noteLoad(const endpoint_id &endpoint, const endpoint_load &load, instant now)
-{
-    if (endpoint_state *known = state(endpoint)) {
-        known->requestsOfOtherInstances = static_cast<double>(std::max<std::int64_t>(load.running + load.waiting - known->outstanding, 0));
-        known->loadReportedAt = now;
-    }
-}
-
 void endpoint_table::noteFull(const endpoint_id &endpoint, instant now)
 {
     if (endpoint_state *known = state(endpoint)) {
@@ -330,69 +279,6 @@
     return found == m_endpoints.end() ? nullptr : found->second.get();
 }
 
-double endpoint_table::score(
-    const endpoint_state &candidate, attempt_kind attemptKind, token_count tokens, const traffic_service *profile, instant now) const
-{
-    double utilisation = load(candidate, attemptKind, tokens, profile, now);
-    if (attemptKind == attempt_kind::prefill) {
-        utilisation = std::max(utilisation, estimatePrefill(candidate, tokens, now).wait.count() / prefillWaitScaleSeconds);
-        utilisation += hasReliableHandles(candidate, now) ? 0.0 : unreliableHandlePenalty;
-    }
-    double total = utilisation + candidate.failureRate * failurePenalty;
-    if (attemptKind == attempt_kind::plain_call) {
-        total += std::min(candidate.meanLatencySeconds / latencyScaleSeconds, 1.0) * utilisation;
-    }
-    // An endpoint that has failed is probed with one request at a time.
-    const bool isProbing = candidate.consecutiveFailures >= failuresToBlock && !candidate.unanswered.empty();
-    total += candidate.blockedUntil.hasPassed(now) && !isProbing ? 0.0 : blockedPenalty;
-    total += isPartitioned(candidate.entry.dataCentre, now) ? partitionPenalty : 0.0;
-    total += isSuspect(candidate, now) ? suspectPenalty : 0.0;
-    total += candidate.fullUntil.hasPassed(now) ? 0.0 : fullPenalty;
-    total += candidate.coldUntil.hasPassed(now) ? 0.0 : coldPenalty;
-    total += candidate.entry.dataCentre == m_settings.dataCentre ? 0.0 : remotePenalty;
-    return total;
-}
-
-void endpoint_table::notePrefillTime(endpoint_state &prefillEndpoint, token_count tokens, boot_clock::duration elapsed, instant now)
-{
-    if (tokens < minTokensToMeasure) {
-        return;
-    }
-    const std::chrono::duration<double> seconds = elapsed;
-    const double perToken = seconds.count() / static_cast<double>(tokens.value());
-    double &known = m_prefillSecondsPerToken.try_emplace(prefillEndpoint.entry.service, perToken).first->second;
-    known += (perToken - known) * (perToken < known ? fasterPrefillWeight : slowerPrefillWeight);
-    prefillEndpoint.prefillDelay = std::max(seconds - std::chrono::duration<double>(known * static_cast<double>(tokens.value())), {});
-    prefillEndpoint.prefillDelaySeenAt = now;
-}
-
-endpoint_table::prefill_estimate
-endpoint_table::estimatePrefill(const endpoint_state &prefillEndpoint, token_count tokens, instant now) const
-{
-    const auto known = m_prefillSecondsPerToken.find(prefillEndpoint.entry.service);
-    const double perToken = known == m_prefillSecondsPerToken.end() ? 0.0 : known->second;
-    const std::chrono::duration<double> own(perToken * static_cast<double>(prefillEndpoint.outstandingTokens.value()));
-    const std::chrono::duration<double> age = now - prefillEndpoint.prefillDelaySeenAt;
-    const std::chrono::duration<double> remainingDelay = prefillEndpoint.prefillDelay - age * prefillDelayDecay;
-    return {std::max({own, remainingDelay, std::chrono::duration<double>::zero()}),
-            std::chrono::duration<double>(perToken * static_cast<double>(tokens.value()))};
-}
-
-double endpoint_table::load(
-    const endpoint_state &candidate, attempt_kind attemptKind, token_count tokens, const traffic_service *profile, instant now)
-{
-    const auto slots = static_cast<double>(std::max<std::int64_t>(candidate.entry.slots.value(), 1));
-    const double otherRequests = requestsOfOtherInstancesAt(candidate, now);
-    double utilisation = (static_cast<double>(candidate.outstanding) + otherRequests) / slots;
-    if (attemptKind != attempt_kind::plain_call && profile != nullptr && profile->engine && profile->engine->memory.value() > 0) {
-        const auto memory = static_cast<double>(profile->engine->memory.value());
-        const double tokensUsed =
-            static_cast<double>((candidate.outstandingTokens + tokens).value()) + otherRequests * typicalRequestTokens;
-        utilisation = std::max(utilisation, tokensUsed / memory);
-    }
-    return utilisation;
-}
-
 bool endpoint_table::isPartitioned(const data_centre_id &dataCentre, instant now) const
 {
     const auto found = m_reachability.find(dataCentre);
--- a/src/forwarding/endpoint_table.h
+++ b/src/forwarding/endpoint_table.h
@@ -1,10 +1,16 @@
 #pragma once
 
 #include "core/random_source.h"
+#include "forwarding/attempt_kind.h"
 #include "forwarding/endpoint_entry.h"
 #include "forwarding/endpoint_restrictions.h"
+#include "forwarding/endpoint_speed.h"
+#include "forwarding/expected_completion_score.h"
 #include "forwarding/fractional_token_bucket.h"
+#include "forwarding/seen_speed.h"
+#include "forwarding/service_speed.h"
 #include "forwarding/traffic_plan.h"
+#include "forwarding/utilisation_score.h"
 
 #include <functional>
 #include <map>
@@ -17,19 +23,6 @@
 namespace burdockshelf
 {
 
-/// What an attempt asks of an endpoint.
-enum class attempt_kind
-{
-    /// Executes the whole request at an endpoint of a plain service.
-    plain_call,
-    /// Reserves capacity at a decode endpoint for the request.
-    reserve,
-    /// Processes the prompt.
-    prefill,
-    /// Generates the output.
-    decode,
-};
-
 /// True when an endpoint in this stage can serve an attempt of the given kind.
 bool matchesStage(const endpoint_entry &entry, attempt_kind attemptKind);
 
@@ -76,6 +69,8 @@
     std::multiset<instant> unanswered;
     /// When the endpoint last responded to any attempt.
     instant lastResponseAt;
+    /// Has evidence only while endpoints of the service report how long work takes.
+    endpoint_speed speed;
     bool isListed = true;
 };
 
@@ -94,6 +89,16 @@
     instance_id self;
     data_centre_id dataCentre;
     cold_start_tolerance cold;
+    /// Strategy for services whose endpoints report how long work takes.
+    expected_completion_score completionScore = expected_completion_score();
+};
+
+/// The number of endpoints in each class of speed.
+struct speed_counts
+{
+    std::int64_t usual = 0;
+    std::int64_t disturbed = 0;
+    std::int64_t slow = 0;
 };
 
 /// The end of a restriction that followed from an endpoint's responses.
@@ -139,6 +144,8 @@
     {
         std::chrono::duration<double> wait {};
         std::chrono::duration<double> processingTime {};
+        /// The time that processing takes at an endpoint that is as fast as usual.
+        std::chrono::duration<double> usualProcessingTime {};
     };
 
     prefill_estimate estimatePrefill(const endpoint_state &prefillEndpoint, token_count tokens, instant now) const;
@@ -156,6 +163,18 @@
     void noteResponse(const endpoint_id &endpoint, instant sentAt, instant now);
     void noteEnded(const endpoint_id &endpoint, token_count tokens, instant sentAt, bool hadResponse, health_verdict verdict, instant now);
     void noteLoad(const endpoint_id &endpoint, const endpoint_load &load, instant now);
+    /// Records the first event of a decode that uses the result of a prefill and was sent at the given time.
+    void noteFirstEvent(const endpoint_id &endpoint, instant sentAt, instant now);
+    /// Records what another instance has seen of endpoints.
+    void notePeerSpeeds(const std::vector<seen_speed> &speeds, instant now);
+    /// What this instance has seen of endpoints since the last call, for the others. Bounded; what exceeds the bound is dropped, another
+    /// part of the endpoints each time.
+    std::vector<seen_speed> takeSeenSpeeds();
+    /// Factor for how long work takes at an endpoint; 1.0 unless its service reports that.
+    double slowdown(const endpoint_id &endpoint, instant now) const;
+    speed_counts countBySpeed(instant now) const;
+    /// The latency targets of the services.
+    void setTargets(const traffic_plan &plan);
     /// The endpoint has no capacity for a reservation at present.
     void noteFull(const endpoint_id &endpoint, instant now);
     /// The result of a prefill at the endpoint could not be fetched.
@@ -176,6 +195,10 @@
 private:
     using service_endpoints = std::vector<endpoint_state *>;
 
+    /// Consecutive failures after which an endpoint is avoided for a while, and then probed with one request at a time until one succeeds.
+    /// An endpoint that is unreachable (health_verdict::unreachable) is avoided after the first failure.
+    static constexpr std::int64_t failuresToBlock = 2;
+
     /// Reachability of a data centre, derived from the attempts at its endpoints.
     struct reachability_state
     {
@@ -190,10 +213,26 @@
     endpoint_state *state(const endpoint_id &endpoint);
     endpoint_availability availabilityOf(const endpoint_state &known, instant now) const;
     static void removeUnanswered(endpoint_state &endpoint, instant sentAt);
-    double
-    score(const endpoint_state &candidate, attempt_kind attemptKind, token_count tokens, const traffic_service *profile, instant now) const;
+    /// The strategy by which the endpoints of a service are scored, and what is usual for the service; null if nothing is known.
+    struct placement_rule
+    {
+        const placement_score &strategy;
+        const service_speed *usual = nullptr;
+    };
+
+    placement_rule ruleFor(const service_id &service, instant now) const;
+    double score(const endpoint_state &candidate,
+                 const placement_rule &rule,
+                 attempt_kind attemptKind,
+                 token_count tokens,
+                 const traffic_service *profile,
+                 instant now) const;
+    double healthPenalty(const endpoint_state &candidate, instant now) const;
+    /// Records a time that was observed at an endpoint, if its service reports how long work takes.
+    void noteSpeed(endpoint_state &endpoint, running_median service_speed::*usual, double seconds, instant now);
     static double
     load(const endpoint_state &candidate, attempt_kind attemptKind, token_count tokens, const traffic_service *profile, instant now);
+    void noteSeen(const endpoint_state &endpoint);
     void setColdStartLimit(endpoint_state &endpoint, const traffic_service *service, instant now) const;
     /// True when this instance is one of the count instances that share the endpoint's cold rate.
     bool isAmongSharers(const endpoint_id &endpoint, std::int64_t count) const;
@@ -206,6 +245,12 @@
     /// Seconds that an idle prefill endpoint of each service needs per prompt token. A service has no entry, which counts as 0, before its
     /// first measured prefill.
     std::map<service_id, double> m_prefillSecondsPerToken;
+    std::map<service_id, service_speed> m_speeds;
+    utilisation_score m_utilisationScore;
+    /// The newest evidence of this instance for each endpoint since takeSeenSpeeds().
+    std::map<endpoint_id, std::int64_t> m_seenPercents;
+    /// The last endpoint that takeSeenSpeeds() has returned.
+    endpoint_id m_lastShared;
     std::vector<instance_id> m_instances;
     endpoint_restrictions m_restrictions;
     std::vector<lifted_restriction> m_lifted;
--- a/src/forwarding/forward_flow_evidence.cpp
+++ b/src/forwarding/forward_flow_evidence.cpp
@@ -24,6 +24,9 @@
 {
     if (!attempt.firstOutputAt) {
         attempt.firstOutputAt = m_now;
+        if (attempt.attemptKind == attempt_kind::decode && m_handle) {
+            m_context->endpoints.noteFirstEvent(attempt.endpoint, attempt.sentAt, m_now);
+        }
     }
     if (!attempt.hasSurvived && m_now - *attempt.firstOutputAt >= prompt_quarantine::minSurvivalTime) {
         attempt.hasSurvived = true;
--- a/src/forwarding/forward_flow_sends.cpp
+++ b/src/forwarding/forward_flow_sends.cpp
@@ -138,7 +138,8 @@
 bool forward_flow::isPrefillFasterAtDecode(const endpoint_state &prefillEndpoint, token_count prompt) const
 {
     const endpoint_table::prefill_estimate estimate = m_context->endpoints.estimatePrefill(prefillEndpoint, prompt, m_now);
-    const bool isSlow = estimate.wait + estimate.processingTime > estimate.processingTime * decodePrefillFactor + decodePrefillCost;
+    const double decodeFactor = m_reservation ? decodePrefillFactor * m_context->endpoints.slowdown(m_reservation->endpoint, m_now) : 0.0;
+    const bool isSlow = estimate.wait + estimate.processingTime > estimate.usualProcessingTime * decodeFactor + decodePrefillCost;
     return m_reservation && (isSlow || !m_context->endpoints.hasReliableHandles(prefillEndpoint, m_now));
 }
 
--- a/src/forwarding/member_view.cpp
+++ b/src/forwarding/member_view.cpp
@@ -30,17 +30,19 @@
 {
 }
 
-void member_view::put(const instance_id &instance, const member_report &report, instant now)
+bool member_view::put(const instance_id &instance, const member_report &report, instant now)
 {
     const auto found = m_members.find(instance);
     if (found == m_members.end()) {
         m_members[instance] = {report, now};
-        return;
+        return false;
     }
     member &known = found->second;
-    if (known.report.incarnation != report.incarnation || known.report.sequence != report.sequence) {
-        known = {report, now};
+    if (known.report.incarnation == report.incarnation && known.report.sequence == report.sequence) {
+        return false;
     }
+    known = {report, now};
+    return true;
 }
 
 void member_view::remove(const instance_id &instance)
--- a/src/forwarding/member_view.h
+++ b/src/forwarding/member_view.h
@@ -2,6 +2,7 @@
 
 #include "core/boot_clock.h"
 #include "core/ids.h"
+#include "forwarding/seen_speed.h"
 
 #include <map>
 #include <vector>
@@ -15,6 +16,8 @@
     incarnation_id incarnation;
     /// Rises with every report of the same incarnation.
     std::int64_t sequence = 0;
+    /// How long work takes at endpoints that the instance has recently had a response from.
+    std::vector<seen_speed> speeds;
 };
 
 /// Time between two reports of an instance, among so many instances.
@@ -27,7 +30,8 @@
 public:
     explicit member_view(instance_id self);
 
-    void put(const instance_id &instance, const member_report &report, instant now);
+    /// Returns whether the instance has reported since its previous report was seen here. The age of a first report is not known.
+    bool put(const instance_id &instance, const member_report &report, instant now);
     void remove(const instance_id &instance);
 
     /// Instances that may be serving, including this one.
--- a/src/gateway/dispatch_outbox.cpp
+++ b/src/gateway/dispatch_outbox.cpp
@@ -58,6 +58,11 @@
     m_metrics.gauges.push_back({{std::string(metric), {}}, value});
 }
 
+void dispatch_outbox::setGauge(std::string_view metric, std::string_view label, std::string_view value, double gauge)
+{
+    m_metrics.gauges.push_back({{std::string(metric), {{std::string(label), std::string(value)}}}, gauge});
+}
+
 void dispatch_outbox::sendMetrics()
 {
     noteUndelivered(m_to.metrics.post(std::exchange(m_metrics, {})), "monitor");
--- a/src/gateway/dispatch_outbox.h
+++ b/src/gateway/dispatch_outbox.h
@@ -40,6 +40,7 @@
     void count(std::string_view metric, std::string_view label, std::string_view value);
     void recordLatency(std::string_view metric, std::string_view label, std::string_view value, boot_clock::duration latency);
     void setGauge(std::string_view metric, double value);
+    void setGauge(std::string_view metric, std::string_view label, std::string_view value, double gauge);
     /// Sends the metrics collected since the previous call.
     void sendMetrics();
 
--- a/src/gateway/dispatch_task.cpp
+++ b/src/gateway/dispatch_task.cpp
@@ -362,11 +362,15 @@
     publishChanges();
     if (m_memberReportDue.hasPassed(now)) {
         m_memberReportDue = deadline::after(now, memberReportInterval(m_fleet.instanceCount()));
-        const member_report report = {m_settings.incarnation, ++m_memberReportSequence};
+        const member_report report = {m_settings.incarnation, ++m_memberReportSequence, m_fleet.endpoints().takeSeenSpeeds()};
         m_outbox.toStore(publish_member_report {encodeMemberReport(report)});
     }
     publishEngines();
     m_outbox.setGauge("endpoints", static_cast<double>(m_fleet.endpoints().size()));
+    const speed_counts speeds = m_fleet.endpoints().countBySpeed(now);
+    m_outbox.setGauge("endpoints_by_speed", "class", "usual", static_cast<double>(speeds.usual));
+    m_outbox.setGauge("endpoints_by_speed", "class", "disturbed", static_cast<double>(speeds.disturbed));
+    m_outbox.setGauge("endpoints_by_speed", "class", "slow", static_cast<double>(speeds.slow));
     m_outbox.setGauge("instances", static_cast<double>(m_fleet.instanceCount()));
     m_outbox.setGauge("active_requests", static_cast<double>(m_flows.size()));
     m_outbox.setGauge("requests_awaiting_quota", static_cast<double>(m_awaitingQuota.size()));
--- a/src/gateway/fleet_state.cpp
+++ b/src/gateway/fleet_state.cpp
@@ -15,6 +15,7 @@
                          event_log log)
     : m_records(records)
     , m_log(std::move(log))
+    , m_self(endpoints.self)
     , m_endpoints(endpoints)
     , m_graceList(bounds)
     , m_members(endpoints.self)
@@ -136,6 +137,7 @@
         return;
     }
     m_plan = std::make_shared<const plan_index>(std::move(plan));
+    m_endpoints.setTargets(m_plan->plan());
     m_log.write(log_line("dispatch", "plan_in_force")
                     .add("plan", m_plan->plan().version)
                     .add("before", known)
@@ -209,7 +211,10 @@
         }
         const auto report = decodeMemberReport(*record.value);
         if (report) {
-            m_members.put(instance, report.value(), arrival.at);
+            const bool isFresh = m_members.put(instance, report.value(), arrival.at);
+            if (isFresh && instance != m_self) {
+                m_endpoints.notePeerSpeeds(report.value().speeds, arrival.at);
+            }
         } else {
             logUnreadable(record, report.error());
         }
--- a/src/gateway/member_codec.cpp
+++ b/src/gateway/member_codec.cpp
@@ -5,9 +5,21 @@
 namespace burdockshelf
 {
 
+namespace
+{
+
+// More than an instance of any version sends.
+constexpr std::size_t maxSpeeds = 64;
+
+} // namespace
+
 std::string encodeMemberReport(const member_report &report)
 {
-    return nlohmann::json {{"incarnation", report.incarnation.value()}, {"sequence", report.sequence}}.dump();
+    nlohmann::json encoded = {{"incarnation", report.incarnation.value()}, {"sequence", report.sequence}};
+    for (const seen_speed &seen : report.speeds) {
+        encoded["speeds"][seen.endpoint.value()] = seen.percent;
+    }
+    return encoded.dump();
 }
 
 outcome<member_report> decodeMemberReport(std::string_view text)
@@ -21,6 +33,15 @@
     member_report report;
     report.incarnation = incarnation_id(parsed["incarnation"].get<std::string>());
     report.sequence = parsed["sequence"].get<std::int64_t>();
+    // The speeds are a hint: a report with unreadable ones still says that the instance serves.
+    const auto speeds = parsed.find("speeds");
+    if (speeds != parsed.end() && speeds->is_object()) {
+        for (const auto &[endpoint, percent] : speeds->items()) {
+            if (percent.is_number_integer() && report.speeds.size() < maxSpeeds) {
+                report.speeds.push_back({endpoint_id(endpoint), percent.get<std::int64_t>()});
+            }
+        }
+    }
     return report;
 }
 
--- a/src/gateway/request_log.cpp
+++ b/src/gateway/request_log.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cmath>
 #include <utility>
 
 namespace burdockshelf
@@ -16,6 +17,13 @@
 constexpr int firstErrorStatus = 400;
 constexpr std::size_t maxLoggedParts = 8;
 
+constexpr std::int64_t percentAsUsual = 100;
+
+std::int64_t percentOf(double factor)
+{
+    return std::llround(factor * static_cast<double>(percentAsUsual));
+}
+
 std::string_view attemptKindName(attempt_kind attemptKind)
 {
     static constexpr std::array<std::string_view, 4> names = {"plain_call", "reserve", "prefill", "decode"};
@@ -119,6 +127,8 @@
                    .add("own_tokens_there", endpoint == nullptr ? 0 : endpoint->outstandingTokens.value())
                    .add("others_there", endpoint == nullptr ? 0 : static_cast<std::int64_t>(endpoint->requestsOfOtherInstances))
                    .add("others_seen_ms", endpoint == nullptr ? boot_clock::duration() : now - endpoint->loadReportedAt)
+                   .add("slowdown_percent", endpoint == nullptr ? percentAsUsual : percentOf(endpoint->speed.slowdown(now)))
+                   .add("steady_slowdown_percent", endpoint == nullptr ? percentAsUsual : percentOf(endpoint->speed.steadySlowdown(now)))
                    .add("has_room", sent.capacityReservation.has_value())
                    .add("has_prompt", sent.source.has_value())
                    .add("left_ms", sent.until.remaining(now)));
