Assume the mean load at silent endpoints, and spill over with hysteresis

The load that other instances have at an endpoint faded to zero within four seconds of a report, so that an endpoint of which nothing was heard looked idle to all instances. For services that report how long work takes, it fades to the mean of the service.

Endpoints of another data centre had a constant penalty of 0.12. For the same services, spill_over keeps requests at home until the best endpoint there was worse by 0.25 on average, and ends below 0.05; the gauge spilled_services counts where it is on. Services without the figure are placed as before.

--- a/src/forwarding/endpoint_speed.cpp
+++ b/src/forwarding/endpoint_speed.cpp
@@ -76,6 +76,7 @@
 void endpoint_speed::addSample(double factor, instant now)
 {
     std::erase_if(m_samples, [&](const sample &known) { return now - known.at > sampleLifetime; });
+    m_samples.reserve(maxSamples);
     if (m_samples.size() == maxSamples) {
         m_samples.erase(m_samples.begin());
     }
--- a/src/forwarding/endpoint_table.cpp
+++ b/src/forwarding/endpoint_table.cpp
@@ -107,7 +107,8 @@
     if (found == m_byService.end()) {
         return nullptr;
     }
-    const placement_rule rule = ruleFor(service, now);
+    const placement_rule rule = ruleFor(service, attemptKind, now);
+    best_scores bestScores;
     endpoint_state *best = nullptr;
     double bestScore = 0.0;
     for (endpoint_state *candidate : found->second) {
@@ -118,13 +119,19 @@
         if (!candidate->coldUntil.hasPassed(now) && candidate->coldStartBucket.level(now) < 1.0) {
             continue;
         }
-        const double candidateScore =
-            score(*candidate, rule, attemptKind, tokens, profile, now) + random.uniform() * rule.strategy.randomRange();
+        const bool isAtHome = candidate->entry.dataCentre == m_settings.dataCentre;
+        const double work = score(*candidate, rule, attemptKind, tokens, profile, now);
+        std::optional<double> &bestThere = isAtHome ? bestScores.atHome : bestScores.elsewhere;
+        bestThere = std::min(bestThere.value_or(work), work);
+        const double candidateScore = work + (isAtHome ? 0.0 : rule.remotePenalty) + rule.strategy.randomTerm(found->second.size(), random);
         if (best == nullptr || candidateScore < bestScore) {
             best = candidate;
             bestScore = candidateScore;
         }
     }
+    if (rule.usual != nullptr && bestScores.atHome && bestScores.elsewhere) {
+        m_spillOvers[{service, attemptKind}].note(*bestScores.atHome, *bestScores.elsewhere, now);
+    }
     return best;
 }
 
--- a/src/forwarding/endpoint_table.h
+++ b/src/forwarding/endpoint_table.h
@@ -9,6 +9,7 @@
 #include "forwarding/fractional_token_bucket.h"
 #include "forwarding/seen_speed.h"
 #include "forwarding/service_speed.h"
+#include "forwarding/spill_over.h"
 #include "forwarding/traffic_plan.h"
 #include "forwarding/utilisation_score.h"
 
@@ -18,6 +19,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace burdockshelf
@@ -173,6 +175,8 @@
     /// Factor for how long work takes at an endpoint; 1.0 unless its service reports that.
     double slowdown(const endpoint_id &endpoint, instant now) const;
     speed_counts countBySpeed(instant now) const;
+    /// The number of services and kinds of attempts for which requests also go to other data centres.
+    std::int64_t countSpilling() const;
     /// The latency targets of the services.
     void setTargets(const traffic_plan &plan);
     /// The endpoint has no capacity for a reservation at present.
@@ -218,9 +222,19 @@
     {
         const placement_score &strategy;
         const service_speed *usual = nullptr;
+        /// Added to the scores of the endpoints in other data centres.
+        double remotePenalty = 0.0;
     };
 
-    placement_rule ruleFor(const service_id &service, instant now) const;
+    /// The best scores of a service's endpoints in this instance's data centre and in others.
+    struct best_scores
+    {
+        std::optional<double> atHome;
+        std::optional<double> elsewhere;
+    };
+
+    placement_rule ruleFor(const service_id &service, attempt_kind attemptKind, instant now) const;
+    /// The score without the penalty for another data centre.
     double score(const endpoint_state &candidate,
                  const placement_rule &rule,
                  attempt_kind attemptKind,
@@ -230,8 +244,12 @@
     double healthPenalty(const endpoint_state &candidate, instant now) const;
     /// Records a time that was observed at an endpoint, if its service reports how long work takes.
     void noteSpeed(endpoint_state &endpoint, running_median service_speed::*usual, double seconds, instant now);
-    static double
-    load(const endpoint_state &candidate, attempt_kind attemptKind, token_count tokens, const traffic_service *profile, instant now);
+    static double load(const endpoint_state &candidate,
+                       const placement_rule &rule,
+                       attempt_kind attemptKind,
+                       token_count tokens,
+                       const traffic_service *profile,
+                       instant now);
     void noteSeen(const endpoint_state &endpoint);
     void setColdStartLimit(endpoint_state &endpoint, const traffic_service *service, instant now) const;
     /// True when this instance is one of the count instances that share the endpoint's cold rate.
@@ -247,6 +265,7 @@
     std::map<service_id, double> m_prefillSecondsPerToken;
     std::map<service_id, service_speed> m_speeds;
     utilisation_score m_utilisationScore;
+    std::map<std::pair<service_id, attempt_kind>, spill_over> m_spillOvers;
     /// The newest evidence of this instance for each endpoint since takeSeenSpeeds().
     std::map<endpoint_id, std::int64_t> m_seenPercents;
     /// The last endpoint that takeSeenSpeeds() has returned.
--- a/src/forwarding/endpoint_table_placement.cpp
+++ b/src/forwarding/endpoint_table_placement.cpp
@@ -16,8 +16,11 @@
 // engine stage, plainCallSuspectTime to those without one.
 constexpr milliseconds plainCallSuspectTime {250};
 constexpr milliseconds engineSuspectTime {1200};
-// The reported load of other instances decays to zero over this time, because an endpoint reports again only when it responds to a request.
+// The reported load of other instances decays over this time, because an endpoint reports again only when it responds to a request. It
+// decays to the mean of the service where endpoints report how long work takes: an endpoint that was not heard of for long would otherwise
+// look idle to all instances. It decays to zero where they do not.
 constexpr milliseconds loadReportLifetime {4000};
+constexpr double newestLoadWeight = 0.02;
 // Terms of the score, where 1.0 is the load of a fully used endpoint.
 constexpr double failurePenalty = 3.0;
 constexpr double suspectPenalty = 6.0;
@@ -47,11 +50,11 @@
     return !endpoint.unanswered.empty() && now - *endpoint.unanswered.begin() > suspectTimeOf(endpoint);
 }
 
-double requestsOfOtherInstancesAt(const endpoint_state &endpoint, instant now)
+double requestsOfOtherInstancesAt(const endpoint_state &endpoint, double assumed, instant now)
 {
     const std::chrono::duration<double> age = now - endpoint.loadReportedAt;
     const std::chrono::duration<double> lifetime = loadReportLifetime;
-    return age >= lifetime ? 0.0 : endpoint.requestsOfOtherInstances * (1.0 - age / lifetime);
+    return age >= lifetime ? assumed : assumed + (endpoint.requestsOfOtherInstances - assumed) * (1.0 - age / lifetime);
 }
 
 std::chrono::duration<double> usualResponseOf(const service_speed &usual, attempt_kind attemptKind)
@@ -68,20 +71,25 @@
         known->requestsOfOtherInstances = static_cast<double>(std::max<std::int64_t>(load.running + load.waiting - known->outstanding, 0));
         known->loadReportedAt = now;
         if (load.workTimePercent) {
-            m_speeds[known->entry.service].figureSeenAt = now;
+            service_speed &usual = m_speeds[known->entry.service];
+            usual.figureSeenAt = now;
+            usual.meanRequestsOfOthers += (known->requestsOfOtherInstances - usual.meanRequestsOfOthers) * newestLoadWeight;
             known->speed.noteReported(*load.workTimePercent, now);
             noteSeen(*known);
         }
     }
 }
 
-endpoint_table::placement_rule endpoint_table::ruleFor(const service_id &service, instant now) const
+endpoint_table::placement_rule endpoint_table::ruleFor(const service_id &service, attempt_kind attemptKind, instant now) const
 {
     const auto found = m_speeds.find(service);
     if (found == m_speeds.end() || !found->second.isReporting(now)) {
-        return {m_utilisationScore};
+        return {m_utilisationScore, nullptr, remotePenalty};
     }
-    return {m_settings.completionScore, &found->second};
+    const auto spillOver = m_spillOvers.find({service, attemptKind});
+    return {m_settings.completionScore,
+            &found->second,
+            spillOver == m_spillOvers.end() ? spill_over().remotePenalty() : spillOver->second.remotePenalty()};
 }
 
 double endpoint_table::score(const endpoint_state &candidate,
@@ -93,7 +101,7 @@
 {
     placement_inputs inputs;
     inputs.attemptKind = attemptKind;
-    inputs.utilisation = load(candidate, attemptKind, tokens, profile, now);
+    inputs.utilisation = load(candidate, rule, attemptKind, tokens, profile, now);
     inputs.meanLatency = std::chrono::duration<double>(candidate.meanLatencySeconds);
     inputs.slowdown = candidate.speed.slowdown(now);
     if (rule.usual != nullptr) {
@@ -107,7 +115,6 @@
         inputs.prefillTime = estimate.processingTime;
         penalty += hasReliableHandles(candidate, now) ? 0.0 : unreliableHandlePenalty;
     }
-    penalty += candidate.entry.dataCentre == m_settings.dataCentre ? 0.0 : remotePenalty;
     return rule.strategy.score(inputs) + penalty;
 }
 
@@ -154,11 +161,15 @@
             std::chrono::duration<double>(usualPerToken * static_cast<double>(tokens.value()))};
 }
 
-double endpoint_table::load(
-    const endpoint_state &candidate, attempt_kind attemptKind, token_count tokens, const traffic_service *profile, instant now)
+double endpoint_table::load(const endpoint_state &candidate,
+                            const placement_rule &rule,
+                            attempt_kind attemptKind,
+                            token_count tokens,
+                            const traffic_service *profile,
+                            instant now)
 {
     const auto slots = static_cast<double>(std::max<std::int64_t>(candidate.entry.slots.value(), 1));
-    const double otherRequests = requestsOfOtherInstancesAt(candidate, now);
+    const double otherRequests = requestsOfOtherInstancesAt(candidate, rule.usual == nullptr ? 0.0 : rule.usual->meanRequestsOfOthers, now);
     double utilisation = (static_cast<double>(candidate.outstanding) + otherRequests) / slots;
     if (attemptKind != attempt_kind::plain_call && profile != nullptr && profile->engine && profile->engine->memory.value() > 0) {
         const auto memory = static_cast<double>(profile->engine->memory.value());
--- a/src/forwarding/endpoint_table_speeds.cpp
+++ b/src/forwarding/endpoint_table_speeds.cpp
@@ -2,6 +2,7 @@
 
 #include "forwarding/endpoint_table.h"
 
+#include <algorithm>
 #include <cmath>
 #include <utility>
 
@@ -97,6 +98,11 @@
     return counts;
 }
 
+std::int64_t endpoint_table::countSpilling() const
+{
+    return std::count_if(m_spillOvers.begin(), m_spillOvers.end(), [](const auto &known) { return known.second.isSpilling(); });
+}
+
 void endpoint_table::setTargets(const traffic_plan &plan)
 {
     for (auto &[service, speed] : m_speeds) {
--- a/src/forwarding/expected_completion_score.cpp
+++ b/src/forwarding/expected_completion_score.cpp
@@ -8,8 +8,7 @@
 namespace
 {
 
-// Taken from the comparison in docs/design/uneven-endpoints.md: with less, instances with equal reports choose the same endpoints.
-constexpr double defaultRandomRange = 0.1;
+constexpr double tieBreakRange = 0.02;
 // An expected time of this fraction of the latency target counts as much as the load of a fully used endpoint.
 constexpr double targetFraction = 0.35;
 // Usual time to the response as a fraction of the target while it is not known.
@@ -20,12 +19,12 @@
 } // namespace
 
 expected_completion_score::expected_completion_score()
-    : expected_completion_score(defaultRandomRange)
+    : expected_completion_score(sampling())
 {
 }
 
-expected_completion_score::expected_completion_score(double randomRange)
-    : m_randomRange(randomRange)
+expected_completion_score::expected_completion_score(sampling preferred)
+    : m_preferred(preferred)
 {
 }
 
@@ -41,9 +40,11 @@
     return inputs.utilisation + usual * inputs.slowdown * (1.0 + inputs.utilisation) / scale;
 }
 
-double expected_completion_score::randomRange() const
+double expected_completion_score::randomTerm(std::size_t candidates, random_source &random) const
 {
-    return m_randomRange;
+    const double tieBreak = random.uniform() * tieBreakRange;
+    const bool isPreferred = random.uniform() * static_cast<double>(candidates) < m_preferred.size;
+    return tieBreak + (isPreferred ? 0.0 : m_preferred.othersPenalty);
 }
 
 } // namespace burdockshelf
--- a/src/forwarding/placement_score.h
+++ b/src/forwarding/placement_score.h
@@ -1,8 +1,10 @@
 #pragma once
 
+#include "core/random_source.h"
 #include "forwarding/attempt_kind.h"
 
 #include <chrono>
+#include <cstddef>
 
 namespace burdockshelf
 {
@@ -34,8 +36,9 @@
     virtual ~placement_score() = default;
 
     virtual double score(const placement_inputs &inputs) const = 0;
-    /// Range of the random number that is added to each score, so that instances with equal knowledge choose different endpoints.
-    virtual double randomRange() const = 0;
+    /// Random number that is added to the score of each of so many candidates, so that instances with equal knowledge choose different
+    /// endpoints.
+    virtual double randomTerm(std::size_t candidates, random_source &random) const = 0;
 };
 
 } // namespace burdockshelf
--- a/src/forwarding/service_speed.h
+++ b/src/forwarding/service_speed.h
@@ -20,6 +20,8 @@
     running_median prefillToken;
     /// Seconds to the first event of a decode that uses the result of a prefill.
     running_median firstEvent;
+    /// Mean number of requests of other instances at an endpoint, according to the load reports.
+    double meanRequestsOfOthers = 0.0;
     /// The shortest latency target of the service's routes; zero if not known.
     std::chrono::milliseconds target {};
 
--- a/src/forwarding/utilisation_score.cpp
+++ b/src/forwarding/utilisation_score.cpp
@@ -31,9 +31,9 @@
     return inputs.utilisation;
 }
 
-double utilisation_score::randomRange() const
+double utilisation_score::randomTerm(std::size_t /*candidates*/, random_source &random) const
 {
-    return tieBreakRange;
+    return random.uniform() * tieBreakRange;
 }
 
 } // namespace burdockshelf
--- a/src/forwarding/utilisation_score.h
+++ b/src/forwarding/utilisation_score.h
@@ -10,7 +10,7 @@
 {
 public:
     double score(const placement_inputs &inputs) const override;
-    double randomRange() const override;
+    double randomTerm(std::size_t candidates, random_source &random) const override;
 };
 
 } // namespace burdockshelf
--- a/src/gateway/dispatch_task.cpp
+++ b/src/gateway/dispatch_task.cpp
@@ -371,6 +371,7 @@
     m_outbox.setGauge("endpoints_by_speed", "class", "usual", static_cast<double>(speeds.usual));
     m_outbox.setGauge("endpoints_by_speed", "class", "disturbed", static_cast<double>(speeds.disturbed));
     m_outbox.setGauge("endpoints_by_speed", "class", "slow", static_cast<double>(speeds.slow));
+    m_outbox.setGauge("spilled_services", static_cast<double>(m_fleet.endpoints().countSpilling()));
     m_outbox.setGauge("instances", static_cast<double>(m_fleet.instanceCount()));
     m_outbox.setGauge("active_requests", static_cast<double>(m_flows.size()));
     m_outbox.setGauge("requests_awaiting_quota", static_cast<double>(m_awaitingQuota.size()));
--- a/tests/gateway/gateway_test.cpp
+++ b/tests/gateway/gateway_test.cpp
@@ -556,11 +556,17 @@
 
 TEST(gateway_codecs, memberReportsSurviveTheStore)
 {
-    const member_report report = {incarnation_id("i"), 4};
+    const member_report report = {incarnation_id("i"), 4, {{endpoint_id("e1"), 250}}};
     const auto decoded = decodeMemberReport(encodeMemberReport(report));
     CHECK_TRUE(decoded.has_value());
     CHECK(decoded.value().incarnation == report.incarnation);
     LONGS_EQUAL(4, decoded.value().sequence);
+    LONGS_EQUAL(250, decoded.value().speeds.at(0).percent);
+    // A report of another version, or with an unreadable hint, still says that the instance serves.
+    for (const char *speeds : {"", ",\"speeds\":7", ",\"speeds\":{\"e1\":\"x\"}"}) {
+        const auto other = decodeMemberReport(R"({"incarnation":"i","sequence":4)" + std::string(speeds) + "}");
+        CHECK_TRUE(other.has_value() && other.value().speeds.empty());
+    }
     CHECK_FALSE(decodeMemberReport("{}").has_value());
     CHECK_FALSE(decodeMemberReport("\xff").has_value());
 }
