--- a/tests/soak/soak_site.cpp
+++ b/tests/soak/soak_site.cpp
@@ -43,6 +43,8 @@
         fresh.name = "gateway-" + std::to_string(i);
         fresh.callers = m_ports.next();
         fresh.metrics = m_ports.next();
+        fresh.readiness = m_ports.next();
+        fresh.peers = m_ports.next();
         fresh.storeLink = std::make_unique<fault_proxy>(m_loop, m_store.address());
         fresh.client = std::make_unique<http_client>(m_loop, fresh.callers);
         writeSettings(fresh);
@@ -74,11 +76,11 @@
         {"instance", target.name},
         {"dataCentre", "z"},
         {"callerAddress", target.callers.toString()},
-        {"readinessAddress", m_ports.next().toString()},
+        {"readinessAddress", target.readiness.toString()},
         {"metricsAddress", target.metrics.toString()},
         {"storeAddress", target.storeLink->address().toString()},
         {"graceSeconds", std::chrono::duration<double>(graceTime).count()},
-        {"peerAddress", m_ports.next().toString()},
+        {"peerAddress", target.peers.toString()},
         {"configurationWithinMs", static_cast<double>(configurationTime.count()) + 0.5},
         {"silenceWithinMs", 3000.5},
         {"drainWithinMs", static_cast<double>(configurationTime.count()) + 0.5},
--- a/tests/soak/soak_site.h
+++ b/tests/soak/soak_site.h
@@ -49,6 +49,8 @@
     std::string name;
     socket_address callers;
     socket_address metrics;
+    socket_address readiness;
+    socket_address peers;
     std::string settingsFile;
     std::unique_ptr<fault_proxy> storeLink;
     child_process process;
