Bound what a gateway holds for callers by its memory and descriptors

A body exists once and is written by reference. Heads count their separators. Callers without progress are given up first, then requests are refused with 503 and Retry-After before they are read. A changed head limit applies to kept connections, and a space before a header's colon is answered 400. The allocator's thresholds are fixed, since glibc raises them to the size of freed bodies.

Ruled out: pausing all reading when the account is full, because unfinished requests would wait for each other; a release by message, because a full mailbox would lose it.

tests/gateway/caller_server_test.cpp gives its server the account of a machine with 512 MB, since its responses of 32 MB exceed the account of one with 88 MB; its checks are unchanged.

--- a/src/burdockshelfd/main.cpp
+++ b/src/burdockshelfd/main.cpp
@@ -15,6 +15,7 @@
 #include <boost/program_options.hpp>
 #include <event2/event.h>
 #include <glog/logging.h>
+#include <malloc.h>
 #include <unistd.h>
 
 namespace
@@ -37,6 +38,8 @@
 Exit status: 0 done, 1 failed, 64 usage, 78 bad settings.
 )";
 
+constexpr int mmapThresholdBytes = 128 * 1024;
+
 /// Handles a signal on the event loop during the lifetime of the object.
 class signal_handler
 {
@@ -91,6 +94,9 @@
 
 int run(const gateway_settings &settings)
 {
+    // Without a fixed threshold the allocator raises it to the size of freed bodies and no longer returns their memory to the system.
+    mallopt(M_MMAP_THRESHOLD, mmapThresholdBytes);
+    mallopt(M_TRIM_THRESHOLD, 2 * mmapThresholdBytes);
     const platform_adapter platform;
     event_loop loop;
     int status = EXIT_SUCCESS;
--- a/src/gateway/active_flow.h
+++ b/src/gateway/active_flow.h
@@ -5,17 +5,26 @@
 
 #include <algorithm>
 #include <map>
+#include <memory>
 #include <utility>
 
 namespace burdockshelf
 {
 
+/// The body of a caller's request with its part of the account. The memory is released with the last connection that sends the body.
+struct held_body
+{
+    std::string bytes;
+    memory_charge memory;
+};
+
 /// A request in progress, with the state that only the dispatcher needs.
 struct active_flow
 {
-    active_flow(flow_id number, http_request request, admitted_request admitted)
+    active_flow(flow_id number, http_request request, memory_charge memory, admitted_request admitted)
         : id(number)
         , original(std::move(request))
+        , body(std::make_shared<const held_body>(held_body {std::exchange(original.body, {}), std::move(memory)}))
         , flow(std::move(admitted))
     {
     }
@@ -29,7 +38,9 @@
     }
 
     flow_id id;
+    /// The request without its body.
     http_request original;
+    std::shared_ptr<const held_body> body;
     forward_flow flow;
     /// Response heads that the flow has not processed yet, and complete buffered responses.
     std::map<attempt_number, http_response> responses;
--- a/src/gateway/caller_connection.cpp
+++ b/src/gateway/caller_connection.cpp
@@ -17,25 +17,32 @@
 // response before the caller has read it.
 constexpr milliseconds lingerTimeout {1000};
 // Pipelined requests are buffered up to this size while a response is pending; then reading from the connection pauses.
-constexpr std::size_t maxPipelinedBytes = 64 * 1024;
+constexpr std::size_t maxPipelinedBytes = 16 * 1024;
 // A caller that leaves more bytes of a stream unread than this is disconnected. A language model needs minutes for as much text.
 constexpr std::size_t maxUnreadStreamBytes = 1024 * 1024;
 
+// A connection's objects, buffers and socket.
+constexpr byte_count connectionMemory(4096);
+constexpr int sendBufferBytes = 128 * 1024;
+
 constexpr int statusRequestTimeout = 408;
-constexpr int statusBadRequest = 400;
-constexpr int statusTooLarge = 413;
-constexpr int statusHeadTooLarge = 431;
 constexpr int statusUnavailable = 503;
 // Seconds after which a caller whose request was not read before the end of a shutdown may return; other instances are ready by then.
 constexpr std::string_view shutdownRetryAfter = "0.05";
 
 } // namespace
 
-caller_connection::caller_connection(event_loop &loop, int socket, caller_connection_owner &owner)
+caller_connection::caller_connection(event_loop &loop, int socket, source_address source, caller_connection_owner &owner)
     : m_owner(owner)
     , m_parser(message_parser::direction::requests, owner.limits().head, *this)
-    , m_idleSince(boot_clock::now())
+    , m_source(source)
+    , m_ownMemory(owner.chargeFor(source))
+    , m_requestMemory(owner.chargeFor(source))
+    , m_unsentMemory(owner.chargeFor(source))
+    , m_lastProgress(boot_clock::now())
+    , m_idleSince(m_lastProgress)
 {
+    m_ownMemory.force(connectionMemory);
     byte_stream::handlers handlers;
     handlers.onReadable = [this] {
         readMore();
@@ -44,6 +51,7 @@
         end();
     };
     m_stream = byte_stream::adopt(loop, socket, std::move(handlers));
+    m_stream->setSendBuffer(sendBufferBytes);
 }
 
 caller_connection::~caller_connection() = default;
@@ -58,6 +66,21 @@
     return m_isResponsePending;
 }
 
+source_address caller_connection::source() const
+{
+    return m_source;
+}
+
+byte_count caller_connection::heldMemory() const
+{
+    return m_requestMemory.amount() + m_unsentMemory.amount();
+}
+
+instant caller_connection::lastProgress() const
+{
+    return m_lastProgress;
+}
+
 flow_id caller_connection::flow() const
 {
     return m_flow;
@@ -78,11 +101,11 @@
 void caller_connection::writeFullResponse(http_response &&response)
 {
     const bool closes = closesAfterResponse();
-    const bool hasBody = m_method != "HEAD";
-    if (!hasBody) {
+    if (m_method == "HEAD") {
         response.body.clear();
     }
-    m_stream->write(responseBytes(response, body_framing::length, closes));
+    m_stream->write(responseHeadBytes(response, body_framing::length, response.body.size(), closes));
+    m_stream->write(std::make_shared<const std::string>(std::move(response.body)));
     finishResponse(closes);
 }
 
@@ -112,6 +135,7 @@
 void caller_connection::close()
 {
     m_isClosing = true;
+    releaseRequest();
     m_closeDeadline = deadline::after(boot_clock::now(), lingerTimeout);
     m_stream->finishWriting();
 }
@@ -143,6 +167,31 @@
     }
 }
 
+void caller_connection::shed(memory_bound exceeded)
+{
+    if (isReadingRequest()) {
+        refuseForMemory(exceeded);
+        return;
+    }
+    m_owner.noteShed(*this, exceeded, "closed");
+    close();
+}
+
+void caller_connection::accountForUnsent(instant now)
+{
+    const byte_count unsent(static_cast<std::int64_t>(unsentBytes()));
+    if (unsent < m_unsentAtLastAccount || m_unsentAtLastAccount == byte_count()) {
+        m_lastRead = now;
+    }
+    m_unsentAtLastAccount = unsent;
+    m_unsentMemory.force(unsent);
+}
+
+instant caller_connection::lastRead() const
+{
+    return m_lastRead;
+}
+
 bool caller_connection::checkTimeouts(instant now)
 {
     if (!m_isResponsePending && unsentBytes() > 0) {
@@ -181,15 +230,14 @@
     if (framing.contentLength > m_owner.limits().body.value()) {
         m_isTooLarge = true;
     }
-    const bool expectsContinue = m_request.headers.has("Expect");
-    if (expectsContinue && !m_isTooLarge) {
-        m_stream->write("HTTP/1.1 100 Continue\r\n\r\n");
-    }
+    m_announced = std::max<std::int64_t>(framing.contentLength, 0);
+    m_expectsContinue = m_request.headers.has("Expect");
 }
 
 void caller_connection::onBody(std::string_view bytes)
 {
-    if (static_cast<std::int64_t>(m_request.body.size() + bytes.size()) > m_owner.limits().body.value()) {
+    const auto size = static_cast<std::int64_t>(m_request.body.size() + bytes.size());
+    if (m_isTooLarge || size > m_owner.limits().body.value()) {
         m_isTooLarge = true;
         return;
     }
@@ -203,47 +251,23 @@
 void caller_connection::readMore()
 {
     if (m_isClosing) {
-        m_stream->drop(m_stream->peek().size());
+        m_stream->drop(m_stream->receivedBytes());
         return;
     }
     if (m_isResponsePending) {
-        if (m_stream->peek().size() > maxPipelinedBytes) {
-            m_stream->setReading(false);
-        }
+        readPipelined();
         return;
     }
     const std::string_view bytes = m_stream->peek();
-    if (bytes.empty()) {
-        return;
-    }
-    if (m_parser.isBetweenMessages()) {
-        m_requestSince = boot_clock::now();
-        m_hasHead = false;
-    }
-    m_stream->drop(m_parser.take(bytes));
-    if (m_isTooLarge) {
-        refuse(statusTooLarge);
-        return;
+    if (!bytes.empty()) {
+        parse(bytes);
     }
-    switch (m_parser.state()) {
-    case parse_state::reading:
-        break;
-    case parse_state::complete:
-        // If the whole process was suspended, callers may have disconnected long before their requests are read.
-        if (m_stream->hasPeerDisconnected()) {
-            m_owner.reportAbandonedRequest(std::move(m_request));
-            m_owner.destroyLater(*this);
-            break;
-        }
-        m_owner.dispatchRequest(*this, std::move(m_request));
-        m_request = {};
-        break;
-    case parse_state::broken:
-        refuse(statusBadRequest);
-        break;
-    case parse_state::head_too_large:
-        refuse(statusHeadTooLarge);
-        break;
+}
+
+void caller_connection::readPipelined()
+{
+    if (m_stream->receivedBytes() > maxPipelinedBytes) {
+        m_stream->setReading(false);
     }
 }
 
@@ -284,6 +308,8 @@
         close();
         return;
     }
+    m_lastProgress = m_idleSince;
+    m_owner.noteProgress(*this);
     m_parser.resume();
     m_stream->setReading(true);
     if (!m_stream->peek().empty()) {
--- a/src/gateway/caller_server_task.cpp
+++ b/src/gateway/caller_server_task.cpp
@@ -17,12 +17,15 @@
 
 constexpr milliseconds sweepInterval {100};
 constexpr int listenBacklog = 1024;
+// Received bytes that are not read yet count towards the process; enough for a caller in another region at 10 Mbit/s.
+constexpr int receiveBufferBytes = 64 * 1024;
 
 } // namespace
 
 caller_server_task::caller_server_task(event_loop &loop,
                                        std::shared_ptr<mailbox<caller_server_message>> box,
                                        caller_server_settings settings,
+                                       std::shared_ptr<caller_memory> memory,
                                        const caller_dialect &dialect,
                                        address<dispatch_message> dispatcher,
                                        sink<caller_server_listening> listening,
@@ -34,12 +37,18 @@
     , m_dispatcher(std::move(dispatcher))
     , m_listening(std::move(listening))
     , m_log(std::move(log))
+    , m_memory(std::move(memory))
     , m_destroyTimer(loop, [this] { m_pendingDestruction.clear(); })
     , m_sweepTimer(loop, [this] { sweep(); })
 {
 }
 
-caller_server_task::~caller_server_task() = default;
+caller_server_task::~caller_server_task()
+{
+    for (const auto &[key, open] : m_connections) {
+        m_memory->removeConnection(open->source());
+    }
+}
 
 outcome<void> caller_server_task::start()
 {
@@ -59,6 +68,9 @@
     if (!m_listener) {
         return failure(error_code::unavailable, "cannot listen on " + m_settings.address.toString());
     }
+    // Accepted sockets inherit the buffer size.
+    setsockopt(evconnlistener_get_fd(m_listener.get()), SOL_SOCKET, SO_RCVBUF, &receiveBufferBytes, sizeof(receiveBufferBytes));
+    evconnlistener_set_error_cb(m_listener.get(), &caller_server_task::onAcceptError);
     socklen_t size = sizeof(address);
     getsockname(evconnlistener_get_fd(m_listener.get()), reinterpret_cast<sockaddr *>(&address), &size);
     if (m_listening.post({{m_settings.address.ip, ntohs(address.sin_port)}}) == post_result::full) {
@@ -79,13 +91,47 @@
     evconnlistener_free(listener);
 }
 
-void caller_server_task::onAccept(evconnlistener * /*listener*/, int socket, sockaddr * /*from*/, int /*size*/, void *self)
+void caller_server_task::onAccept(evconnlistener * /*listener*/, int socket, sockaddr *from, int /*size*/, void *self)
+{
+    const auto *address = reinterpret_cast<const sockaddr_in *>(from);
+    static_cast<caller_server_task *>(self)->accept(socket, static_cast<source_address>(address->sin_addr.s_addr));
+}
+
+void caller_server_task::onAcceptError(evconnlistener * /*listener*/, void *self)
+{
+    static_cast<caller_server_task *>(self)->pauseAccepting();
+}
+
+void caller_server_task::accept(int socket, source_address source)
+{
+    armSweep();
+    if (!makeRoomForConnection(source)) {
+        const memory_bound exceeded = m_memory->boundForConnection(source);
+        m_memory->countShed(exceeded);
+        if (mayLog()) {
+            m_log.write(log_line("callers", "connection_refused")
+                            .add("bound", memoryBoundName(exceeded))
+                            .add("connections", m_memory->connections())
+                            .add("max_connections", m_memory->limits().connections));
+        }
+        evutil_closesocket(socket);
+        if (exceeded == memory_bound::total) {
+            pauseAccepting();
+        }
+        return;
+    }
+    auto accepted = std::make_unique<caller_connection>(m_loop, socket, source, static_cast<caller_connection_owner &>(*this));
+    caller_connection &connection = *accepted;
+    m_memory->addConnection(source);
+    m_connections[&connection] = std::move(accepted);
+    m_idle.touch(connection);
+}
+
+void caller_server_task::pauseAccepting()
 {
-    auto *server = static_cast<caller_server_task *>(self);
-    auto accepted = std::make_unique<caller_connection>(server->m_loop, socket, static_cast<caller_connection_owner &>(*server));
-    const caller_connection *key = accepted.get();
-    server->m_connections[key] = std::move(accepted);
-    server->armSweep();
+    m_isAcceptingPaused = true;
+    evconnlistener_disable(m_listener.get());
+    armSweep();
 }
 
 void caller_server_task::handle(caller_server_message &&message)
@@ -98,6 +144,7 @@
     if (caller_connection *target = findByFlow(message.flow)) {
         m_connectionsByFlow.erase(message.flow);
         target->writeFullResponse(std::move(message.response));
+        target->accountForUnsent(boot_clock::now());
     }
 }
 
@@ -112,6 +159,7 @@
 {
     if (caller_connection *target = findByFlow(data.flow)) {
         target->writeBodyData(data.bytes);
+        target->accountForUnsent(boot_clock::now());
         if (target->isTooSlow()) {
             m_log.write(log_line("callers", "caller_too_slow").add("request", target->request()).add("flow", data.flow));
             reportCallerDisconnected(*target);
@@ -159,15 +207,18 @@
 
 void caller_server_task::logUnreadableRequest(int status)
 {
-    m_log.write(log_line("callers", "request_unreadable").add("status", status));
+    if (mayLog()) {
+        m_log.write(log_line("callers", "request_unreadable").add("status", status));
+    }
 }
 
-void caller_server_task::dispatchRequest(caller_connection &from, http_request &&request)
+void caller_server_task::dispatchRequest(caller_connection &from, http_request &&request, memory_charge &&memory)
 {
     m_lastFlow += flow_id(1);
     from.setFlow(m_lastFlow, m_dialect.decodeRequestId(request));
     m_connectionsByFlow[m_lastFlow] = &from;
-    if (m_dispatcher.post(request_arrived {m_lastFlow, std::move(request), boot_clock::now()}) != post_result::delivered) {
+    if (m_dispatcher.post(request_arrived {m_lastFlow, std::move(request), boot_clock::now(), false, std::move(memory)})
+        != post_result::delivered) {
         m_log.write(log_line("callers", "request_dropped")
                         .add("request", from.request())
                         .add("flow", m_lastFlow)
@@ -183,7 +234,7 @@
 void caller_server_task::reportAbandonedRequest(http_request &&request)
 {
     m_lastFlow += flow_id(1);
-    if (m_dispatcher.post(request_arrived {m_lastFlow, std::move(request), boot_clock::now(), true}) != post_result::delivered) {
+    if (m_dispatcher.post(request_arrived {m_lastFlow, std::move(request), boot_clock::now(), true, {}}) != post_result::delivered) {
         m_log.write(log_line("callers", "message_dropped").add("flow", m_lastFlow));
     }
 }
@@ -202,6 +253,9 @@
     if (found == m_connections.end()) {
         return;
     }
+    m_reading.remove(ended);
+    m_idle.remove(ended);
+    m_memory->removeConnection(ended.source());
     m_pendingDestruction.push_back(std::move(found->second));
     m_connections.erase(found);
     m_destroyTimer.start(deadline());
@@ -212,6 +266,7 @@
     const instant now = boot_clock::now();
     std::vector<caller_connection *> ended;
     for (const auto &[key, candidate] : m_connections) {
+        candidate->accountForUnsent(now);
         if (candidate->checkTimeouts(now)) {
             ended.push_back(candidate.get());
         }
@@ -220,10 +275,15 @@
         logIfCut(*candidate, "linger timeout");
         destroyLater(*candidate);
     }
+    disconnectUnreading(now);
+    if (m_isAcceptingPaused && m_listener) {
+        m_isAcceptingPaused = false;
+        evconnlistener_enable(m_listener.get());
+    }
     if (m_isShuttingDown) {
         continueShutdown();
     }
-    if (!m_connections.empty() || m_isShuttingDown) {
+    if (!m_connections.empty() || m_isShuttingDown || m_isAcceptingPaused) {
         armSweep();
     }
 }
--- a/src/gateway/dispatch_actions.cpp
+++ b/src/gateway/dispatch_actions.cpp
@@ -34,6 +34,7 @@
         command.expected = request.facts.id;
         command.needsNewConnection = flow.hasSentRequestTo(action.address);
         command.request = m_dialects.endpoints.forward(flow.original, request, action, boot_clock::now());
+        command.body = std::shared_ptr<const std::string>(flow.body, &flow.body->bytes);
     }
     m_requests.writeSent(request, action, m_fleet.endpoints().find(action.endpoint), boot_clock::now());
     attempt_ended notSent = {command.flow, command.number, attempt_outcome::not_sent, {}, {}, false, "mailbox full"};
--- a/src/gateway/dispatch_outbox.cpp
+++ b/src/gateway/dispatch_outbox.cpp
@@ -58,6 +58,25 @@
     m_metrics.gauges.push_back({{std::string(metric), {}}, value});
 }
 
+void dispatch_outbox::measureCallerMemory()
+{
+    if (!m_to.callerMemory) {
+        return;
+    }
+    caller_memory &account = *m_to.callerMemory;
+    setGauge("caller_memory_bytes", static_cast<double>(account.held().value()));
+    setGauge("caller_memory_max_bytes", static_cast<double>(account.limits().total.value()));
+    setGauge("caller_connections", static_cast<double>(account.connections()));
+    setGauge("caller_connections_max", static_cast<double>(account.limits().connections));
+    for (const memory_bound bound : {memory_bound::connection, memory_bound::source, memory_bound::total}) {
+        const std::int64_t shed = account.takeShed(bound);
+        if (shed > 0) {
+            const std::string name(memoryBoundName(bound));
+            m_metrics.counters.push_back({{"callers_shed_total", {{"bound", name}}}, static_cast<std::uint64_t>(shed)});
+        }
+    }
+}
+
 void dispatch_outbox::sendMetrics()
 {
     noteUndelivered(m_to.metrics.post(std::exchange(m_metrics, {})), "monitor");
--- a/src/gateway/dispatch_outbox.h
+++ b/src/gateway/dispatch_outbox.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "gateway/assignment_messages.h"
+#include "gateway/caller_memory.h"
 #include "gateway/gateway_messages.h"
 #include "gateway/monitor_messages.h"
 #include "logging/log_writer_task.h"
@@ -20,6 +21,8 @@
     address<stage_control_message> stageControl;
     sink<readiness_report> readiness;
     sink<metric_batch> metrics;
+    /// The account whose state is published as metrics; may be null in tests.
+    std::shared_ptr<caller_memory> callerMemory;
 };
 
 /// Sends the dispatcher's messages and collects its metrics. Messages to a full mailbox are dropped and logged. Owned by dispatch_task.
@@ -40,6 +43,8 @@
     void count(std::string_view metric, std::string_view label, std::string_view value);
     void recordLatency(std::string_view metric, std::string_view label, std::string_view value, boot_clock::duration latency);
     void setGauge(std::string_view metric, double value);
+    /// Adds the state of the account of callers.
+    void measureCallerMemory();
     /// Sends the metrics collected since the previous call.
     void sendMetrics();
 
--- a/src/gateway/dispatch_task.cpp
+++ b/src/gateway/dispatch_task.cpp
@@ -87,7 +87,7 @@
         m_requests.writeAdmittedInShutdown(decided, m_shutdown.finishRequestsBy, boot_clock::now());
     }
     if (decided.limited == nullptr) {
-        begin(arrived.flow, std::move(arrived.request), std::move(*decided.request));
+        begin(arrived.flow, std::move(arrived.request), std::move(arrived.memory), std::move(*decided.request));
         return;
     }
     if (!m_outbox.toQuotas(quota_request {arrived.flow, decided.limited->id, decided.cost})) {
@@ -96,7 +96,7 @@
     }
     const instant now = boot_clock::now();
     m_deadlines.set(arrived.flow, std::min(deadline::after(now, quotaResponseTimeout), facts.callerDeadline));
-    m_awaitingQuota.emplace(arrived.flow, awaiting_quota {std::move(arrived.request), std::move(decided)});
+    m_awaitingQuota.emplace(arrived.flow, awaiting_quota {std::move(arrived.request), std::move(arrived.memory), std::move(decided)});
 }
 
 void dispatch_task::refuseWithoutQuota(flow_id flow, admission_decision &decision)
@@ -121,7 +121,7 @@
     awaiting_quota &request = waiting.mapped();
     if (granted != nullptr) {
         request.admission.request->grant = granted->grant;
-        begin(quotaResponse.flow, std::move(request.original), std::move(*request.admission.request));
+        begin(quotaResponse.flow, std::move(request.original), std::move(request.memory), std::move(*request.admission.request));
         return;
     }
     const auto &refused = std::get<quota_refused>(quotaResponse.verdict);
@@ -136,9 +136,9 @@
     refuse(quotaResponse.flow, request.admission, facts);
 }
 
-void dispatch_task::begin(flow_id flow, http_request &&original, admitted_request &&admitted)
+void dispatch_task::begin(flow_id flow, http_request &&original, memory_charge &&memory, admitted_request &&admitted)
 {
-    auto created = std::make_unique<active_flow>(flow, std::move(original), std::move(admitted));
+    auto created = std::make_unique<active_flow>(flow, std::move(original), std::move(memory), std::move(admitted));
     active_flow &target = *created;
     target.flow.limitDeadline(m_shutdown.finishRequestsBy);
     m_flows[flow] = std::move(created);
@@ -370,6 +370,7 @@
     m_outbox.setGauge("instances", static_cast<double>(m_fleet.instanceCount()));
     m_outbox.setGauge("active_requests", static_cast<double>(m_flows.size()));
     m_outbox.setGauge("requests_awaiting_quota", static_cast<double>(m_awaitingQuota.size()));
+    m_outbox.measureCallerMemory();
     m_outbox.sendMetrics();
 }
 
--- a/src/gateway/dispatch_task.h
+++ b/src/gateway/dispatch_task.h
@@ -52,6 +52,7 @@
     struct awaiting_quota
     {
         http_request original;
+        memory_charge memory;
         admission_decision admission;
     };
 
@@ -68,7 +69,7 @@
     void apply(const quota_response &quotaResponse);
     void apply(const shutdown_begun &begun);
 
-    void begin(flow_id flow, http_request &&original, admitted_request &&admitted);
+    void begin(flow_id flow, http_request &&original, memory_charge &&memory, admitted_request &&admitted);
     void refuse(flow_id flow, const admission_decision &decision, const forward_facts &facts);
     /// Refuses an admitted request for which the quota broker gives no decision; it has not run.
     void refuseWithoutQuota(flow_id flow, admission_decision &decision);
--- a/src/gateway/endpoint_client_task.cpp
+++ b/src/gateway/endpoint_client_task.cpp
@@ -39,12 +39,14 @@
                                            std::shared_ptr<mailbox<endpoint_client_message>> box,
                                            const endpoint_dialect &dialect,
                                            address<dispatch_message> dispatcher,
-                                           event_log log)
+                                           event_log log,
+                                           std::shared_ptr<caller_memory> memory)
     : task(std::move(box))
     , m_loop(loop)
     , m_dialect(dialect)
     , m_dispatcher(std::move(dispatcher))
     , m_log(std::move(log))
+    , m_bufferedMemory(std::move(memory), source_address())
     , m_maxPerEndpoint(defaultConnectionsPerEndpoint)
     , m_destroyTimer(loop,
                      [this] {
@@ -94,7 +96,11 @@
         retire(key);
         return;
     }
-    target.connection->send(target.command.request, handlersFor(target));
+    if (target.command.body) {
+        target.connection->send(target.command.request, target.command.body, handlersFor(target));
+    } else {
+        target.connection->send(target.command.request, handlersFor(target));
+    }
     if (!m_sweepTimer.isArmed()) {
         m_sweepTimer.start(deadline::after(boot_clock::now(), sweepInterval));
     }
@@ -212,6 +218,7 @@
     }
     target.response.body.append(bytes);
     m_bufferedBytes += bytes.size();
+    accountForBuffered();
     if (m_bufferedBytes <= maxBufferedBytesOfAllCalls) {
         return;
     }
@@ -224,6 +231,11 @@
     }
 }
 
+void endpoint_client_task::accountForBuffered()
+{
+    m_bufferedMemory.force(byte_count(static_cast<std::int64_t>(m_bufferedBytes)));
+}
+
 endpoint_client_task::call &endpoint_client_task::findLargestCall()
 {
     const auto largest = std::max_element(m_calls.begin(), m_calls.end(), [](const auto &left, const auto &right) {
@@ -236,6 +248,7 @@
 {
     const auto found = m_calls.find(key);
     m_bufferedBytes -= found->second->response.body.size();
+    accountForBuffered();
     m_endedCalls.push_back(std::move(found->second));
     m_calls.erase(found);
     m_destroyTimer.start(deadline());
@@ -288,7 +301,7 @@
     retire(key);
 }
 
-void endpoint_client_task::report(const call &target, attempt_outcome end, std::string detail, bool hasConnectionEnded)
+void endpoint_client_task::report(call &target, attempt_outcome end, std::string detail, bool hasConnectionEnded)
 {
     if (target.isFireAndForget) {
         return;
@@ -298,7 +311,8 @@
     ended.number = target.command.number;
     ended.end = end;
     if (!target.isRelayed) {
-        ended.response = target.response;
+        m_bufferedBytes -= target.response.body.size();
+        ended.response = std::exchange(target.response, {});
     }
     ended.facts = target.facts;
     ended.hasConnectionEnded = hasConnectionEnded;
--- a/src/gateway/endpoint_client_task.h
+++ b/src/gateway/endpoint_client_task.h
@@ -23,7 +23,8 @@
                          std::shared_ptr<mailbox<endpoint_client_message>> box,
                          const endpoint_dialect &dialect,
                          address<dispatch_message> dispatcher,
-                         event_log log);
+                         event_log log,
+                         std::shared_ptr<caller_memory> memory = nullptr);
     ~endpoint_client_task() override;
 
     outcome<void> start() override;
@@ -49,10 +50,11 @@
     /// response when all buffered responses together are.
     void buffer(call &target, std::string_view bytes);
     call &findLargestCall();
+    void accountForBuffered();
     void finishExchange(call &target, exchange_outcome end);
     /// Removes a call that has ended; its connection has been released before.
     void retire(const call_key &key);
-    void report(const call &target, attempt_outcome end, std::string detail, bool hasConnectionEnded = false);
+    void report(call &target, attempt_outcome end, std::string detail, bool hasConnectionEnded = false);
     /// Starts a call, unless its endpoint has stated that it wants no such request.
     void begin(open_attempt &&command, bool isFireAndForget);
     /// Records what an endpoint states in a response, and ends the calls to it of which nothing has been sent yet.
@@ -74,6 +76,7 @@
     std::map<call_key, std::unique_ptr<call>> m_calls;
     /// The responses are seen here first, so requests that the dispatcher has sent before it knew of a notice are kept back.
     endpoint_notices m_notices;
+    memory_charge m_bufferedMemory;
     std::size_t m_maxPerEndpoint;
     /// Size of the buffered responses of all calls.
     std::size_t m_bufferedBytes = 0;
--- a/src/gateway/gateway_messages.h
+++ b/src/gateway/gateway_messages.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "forwarding/flow_messages.h"
+#include "gateway/caller_memory.h"
 #include "gateway/dialects.h"
 #include "gateway/quota_broker_messages.h"
 #include "http/http_message.h"
@@ -20,6 +21,8 @@
     instant arrived;
     /// The caller had closed its connection before the request was read, so no response is expected.
     bool hasCallerDisconnected = false;
+    /// Accounts for the request's memory.
+    memory_charge memory;
 };
 
 struct flow_caller_disconnected
@@ -76,6 +79,8 @@
     endpoint_process process;
     socket_address address;
     http_request request;
+    /// The body; a caller's request is held once and shared by its attempts. Empty for requests that carry their own body.
+    std::shared_ptr<const std::string> body;
     /// The id in the response; empty for a call without an id. A response with another id, or one without an id to a request that has one,
     /// belongs to another request and is ignored.
     attempt_id expected;
--- a/src/gateway/gateway_settings.cpp
+++ b/src/gateway/gateway_settings.cpp
@@ -42,8 +42,11 @@
 constexpr number_range fractionRange = {0, 1};
 constexpr number_range tokensRange = {0, 1'000'000'000};
 constexpr number_range partitionsRange = {1, 1000};
+constexpr number_range mebibytesRange = {48, 1'048'576};
+constexpr number_range descriptorsRange = {128, 1'048'576};
+constexpr std::int64_t mebibyte = 1024 * 1024;
 
-constexpr std::array<bound_rule, 13> boundRules = {{
+constexpr std::array<bound_rule, 15> boundRules = {{
     {"graceSeconds",
      secondsRange,
      [](gateway_settings &to, double value) {
@@ -110,6 +113,16 @@
      [](gateway_settings &to, double value) {
          to.minHandoverInterval = milliseconds(static_cast<std::int64_t>(std::ceil(value)));
      }},
+    {"memoryMb",
+     mebibytesRange,
+     [](gateway_settings &to, double value) {
+         to.memory = byte_count(static_cast<std::int64_t>(value) * mebibyte);
+     }},
+    {"maxDescriptors",
+     descriptorsRange,
+     [](gateway_settings &to, double value) {
+         to.maxDescriptors = static_cast<std::int64_t>(value);
+     }},
 }};
 
 socket_address readAddress(json_reader &reader, std::string_view key)
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -3,6 +3,7 @@
 #include "core/ids.h"
 #include "core/outcome.h"
 #include "core/socket_address.h"
+#include "core/units.h"
 #include "forwarding/endpoint_table.h"
 #include "forwarding/service_retry_budget.h"
 #include "forwarding/workspace_shares.h"
@@ -40,6 +41,9 @@
     std::int64_t quotaPartitions = 12;
     /// Minimum time between the last order of one holder of the stage control and the first order of the next holder.
     std::chrono::milliseconds minHandoverInterval {3000};
+    /// Memory of the machine and the descriptors that the process may open; what is held for callers is bounded by them.
+    byte_count memory {88LL * 1024 * 1024};
+    std::int64_t maxDescriptors = 4096;
     /// Percentage of a service's engines that should run prefill; 0 disables stage changes.
     std::int64_t prefillPercent = 0;
 };
--- a/src/gateway/gateway_tree.cpp
+++ b/src/gateway/gateway_tree.cpp
@@ -13,6 +13,7 @@
 #include <utility>
 
 #include <glog/logging.h>
+#include <sys/resource.h>
 
 namespace burdockshelf
 {
@@ -44,6 +45,17 @@
     return mesh;
 }
 
+/// The descriptors may be limited further by the environment than by the settings.
+caller_memory_limits callerLimitsOf(const gateway_settings &settings)
+{
+    rlimit descriptors = {};
+    std::int64_t available = settings.maxDescriptors;
+    if (getrlimit(RLIMIT_NOFILE, &descriptors) == 0 && descriptors.rlim_cur < static_cast<rlim_t>(available)) {
+        available = static_cast<std::int64_t>(descriptors.rlim_cur);
+    }
+    return caller_memory_limits::of(settings.memory, available);
+}
+
 template<typename Message>
 std::shared_ptr<mailbox<Message>> makeMailbox(event_loop &loop, std::size_t capacity = mailboxCapacity)
 {
@@ -67,6 +79,7 @@
     , m_groupMailbox(makeMailbox<group_message>(loop))
     , m_callerServerMailbox(makeMailbox<caller_server_message>(loop))
     , m_log(sink<log_line>([to = address(m_logMailbox)](log_line &&line) { return to.post(std::move(line)); }))
+    , m_callerMemory(std::make_shared<caller_memory>(callerLimitsOf(settings)))
     , m_root(std::make_unique<supervisor>(loop, "gateway", std::make_unique<rest_for_one>()))
 {
     random_source random;
@@ -80,7 +93,7 @@
                       }});
     m_root->addChild({"endpoints", [this, &endpoints = dialects.endpoints] {
                           return std::make_unique<endpoint_client_task>(
-                              m_loop, m_endpointClientMailbox, endpoints, address(m_dispatchMailbox), m_log);
+                              m_loop, m_endpointClientMailbox, endpoints, address(m_dispatchMailbox), m_log, m_callerMemory);
                       }});
     m_root->addChild({"mesh", [this, settings, incarnation] {
                           mesh_sinks outlets;
@@ -116,6 +129,7 @@
              to.stageControl = address(m_stageControlMailbox);
              to.readiness = makeSink<readiness_report>(address(m_monitorMailbox));
              to.metrics = makeSink<metric_batch>(address(m_monitorMailbox));
+             to.callerMemory = m_callerMemory;
              return std::make_unique<dispatch_task>(m_loop, m_dispatchMailbox, dispatch, dialects, to, m_log, random_source());
          }});
     m_root->addChild(
@@ -143,16 +157,17 @@
                                                       storeCallCounter()};
                           return std::make_unique<group_task>(m_loop, m_groupMailbox, group, store, to, m_log);
                       }});
-    m_root->addChild({"callers", [this, settings, &callers = dialects.callers] {
-                          const caller_server_settings callerServer = {settings.callerAddress, settings.gracePeriod};
-                          const sink<caller_server_listening> listening([this](const caller_server_listening &bound) {
-                              m_callerAddress = bound.address;
-                              m_log.write(log_line("gateway", "listening").add("address", bound.address.toString()));
-                              return post_result::delivered;
-                          });
-                          return std::make_unique<caller_server_task>(
-                              m_loop, m_callerServerMailbox, callerServer, callers, address(m_dispatchMailbox), listening, m_log);
-                      }});
+    m_root->addChild(
+        {"callers", [this, settings, &callers = dialects.callers] {
+             const caller_server_settings callerServer = {settings.callerAddress, settings.gracePeriod};
+             const sink<caller_server_listening> listening([this](const caller_server_listening &bound) {
+                 m_callerAddress = bound.address;
+                 m_log.write(log_line("gateway", "listening").add("address", bound.address.toString()));
+                 return post_result::delivered;
+             });
+             return std::make_unique<caller_server_task>(
+                 m_loop, m_callerServerMailbox, callerServer, m_callerMemory, callers, address(m_dispatchMailbox), listening, m_log);
+         }});
     m_root->setHandlers(
         [this](const error &cause) {
             LOG(ERROR) << "gateway: the supervisor tree failed: " << cause << ".";
--- a/src/gateway/gateway_tree.h
+++ b/src/gateway/gateway_tree.h
@@ -56,6 +56,7 @@
     std::shared_ptr<mailbox<group_message>> m_groupMailbox;
     std::shared_ptr<mailbox<caller_server_message>> m_callerServerMailbox;
     event_log m_log;
+    std::shared_ptr<caller_memory> m_callerMemory;
     socket_address m_callerAddress;
     /// Address on which other instances reach this one.
     socket_address m_peerAddress;
--- a/src/http1/byte_stream.cpp
+++ b/src/http1/byte_stream.cpp
@@ -77,6 +77,21 @@
     bufferevent_write(m_handle, bytes.data(), bytes.size());
 }
 
+void byte_stream::write(std::shared_ptr<const std::string> bytes)
+{
+    if (!bytes || bytes->empty()) {
+        return;
+    }
+    const std::string &content = *bytes;
+    auto *keeper = new std::shared_ptr<const std::string>(std::move(bytes));
+    const auto release = [](const void * /*data*/, std::size_t /*size*/, void *kept) {
+        delete static_cast<std::shared_ptr<const std::string> *>(kept);
+    };
+    if (evbuffer_add_reference(bufferevent_get_output(m_handle), content.data(), content.size(), release, keeper) != 0) {
+        delete keeper;
+    }
+}
+
 std::size_t byte_stream::unsentBytes() const
 {
     return evbuffer_get_length(bufferevent_get_output(m_handle));
@@ -92,6 +107,11 @@
     return {reinterpret_cast<const char *>(evbuffer_pullup(input, -1)), size};
 }
 
+std::size_t byte_stream::receivedBytes() const
+{
+    return evbuffer_get_length(bufferevent_get_input(m_handle));
+}
+
 void byte_stream::drop(std::size_t bytes)
 {
     evbuffer_drain(bufferevent_get_input(m_handle), bytes);
@@ -121,6 +141,11 @@
     }
 }
 
+void byte_stream::setSendBuffer(int bytes)
+{
+    setsockopt(bufferevent_getfd(m_handle), SOL_SOCKET, SO_SNDBUF, &bytes, sizeof(bytes));
+}
+
 void byte_stream::shutDownWriting()
 {
     ::shutdown(bufferevent_getfd(m_handle), SHUT_WR);
--- a/src/http1/byte_stream.h
+++ b/src/http1/byte_stream.h
@@ -6,6 +6,7 @@
 #include <chrono>
 #include <functional>
 #include <memory>
+#include <string>
 #include <string_view>
 
 struct bufferevent;
@@ -46,10 +47,14 @@
     byte_stream &operator=(const byte_stream &) = delete;
 
     void write(std::string_view bytes);
+    /// Writes bytes without copying them; they are kept until they have been handed to the kernel.
+    void write(std::shared_ptr<const std::string> bytes);
     /// Number of bytes passed to write() that have not been handed to the kernel yet.
     std::size_t unsentBytes() const;
     /// Contiguous view of the received bytes; valid until the next call.
     std::string_view peek();
+    /// Number of received bytes that have not been dropped.
+    std::size_t receivedBytes() const;
     void drop(std::size_t bytes);
     /// True if the peer has closed or reset the connection and the kernel holds no more unread bytes.
     bool hasPeerDisconnected() const;
@@ -57,6 +62,8 @@
     void setReading(bool isReading);
     /// Half-closes the connection once all written bytes have been handed to the kernel. The peer may still send.
     void finishWriting();
+    /// Bounds the kernel's send buffer of the connection.
+    void setSendBuffer(int bytes);
 
 private:
     byte_stream(bufferevent *handle, handlers handlers);
--- a/src/http1/client_connection.cpp
+++ b/src/http1/client_connection.cpp
@@ -54,6 +54,11 @@
 client_connection::~client_connection() = default;
 
 void client_connection::send(const http_request &request, exchange_handlers handlers)
+{
+    send(request, request.body.empty() ? nullptr : std::make_shared<const std::string>(request.body), std::move(handlers));
+}
+
+void client_connection::send(const http_request &request, std::shared_ptr<const std::string> body, exchange_handlers handlers)
 {
     m_handlers = std::move(handlers);
     m_isBusy = true;
@@ -64,12 +69,19 @@
     m_keepAliveTimeout = std::chrono::milliseconds(-1);
     m_parser.resume();
     m_parser.setNoBody(request.method == "HEAD");
-    const bool hasBody = !request.body.empty() || request.method == "POST" || request.method == "PUT" || request.method == "PATCH";
-    std::string bytes = requestBytes(request, hasBody ? body_framing::length : body_framing::none);
+    const std::size_t length = body ? body->size() : 0;
+    const bool hasBody = length > 0 || request.method == "POST" || request.method == "PUT" || request.method == "PATCH";
+    write(requestHeadBytes(request, hasBody ? body_framing::length : body_framing::none, length), std::move(body));
+}
+
+void client_connection::write(std::string head, std::shared_ptr<const std::string> body)
+{
     if (m_isConnected) {
-        m_stream->write(bytes);
+        m_stream->write(head);
+        m_stream->write(std::move(body));
     } else {
-        m_unsent = std::move(bytes);
+        m_unsentHead = std::move(head);
+        m_unsentBody = std::move(body);
     }
 }
 
@@ -79,7 +91,8 @@
     m_isBusy = false;
     m_isUsable = false;
     // The connection may still be established before it is destroyed.
-    m_unsent.clear();
+    m_unsentHead.clear();
+    m_unsentBody.reset();
 }
 
 void client_connection::rejectResponse()
@@ -150,8 +163,7 @@
 void client_connection::onConnected()
 {
     m_isConnected = true;
-    m_stream->write(m_unsent);
-    m_unsent.clear();
+    write(std::exchange(m_unsentHead, {}), std::exchange(m_unsentBody, nullptr));
 }
 
 void client_connection::onReadable()
--- a/src/http1/client_connection.h
+++ b/src/http1/client_connection.h
@@ -7,6 +7,7 @@
 
 #include <functional>
 #include <memory>
+#include <string>
 
 namespace burdockshelf
 {
@@ -59,6 +60,8 @@
 
     /// Starts an exchange; the connection must be idle.
     void send(const http_request &request, exchange_handlers handlers);
+    /// The same with a body that is kept by reference and not copied; the request's own body is not used then.
+    void send(const http_request &request, std::shared_ptr<const std::string> body, exchange_handlers handlers);
     /// Ends the exchange without calling its handlers. A request that has not been sent yet is not sent any more. The connection cannot be
     /// reused.
     void abandon();
@@ -81,6 +84,7 @@
     void onBody(std::string_view bytes) override;
     void onComplete() override;
 
+    void write(std::string head, std::shared_ptr<const std::string> body);
     void onConnected();
     void onReadable();
     void onEnded(stream_end_cause end);
@@ -96,7 +100,8 @@
     std::unique_ptr<byte_stream> m_stream;
     message_parser m_parser;
     exchange_handlers m_handlers;
-    std::string m_unsent;
+    std::string m_unsentHead;
+    std::shared_ptr<const std::string> m_unsentBody;
     bool m_isConnected = false;
     bool m_isBusy = false;
     bool m_isResponseAccepted = false;
--- a/src/http1/message_parser.cpp
+++ b/src/http1/message_parser.cpp
@@ -1,6 +1,7 @@
 #include "http1/message_parser.h"
 
 #include <algorithm>
+#include <cstring>
 #include <utility>
 
 #include <http_parser.h>
@@ -8,6 +9,21 @@
 namespace burdockshelf
 {
 
+namespace
+{
+
+// A line's colon and its end, which the parser does not report.
+constexpr std::size_t lineOverhead = 3;
+// A list of fields grows by doubling, so half of it may be unused.
+constexpr std::int64_t fieldCost = 2 * sizeof(http_header);
+
+bool hasSpace(const char *text, std::size_t size)
+{
+    return std::memchr(text, ' ', size) != nullptr || std::memchr(text, '\t', size) != nullptr;
+}
+
+} // namespace
+
 struct message_parser::engine
 {
     http_parser parser = {};
@@ -19,6 +35,7 @@
     bool hasNoBody = false;
     bool readsRequests;
     std::int64_t headBytes = 0;
+    std::int64_t headCost = 0;
     std::string target;
     std::string field;
     std::string value;
@@ -66,6 +83,7 @@
     {
         isBetween = false;
         headBytes = 0;
+        headCost = 0;
         target.clear();
         field.clear();
         value.clear();
@@ -77,6 +95,7 @@
     int countHeadBytes(std::size_t size)
     {
         headBytes += static_cast<std::int64_t>(size);
+        headCost += static_cast<std::int64_t>(size);
         if (headBytes > maxHead) {
             state = parse_state::head_too_large;
             return 1;
@@ -93,15 +112,22 @@
     int addField(const char *text, std::size_t size)
     {
         flushField();
+        // A space before the colon makes receivers disagree on the name of the field.
+        if (readsRequests && hasSpace(text, size)) {
+            state = parse_state::broken;
+            return 1;
+        }
         field.append(text, size);
         return countHeadBytes(size);
     }
 
     int addValue(const char *text, std::size_t size)
     {
+        const std::size_t overhead = isInValue ? 0 : lineOverhead;
+        headCost += isInValue ? 0 : fieldCost;
         isInValue = true;
         value.append(text, size);
-        return countHeadBytes(size);
+        return countHeadBytes(size + overhead);
     }
 
     // Trailer fields arrive after the head has been passed on, and are dropped.
@@ -201,6 +227,11 @@
     m_engine->hasNoBody = hasNoBody;
 }
 
+void message_parser::setMaxHead(byte_count maxHead)
+{
+    m_engine->maxHead = maxHead.value();
+}
+
 parse_state message_parser::state() const
 {
     return m_engine->state;
@@ -211,4 +242,9 @@
     return m_engine->isBetween;
 }
 
+byte_count message_parser::headCost() const
+{
+    return byte_count(m_engine->headCost);
+}
+
 } // namespace burdockshelf
--- a/src/http1/message_parser.h
+++ b/src/http1/message_parser.h
@@ -76,10 +76,14 @@
     void resume();
     /// Set for responses to HEAD requests, which have no body even if their head specifies a length.
     void setNoBody(bool hasNoBody);
+    /// Changes the limit for heads; applies to what is read from now on.
+    void setMaxHead(byte_count maxHead);
 
     parse_state state() const;
     /// True before the first byte of the first message and between two messages.
     bool isBetweenMessages() const;
+    /// Memory that the parsed head of the current message takes, also after it has been passed on. A field costs many times its bytes.
+    byte_count headCost() const;
 
 private:
     struct engine;
--- a/src/http1/message_writer.cpp
+++ b/src/http1/message_writer.cpp
@@ -72,31 +72,43 @@
 
 } // namespace
 
-std::string requestBytes(const http_request &request, body_framing framing)
+std::string requestHeadBytes(const http_request &request, body_framing framing, std::size_t bodyLength)
 {
     std::string bytes;
-    bytes.reserve(512 + request.body.size());
+    bytes.reserve(512);
     bytes.append(request.method).append(" ").append(request.target).append(" HTTP/1.1\r\n");
     addFields(bytes, request.headers);
-    addFraming(bytes, framing, request.body.size());
+    addFraming(bytes, framing, bodyLength);
     bytes.append("\r\n");
+    return bytes;
+}
+
+std::string requestBytes(const http_request &request, body_framing framing)
+{
+    std::string bytes = requestHeadBytes(request, framing, request.body.size());
     if (framing == body_framing::length) {
         bytes.append(request.body);
     }
     return bytes;
 }
 
-std::string responseBytes(const http_response &response, body_framing framing, bool closes)
+std::string responseHeadBytes(const http_response &response, body_framing framing, std::size_t bodyLength, bool closes)
 {
     std::string bytes;
-    bytes.reserve(512 + response.body.size());
+    bytes.reserve(512);
     bytes.append("HTTP/1.1 ").append(std::to_string(response.status)).append(" ").append(reasonPhrase(response.status)).append("\r\n");
     addFields(bytes, response.headers);
-    addFraming(bytes, framing, response.body.size());
+    addFraming(bytes, framing, bodyLength);
     if (closes) {
         bytes.append("Connection: close\r\n");
     }
     bytes.append("\r\n");
+    return bytes;
+}
+
+std::string responseBytes(const http_response &response, body_framing framing, bool closes)
+{
+    std::string bytes = responseHeadBytes(response, framing, response.body.size(), closes);
     if (framing == body_framing::length) {
         bytes.append(response.body);
     }
--- a/src/http1/message_writer.h
+++ b/src/http1/message_writer.h
@@ -20,6 +20,10 @@
 
 /// Serializes the head of a request and, with body_framing::length, its body. The headers must not contain framing fields.
 std::string requestBytes(const http_request &request, body_framing framing);
+/// Serializes the head of a request whose body has the given length and is sent separately.
+std::string requestHeadBytes(const http_request &request, body_framing framing, std::size_t bodyLength);
+/// Serializes the head of a response whose body has the given length and is sent separately.
+std::string responseHeadBytes(const http_response &response, body_framing framing, std::size_t bodyLength, bool closes);
 /// Serializes the head of a response and, with body_framing::length, its body. Adds "Connection: close" if closes is set.
 std::string responseBytes(const http_response &response, body_framing framing, bool closes);
 /// Encodes one chunk of a chunked body. Returns an empty string for no bytes, because an empty chunk would end the body.
--- a/tests/gateway/caller_server_test.cpp
+++ b/tests/gateway/caller_server_test.cpp
@@ -33,6 +33,8 @@
     std::shared_ptr<mailbox<dispatch_message>> dispatcher = std::make_shared<mailbox<dispatch_message>>(loop, 100);
     std::optional<flow_id> arrived;
     socket_address bound;
+    std::shared_ptr<caller_memory> memory =
+        std::make_shared<caller_memory>(caller_memory_limits::of(byte_count(512LL * 1024 * 1024), 4096));
     std::unique_ptr<caller_server_task> server;
     int caller = -1;
     bool isFinished = false;
@@ -54,6 +56,7 @@
         server = std::make_unique<caller_server_task>(loop,
                                                       box,
                                                       caller_server_settings {{"127.0.0.1", 0}, 8000ms},
+                                                      memory,
                                                       adapter.dialects().callers,
                                                       address(dispatcher),
                                                       listening,
--- a/tests/http1/message_parser_test.cpp
+++ b/tests/http1/message_parser_test.cpp
@@ -146,3 +146,25 @@
     STRCMP_EQUAL("", chunkBytes("").c_str());
     STRCMP_EQUAL("2\r\nab\r\n", chunkBytes("ab").c_str());
 }
+
+// Guards against request smuggling: receivers disagree on the name of a field with a space before its colon.
+TEST(message_parser, rejectsASpaceBeforeAColon)
+{
+    CHECK(parseRequest("GET / HTTP/1.1\r\nHost : a\r\n\r\n") == parse_state::broken);
+    CHECK(parseRequest("GET / HTTP/1.1\r\nHost: a\r\nContent-Length : 0\r\n\r\n") == parse_state::broken);
+}
+
+// Guards against heads of very many short lines, whose separators are most of their bytes and whose fields cost many times as much.
+TEST(message_parser, countsLinesAndNotOnlyTheirText)
+{
+    std::string head = "GET / HTTP/1.1\r\n";
+    for (int i = 0; i < 400; ++i) {
+        head += "a:\r\n";
+    }
+    CHECK(parseRequest(head) == parse_state::head_too_large);
+    recording_handler seen;
+    message_parser parser(message_parser::direction::requests, byte_count(2048), seen);
+    parser.take(head);
+    CHECK(parser.state() == parse_state::reading);
+    CHECK(parser.headCost() >= byte_count(400 * static_cast<std::int64_t>(sizeof(http_header))));
+}
