End with status 0 on SIGTERM during the startup

A handler is now installed first in main() and ends the process with status 0; nothing has been accepted by then. The event loop's handlers replace it. Before main() the default action still applies.

--- a/src/burdockshelfd/main.cpp
+++ b/src/burdockshelfd/main.cpp
@@ -40,6 +40,12 @@
 
 constexpr int mmapThresholdBytes = 128 * 1024;
 
+/// Ends a process that is asked to stop before its event loop handles signals; it has accepted nothing yet.
+extern "C" void endStartup(int /*number*/)
+{
+    _exit(EXIT_SUCCESS);
+}
+
 /// Handles a signal on the event loop during the lifetime of the object.
 class signal_handler
 {
@@ -132,6 +138,8 @@
 
 int main(int argc, char **argv)
 {
+    std::signal(SIGTERM, endStartup);
+    std::signal(SIGINT, endStartup);
     namespace options = boost::program_options;
     options::options_description description("Options");
     description.add_options()("help,h", "show this text")("version", "show the version")(
