--- a/tests/gateway/caller_server_test.cpp
+++ b/tests/gateway/caller_server_test.cpp
@@ -212,3 +212,34 @@
     fixture.run(400ms);
     CHECK_TRUE(fixture.isFinished);
 }
+
+// A changed limit for heads did not apply to connections that were open before, so an abusive caller could keep the old one.
+TEST(caller_server, appliesAChangedHeadLimitToKeptConnections)
+{
+    caller_server_fixture fixture;
+    fixture.connectAndSend("GET /x HTTP/1.1\r\nHost: h\r\n\r\n");
+    fixture.run(50ms);
+    fixture.respond(1);
+    caller_limits lowered;
+    lowered.head = byte_count(64);
+    fixture.post(limits_changed {lowered});
+    fixture.readFor(50ms);
+    fixture.firstBytes.clear();
+    fixture.send("GET /x HTTP/1.1\r\nHost: h\r\nX-Long: " + std::string(100, 'x') + "\r\n\r\n");
+    fixture.readFor(200ms);
+    STRCMP_CONTAINS("HTTP/1.1 431", fixture.firstBytes.c_str());
+}
+
+// A request whose announced body does not fit the account was read all the same. It is refused before its body, and has not run.
+TEST(caller_server, refusesABodyThatDoesNotFitTheAccountBeforeItIsRead)
+{
+    caller_server_fixture fixture;
+    memory_charge others(fixture.memory, source_address(1));
+    others.force(fixture.memory->limits().total);
+    fixture.connectAndSend("POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 100000\r\n\r\n");
+    fixture.readFor(200ms);
+    STRCMP_CONTAINS("HTTP/1.1 503", fixture.firstBytes.c_str());
+    STRCMP_CONTAINS("Retry-After: 0.5", fixture.firstBytes.c_str());
+    CHECK_FALSE(fixture.arrived.has_value());
+    LONGS_EQUAL(1, fixture.memory->takeShed(memory_bound::total));
+}
