--- a/src/gateway/dispatch_task.cpp
+++ b/src/gateway/dispatch_task.cpp
@@ -91,7 +91,7 @@
         m_requests.writeAdmittedInShutdown(decided, m_shutdown.finishRequestsBy, boot_clock::now());
     }
     if (decided.limited == nullptr) {
-        begin(arrived.flow, std::move(arrived.request), std::move(*decided.request));
+        begin(arrived.flow, std::move(arrived.request), std::move(arrived.memory), std::move(*decided.request));
         return;
     }
     if (!m_outbox.toQuotas(quota_request {arrived.flow, decided.limited->id, decided.cost})) {
@@ -100,7 +100,7 @@
     }
     const instant now = boot_clock::now();
     m_deadlines.set(arrived.flow, std::min(deadline::after(now, quotaResponseTimeout), facts.callerDeadline));
-    m_awaitingQuota.emplace(arrived.flow, awaiting_quota {std::move(arrived.request), std::move(decided)});
+    m_awaitingQuota.emplace(arrived.flow, awaiting_quota {std::move(arrived.request), std::move(arrived.memory), std::move(decided)});
 }
 
 void dispatch_task::refuseWithoutQuota(flow_id flow, admission_decision &decision)
@@ -125,7 +125,7 @@
     awaiting_quota &request = waiting.mapped();
     if (granted != nullptr) {
         request.admission.request->grant = granted->grant;
-        begin(quotaResponse.flow, std::move(request.original), std::move(*request.admission.request));
+        begin(quotaResponse.flow, std::move(request.original), std::move(request.memory), std::move(*request.admission.request));
         return;
     }
     const auto &refused = std::get<quota_refused>(quotaResponse.verdict);
@@ -140,10 +140,10 @@
     refuse(quotaResponse.flow, request.admission, facts);
 }
 
-void dispatch_task::begin(flow_id flow, http_request &&original, admitted_request &&admitted)
+void dispatch_task::begin(flow_id flow, http_request &&original, memory_charge &&memory, admitted_request &&admitted)
 {
     admitted.flow = flow;
-    auto created = std::make_unique<active_flow>(flow, std::move(original), std::move(admitted));
+    auto created = std::make_unique<active_flow>(flow, std::move(original), std::move(memory), std::move(admitted));
     active_flow &target = *created;
     target.flow.limitDeadline(m_shutdown.finishRequestsBy);
     m_flows[flow] = std::move(created);
@@ -388,6 +388,7 @@
     m_outbox.setGauge("reservation_queue_length_first_priority", static_cast<double>(m_sharing.waiting(true)));
     m_outbox.setGauge("reservation_queue_length_later_priorities", static_cast<double>(m_sharing.waiting(false)));
     m_outbox.setGauge("requests_awaiting_quota", static_cast<double>(m_awaitingQuota.size()));
+    m_outbox.measureCallerMemory();
     m_outbox.sendMetrics();
 }
 
