--- a/tests/forwarding/uneven_endpoints_test.cpp
+++ b/tests/forwarding/uneven_endpoints_test.cpp
@@ -37,6 +37,14 @@
     CHECK(runSite(load).lateShare < 0.85 * runSite(load, byUtilisation()).lateShare);
 }
 
+// Near the capacity, expected times must not be made equal at all endpoints, which would make nearly all responses late.
+TEST(uneven_endpoints, aThirdSlowNearTheCapacity)
+{
+    load.slowEvery = 3;
+    load.requestsPerSecond = 2200.0;
+    CHECK(runSite(load).lateShare < runSite(load, byUtilisation()).lateShare);
+}
+
 // Where each instance has a response of an engine about once in a minute, only what the others have seen tells which are slow.
 TEST(uneven_endpoints, aThirdSlowAndFewRequestsPerInstance)
 {
--- a/tests/platform/platform_test.cpp
+++ b/tests/platform/platform_test.cpp
@@ -209,7 +209,8 @@
         return adapter.dialects().endpoints.decodeResponseHead({200, {{"X-Server-Load", text}}, ""}, instant(1000s)).load;
     };
     LONGS_EQUAL(130, parse("3,1,8,130")->workTimePercent.value());
-    for (const char *text : {"3,1,8", "3,1,8,", "3,1,8,x", "3,1,8,0", "3,1,8,-100", "3,1,8,9", "3,1,8,10001", "3,1,8,99999999999999999999"}) {
+    for (const char *text :
+         {"3,1,8", "3,1,8,", "3,1,8,x", "3,1,8,0", "3,1,8,-100", "3,1,8,9", "3,1,8,10001", "3,1,8,99999999999999999999"}) {
         CHECK_FALSE(parse(text)->workTimePercent.has_value());
         LONGS_EQUAL(8, parse(text)->slots);
     }
