Shorten the test of quota leases

Cause: the test file was longer than the code it needs. Change: one function assigns and confirms the holder; names of instances are their numbers. No check changes. Result: the 4 tests of rate_leases pass, sumStaysWithinTheQuota also with 1,500 cases.

--- a/tests/forwarding/rate_lease_test.cpp
+++ b/tests/forwarding/rate_lease_test.cpp
@@ -57,7 +57,9 @@
         while (m_now < until) {
             const double cost = 1500.0 + 4000.0 * m_random.uniform();
             m_now += std::chrono::duration_cast<boot_clock::duration>(std::chrono::duration<double>(cost / (rate * load)));
-            runEvents();
+            while (!m_events.empty() && m_events.begin()->first <= m_now) {
+                m_events.extract(m_events.begin()).mapped()();
+            }
             cause();
             request(draw(), cost);
         }
@@ -77,7 +79,7 @@
     void cutOff(std::size_t count, bool isCutOff)
     {
         std::fill_n(m_isCutOff.rbegin(), count, isCutOff);
-        asked = refused = messages = refusedInCut = askedInCut = 0;
+        asked = refused = refusedInCut = askedInCut = 0;
     }
 
     void move(std::size_t holder)
@@ -91,13 +93,17 @@
     int refused = 0;
     int askedInCut = 0;
     int refusedInCut = 0;
-    int messages = 0;
     double leased = 0.0;
 
 private:
     static instance_id nameOf(std::size_t index)
     {
-        return instance_id("i" + std::to_string(index));
+        return instance_id(std::to_string(index));
+    }
+
+    static std::size_t indexOf(const peer_instance &named)
+    {
+        return std::stoul(named.instance.value());
     }
 
     quota_broker makeBroker(std::size_t index) const
@@ -121,11 +127,6 @@
     void assign(std::size_t holder)
     {
         m_holder = holder;
-        confirm();
-    }
-
-    void confirm()
-    {
         m_confirmedAt = m_now;
         m_brokers[m_holder].setHeldPartitions({m_brokers[m_holder].partitionOf(workspace)}, deadline::after(m_now, 5700ms), m_now);
     }
@@ -148,15 +149,7 @@
         } else if (happens(m_faults.move)) {
             move(draw());
         } else if (m_now - m_confirmedAt > 1s && m_pausedUntil[m_holder] <= m_now) {
-            confirm();
-        }
-    }
-
-    void runEvents()
-    {
-        while (!m_events.empty() && m_events.begin()->first <= m_now) {
-            const auto next = m_events.extract(m_events.begin());
-            next.mapped()();
+            assign(m_holder);
         }
     }
 
@@ -168,7 +161,6 @@
         quota_broker &requester = m_brokers[index];
         quota_decision decision = requester.ask(workspace, cost, m_now);
         if (const auto *pending = std::get_if<quota_pending>(&decision)) {
-            ++messages;
             decision = exchange(index, *pending);
         }
         if (requester.needsHolderRefresh()) {
@@ -179,7 +171,7 @@
 
     quota_decision exchange(std::size_t index, const quota_pending &pending)
     {
-        const auto holder = static_cast<std::size_t>(std::stoi(pending.holder.instance.value().substr(1)));
+        const auto holder = indexOf(pending.holder);
         std::optional<pool_response> response;
         const bool isReachable = m_isCutOff[index] == m_isCutOff[holder] && m_pausedUntil[holder] <= m_now;
         if (isReachable && !happens(m_faults.lostMessage)) {
@@ -212,9 +204,9 @@
         if (granted == nullptr) {
             return;
         }
-        if (m_random.uniform() < 0.05) {
+        if (happens(0.05)) {
             if (const auto charged = m_brokers[index].refundCost(granted->grant)) {
-                m_brokers[static_cast<std::size_t>(std::stoi(charged->instance.value().substr(1)))].acceptRefund(workspace, cost);
+                m_brokers[indexOf(*charged)].acceptRefund(workspace, cost);
             }
             return;
         }
