Decide which version of a service gets requests during a rollout

The operator's order to move a service to another version is ignored, so endpoints of an untrusted version get requests like all others.

rollout_gate answers for one endpoint whether its version may get a request.

forward_flow keeps all attempts of a request on one side and returns to the trusted versions after a failure at the untrusted one.

Ruled out: a common counter for the share, which would need the store within each burst; and a bound by time windows, which a restarted instance would exceed.

--- a/src/core/ids.h
+++ b/src/core/ids.h
@@ -15,6 +15,8 @@
 using endpoint_id = strong_id<struct endpoint_tag>;
 /// A language model or other service that callers send requests to.
 using service_id = strong_id<struct service_tag>;
+/// A release of a service, such as v1.
+using service_version = strong_id<struct service_version_tag>;
 /// The public part of an API key.
 using key_id = strong_id<struct key_tag>;
 using request_id = strong_id<struct request_tag>;
--- a/src/forwarding/attempt_list.cpp
+++ b/src/forwarding/attempt_list.cpp
@@ -40,6 +40,8 @@
     attempt.attemptKind = attemptKind;
     attempt.endpoint = endpoint.id;
     attempt.endpointStartTime = endpoint.startTime;
+    attempt.version = endpoint.version;
+    attempt.dataCentre = endpoint.dataCentre;
     attempt.sentAt = now;
     attempt.responseDeadline = responseDeadline;
     attempt.timeoutAt = responseDeadline;
--- a/src/forwarding/attempt_list.h
+++ b/src/forwarding/attempt_list.h
@@ -16,6 +16,8 @@
     endpoint_id endpoint;
     /// Identifies the endpoint's process together with its id.
     endpoint_start_time endpointStartTime;
+    service_version version;
+    data_centre_id dataCentre;
     instant sentAt;
     /// When the first part of the response's body arrived.
     std::optional<instant> firstOutputAt;
--- a/src/forwarding/endpoint_availability.h
+++ b/src/forwarding/endpoint_availability.h
@@ -21,6 +21,8 @@
     misdirected,
     /// Its data centre has been taken out of service.
     evacuated,
+    /// Its version must not get requests, or no more of them, under the rollout of its service.
+    not_exposed,
     /// It wants no requests from this instance for some time.
     pausing,
     /// Its pause is over, and the first request since then has not been answered yet.
--- a/src/forwarding/endpoint_entry.h
+++ b/src/forwarding/endpoint_entry.h
@@ -36,6 +36,8 @@
 {
     endpoint_id id;
     service_id service;
+    /// The release that the endpoint runs; empty if its entry names none.
+    service_version version;
     socket_address address;
     data_centre_id dataCentre;
     slot_count slots;
--- a/src/forwarding/endpoint_table.cpp
+++ b/src/forwarding/endpoint_table.cpp
@@ -82,6 +82,7 @@
 
 endpoint_table::endpoint_table(endpoint_table_settings settings)
     : m_settings(std::move(settings))
+    , m_rollouts(m_settings.rollouts)
 {
 }
 
@@ -97,7 +98,8 @@
         if (entry.startTime < known.startTime) {
             return false;
         }
-        const bool isSameProcess = entry.startTime == known.startTime && entry.address == known.address && entry.service == known.service;
+        const bool isSameProcess = entry.startTime == known.startTime && entry.address == known.address && entry.service == known.service
+            && entry.version == known.version;
         if (isSameProcess) {
             endpoint_state &endpoint = *found->second;
             const bool isChanged = known.isDraining != entry.isDraining || known.stage != entry.stage || !endpoint.isListed;
@@ -109,6 +111,7 @@
             }
             return isChanged;
         }
+        m_rollouts.noteRemoved(known);
         std::erase(m_byService[known.service], found->second.get());
         m_endpoints.erase(found);
     }
@@ -119,6 +122,7 @@
     }
     added->coldStartBucket = fractional_token_bucket(0.0, 1.0, now);
     setColdStartLimit(*added, service, now);
+    m_rollouts.noteRegistered(entry, now);
     m_byService[entry.service].push_back(added.get());
     m_endpoints[entry.id] = std::move(added);
     return true;
@@ -130,6 +134,7 @@
     if (found == m_endpoints.end()) {
         return false;
     }
+    m_rollouts.noteRemoved(found->second->entry);
     std::erase(m_byService[found->second->entry.service], found->second.get());
     m_endpoints.erase(found);
     return true;
@@ -151,7 +156,8 @@
                                              const std::vector<endpoint_id> &excluded,
                                              const traffic_service *profile,
                                              instant now,
-                                             random_source &random)
+                                             random_source &random,
+                                             rollout_side side)
 {
     const auto found = m_byService.find(service);
     if (found == m_byService.end()) {
@@ -164,6 +170,9 @@
         if (isExcluded || !matchesStage(candidate->entry, attemptKind) || !availabilityOf(*candidate, now).mayReceive()) {
             continue;
         }
+        if (!m_rollouts.isOnSide(candidate->entry, side)) {
+            continue;
+        }
         if (!candidate->coldUntil.hasPassed(now) && candidate->coldStartBucket.level(now) < 1.0) {
             continue;
         }
--- a/src/forwarding/endpoint_table.h
+++ b/src/forwarding/endpoint_table.h
@@ -1,9 +1,11 @@
 #pragma once
 
 #include "core/random_source.h"
+#include "forwarding/attempt_kind.h"
 #include "forwarding/endpoint_entry.h"
 #include "forwarding/endpoint_restrictions.h"
 #include "forwarding/fractional_token_bucket.h"
+#include "forwarding/rollout_gate.h"
 #include "forwarding/traffic_plan.h"
 
 #include <functional>
@@ -17,19 +19,6 @@
 namespace burdockshelf
 {
 
-/// What an attempt asks of an endpoint.
-enum class attempt_kind
-{
-    /// Executes the whole request at an endpoint of a plain service.
-    plain_call,
-    /// Reserves capacity at a decode endpoint for the request.
-    reserve,
-    /// Processes the prompt.
-    prefill,
-    /// Generates the output.
-    decode,
-};
-
 /// True when an endpoint in this stage can serve an attempt of the given kind.
 bool matchesStage(const endpoint_entry &entry, attempt_kind attemptKind);
 
@@ -94,6 +83,8 @@
     instance_id self;
     data_centre_id dataCentre;
     cold_start_tolerance cold;
+    /// Unset where versions are not rolled out by order.
+    std::optional<rollout_settings> rollouts;
 };
 
 /// The end of a restriction that followed from an endpoint's responses.
@@ -126,7 +117,8 @@
                                  const std::vector<endpoint_id> &excluded,
                                  const traffic_service *profile,
                                  instant now,
-                                 random_source &random);
+                                 random_source &random,
+                                 rollout_side side = rollout_side::trusted);
     const endpoint_state *find(const endpoint_id &endpoint) const;
     /// The endpoint that is registered at an address, leaving out the given one; null if there is none.
     const endpoint_state *findAt(const socket_address &address, const endpoint_id &except) const;
@@ -172,6 +164,9 @@
     void noteStatus(const endpoint_id &endpoint, instant sentAt, int status, const attempt_id &request);
     /// The endpoints that got rid of a restriction since the last call.
     std::vector<lifted_restriction> takeLifted();
+    /// Which versions may get requests.
+    rollout_gate &rollouts();
+    const rollout_gate &rollouts() const;
 
 private:
     using service_endpoints = std::vector<endpoint_state *>;
@@ -208,6 +203,7 @@
     std::map<service_id, double> m_prefillSecondsPerToken;
     std::vector<instance_id> m_instances;
     endpoint_restrictions m_restrictions;
+    rollout_gate m_rollouts;
     std::vector<lifted_restriction> m_lifted;
 };
 
--- a/src/forwarding/endpoint_table_availability.cpp
+++ b/src/forwarding/endpoint_table_availability.cpp
@@ -42,6 +42,9 @@
     if (m_evacuated.count(known.entry.dataCentre) > 0) {
         return {availability_condition::evacuated};
     }
+    if (!m_rollouts.mayReceive(known.entry, now)) {
+        return {availability_condition::not_exposed};
+    }
     return restricted;
 }
 
@@ -78,6 +81,7 @@
         case availability_condition::draining:
         case availability_condition::misdirected:
         case availability_condition::evacuated:
+        case availability_condition::not_exposed:
             break;
         }
     }
@@ -101,6 +105,16 @@
     }
 }
 
+rollout_gate &endpoint_table::rollouts()
+{
+    return m_rollouts;
+}
+
+const rollout_gate &endpoint_table::rollouts() const
+{
+    return m_rollouts;
+}
+
 std::vector<lifted_restriction> endpoint_table::takeLifted()
 {
     return std::exchange(m_lifted, {});
--- a/src/forwarding/forward_flow.cpp
+++ b/src/forwarding/forward_flow.cpp
@@ -40,6 +40,7 @@
         m_service = chooseService(*m_request.route, m_context->random);
         m_profile = m_request.plan->findService(m_service);
         m_context->retryBudget.earn(m_service, m_now);
+        chooseSide();
         sendFirst();
     });
 }
@@ -57,6 +58,7 @@
         attempt->hasResponse = true;
         attempt->timeoutAt = deadline::after(m_now, streamIdleTimeout());
         m_context->endpoints.noteResponse(attempt->endpoint, attempt->sentAt, m_now);
+        noteReached();
         m_context->endpoints.noteStatus(attempt->endpoint, attempt->sentAt, statusOk, m_request.facts.id);
     });
 }
@@ -107,12 +109,11 @@
             return;
         }
         m_context->endpoints.noteStatus(ended->endpoint, ended->sentAt, response.status, m_request.facts.id);
-        m_context->endpoints.noteEnded(ended->endpoint,
-                                       tokensFor(ended->attemptKind),
-                                       ended->sentAt,
-                                       ended->hasResponse,
-                                       healthVerdictOf(*ended, outcome, response, m_isFinal),
-                                       m_now);
+        const health_verdict verdict = healthVerdictOf(*ended, outcome, response, m_isFinal);
+        noteEnded(*ended, verdict);
+        if (outcome == attempt_outcome::whole && executesRequest(ended->attemptKind)) {
+            noteReached();
+        }
         if (outcome == attempt_outcome::misdirected) {
             m_context->endpoints.noteMisdirected(ended->endpoint);
         }
@@ -137,6 +138,13 @@
         if (m_isFinal || m_isCallerDisconnected) {
             return;
         }
+        if (m_side == rollout_side::candidate && verdict != health_verdict::good && ended->attemptKind != attempt_kind::reserve) {
+            leaveCandidate();
+            if (ended->attemptKind == attempt_kind::prefill) {
+                startReservationSearch();
+                return;
+            }
+        }
         (this->*rulesOf(ended->attemptKind).onEnd)(*ended, outcome, response, handle);
     });
 }
@@ -262,7 +270,7 @@
     }
     const bool wasOverdue = !ended->hasResponse && ended->responseDeadline.hasPassed(m_now);
     const health_verdict verdict = wasOverdue ? health_verdict::failed : health_verdict::abandoned;
-    m_context->endpoints.noteEnded(ended->endpoint, tokensFor(ended->attemptKind), ended->sentAt, ended->hasResponse, verdict, m_now);
+    noteEnded(*ended, verdict);
     m_actions.emplace_back(cancel_flow_attempt {ended->number});
 }
 
--- a/src/forwarding/forward_flow.h
+++ b/src/forwarding/forward_flow.h
@@ -145,6 +145,18 @@
     /// False when no endpoint may receive the attempt.
     bool send(attempt_kind attemptKind, std::optional<prompt_handle> source);
     bool spendRetry();
+    /// Decides whether the request is sent to a version that is not trusted yet.
+    void chooseSide();
+    /// Chooses among the endpoints of the request's side; among those of the trusted versions if the other side has none.
+    const endpoint_state *chooseEndpoint(attempt_kind attemptKind, const std::vector<endpoint_id> &excluded);
+    /// What is left of the request goes to the trusted versions.
+    void leaveCandidate();
+    /// False when a further attempt would exceed the share of an untrusted version.
+    bool takeExposure(const endpoint_entry &chosen, attempt_kind attemptKind);
+    bool hasVersionOf(const endpoint_id &other, const endpoint_entry &chosen) const;
+    /// Records that a response shows that the request has reached its service.
+    void noteReached();
+    void noteEnded(const flow_attempt &ended, health_verdict verdict);
     /// Ends the request if its prompt contains a quarantined part; a silent decode goes on instead. Returns whether it contains one.
     bool endIfQuarantined();
     /// Reports the loss of an endpoint that was beginning to generate this request's output.
@@ -184,6 +196,10 @@
     /// Prefills that an engine rejected. They do not count as attempts of the route: nothing was processed, and one engine that sheds load
     /// says nothing of the others.
     std::int64_t m_rejections = 0;
+    rollout_side m_side = rollout_side::trusted;
+    /// Attempts at the untrusted version that were taken from its share and not sent yet.
+    std::int64_t m_exposureTaken = 0;
+    bool m_hasReachedService = false;
     bool m_mayHaveExecuted = false;
     bool m_isHeadRelayed = false;
     bool m_isFinal = false;
--- a/src/forwarding/forward_flow_ends.cpp
+++ b/src/forwarding/forward_flow_ends.cpp
@@ -195,8 +195,8 @@
     if (!ended) {
         return;
     }
-    m_context->endpoints.noteEnded(
-        ended->endpoint, tokensFor(ended->attemptKind), ended->sentAt, ended->hasResponse, health_verdict::failed, m_now);
+    noteEnded(*ended, health_verdict::failed);
+    leaveCandidate();
     m_mayHaveExecuted = m_mayHaveExecuted || executesRequest(ended->attemptKind);
     m_events.dropPartial();
     m_actions.emplace_back(cancel_flow_attempt {number, cause});
@@ -208,6 +208,7 @@
     if (!mayRetry() || !hasAttemptsLeft() || !spendRetry()) {
         return;
     }
+    leaveCandidate();
     if (m_request.route->kind == request_kind::streaming) {
         // The old attempt is cancelled first, so that two endpoints never generate the same stream.
         cancel(timedOut);
@@ -245,6 +246,11 @@
         return;
     }
     cancel(timedOut);
+    if (m_side == rollout_side::candidate) {
+        leaveCandidate();
+        startReservationSearch();
+        return;
+    }
     retryPrefill(std::nullopt);
 }
 
@@ -270,6 +276,7 @@
     }
     // A pause is no failure: the decode goes on until its replacement can be sent.
     m_silentDecode = timedOut.number;
+    leaveCandidate();
     startReservationSearch();
 }
 
--- a/src/forwarding/forward_flow_sends.cpp
+++ b/src/forwarding/forward_flow_sends.cpp
@@ -51,13 +51,7 @@
     if (endIfQuarantined()) {
         return;
     }
-    const endpoint_state *chosen = m_context->endpoints.choose(m_service,
-                                                               attempt_kind::reserve,
-                                                               tokensFor(attempt_kind::reserve),
-                                                               m_reservationSearch.excluded(),
-                                                               m_profile,
-                                                               m_now,
-                                                               m_context->random);
+    const endpoint_state *chosen = chooseEndpoint(attempt_kind::reserve, m_reservationSearch.excluded());
     if (chosen == nullptr && m_reservationSearch.isRoundEmpty()) {
         // No endpoint can take a reservation at all.
         continueAfterReservation();
@@ -77,6 +71,8 @@
 void forward_flow::endReservationRound()
 {
     m_actions.emplace_back(m_reservationSearch.endRound(tokensFor(attempt_kind::reserve)));
+    // The untrusted version may be small; the next round asks the others.
+    leaveCandidate();
     if (m_reservationSearch.scheduleNextRound(m_now)) {
         return;
     }
@@ -127,8 +123,7 @@
         return;
     }
     const token_count prompt = tokensFor(attempt_kind::prefill);
-    const endpoint_state *prefillEndpoint =
-        m_context->endpoints.choose(m_service, attempt_kind::prefill, prompt, m_attempts.tried(), m_profile, m_now, m_context->random);
+    const endpoint_state *prefillEndpoint = chooseEndpoint(attempt_kind::prefill, m_attempts.tried());
     if (prefillEndpoint == nullptr || isPrefillFasterAtDecode(*prefillEndpoint, prompt)
         || !sendTo(*prefillEndpoint, attempt_kind::prefill, std::nullopt)) {
         sendDecode(std::nullopt);
@@ -159,8 +154,7 @@
     if (attemptKind == attempt_kind::decode && m_reservation && m_context->endpoints.mayReceive(m_reservation->endpoint, m_now)) {
         chosen = m_context->endpoints.find(m_reservation->endpoint);
     } else {
-        chosen = m_context->endpoints.choose(
-            m_service, attemptKind, tokensFor(attemptKind), m_attempts.tried(), m_profile, m_now, m_context->random);
+        chosen = chooseEndpoint(attemptKind, m_attempts.tried());
     }
     return chosen != nullptr && sendTo(*chosen, attemptKind, std::move(source));
 }
@@ -171,6 +165,9 @@
     if (isQuarantined || !m_context->endpoints.mayReceive(chosen.entry.id, m_now)) {
         return false;
     }
+    if (!takeExposure(chosen.entry, attemptKind)) {
+        return false;
+    }
     // The reservation has taken the request from the cold endpoint's share already.
     const bool usesReservation = attemptKind == attempt_kind::decode && m_reservation && m_reservation->endpoint == chosen.entry.id;
     if (!usesReservation && !m_context->endpoints.takeColdStartToken(chosen.entry.id, m_now)) {
@@ -187,6 +184,12 @@
     action.startTime = chosen.entry.startTime;
     action.address = chosen.entry.address;
     action.service = m_service;
+    if (source && !hasVersionOf(source->endpoint, chosen.entry)) {
+        source.reset();
+        if (m_handle) {
+            m_actions.emplace_back(release_handle {*std::exchange(m_handle, std::nullopt)});
+        }
+    }
     action.source = std::move(source);
     action.tokens = tokensFor(attemptKind);
     // A reservation can be used once, and only at its own endpoint.
@@ -197,7 +200,7 @@
     }
     if (attemptKind == attempt_kind::decode && !action.source && m_lastPrefillEndpoint) {
         const endpoint_state *prefillEndpoint = m_context->endpoints.find(*m_lastPrefillEndpoint);
-        if (prefillEndpoint != nullptr) {
+        if (prefillEndpoint != nullptr && hasVersionOf(*m_lastPrefillEndpoint, chosen.entry)) {
             action.fetchFrom = prefillEndpoint->entry.address;
         }
     }
