Follow rollout orders, share evidence and write the status

The dispatcher publishes its counts in a topic of the product's own, at most once a second and only while an order is in force, judges the counts of all instances and, while its instance holds stage control, writes the decision record and then the status that the operator reads. The status follows from a decision only once the record has been read back, so a new holder finds the decision and writes a missing status.

Nothing is followed, written or exchanged between the tasks without the setting exposeShare.

--- a/src/gateway/dialects.h
+++ b/src/gateway/dialects.h
@@ -103,9 +103,12 @@
     members,
     /// Crashes of endpoints and quarantined prompt parts; each instance publishes what it has seen.
     crash_reports,
+    /// Evidence of all instances about rollouts, and the decisions of the holder of stage control. Followed only while an order is in
+    /// force.
+    rollouts,
 };
 
-constexpr std::size_t storeTopicCount = 4;
+constexpr std::size_t storeTopicCount = 5;
 
 /// Position of a record in a topic.
 using store_offset = quantity<struct store_offset_unit>;
@@ -156,6 +159,8 @@
     virtual http_request probe(store_topic topic) const = 0;
     virtual http_request readFrom(store_topic topic, store_offset from, std::chrono::milliseconds wait) const = 0;
     virtual http_request write(store_topic topic, const std::string &key, std::string_view value) const = 0;
+    /// Tells the operator how far the rollout of a service has come.
+    virtual http_request writeRolloutStatus(const rollout_decision &decided) const = 0;
     virtual outcome<store_page> decodeNewest(const http_response &response) const = 0;
     /// error_code::not_found means that the requested records are no longer stored; the caller has to start over with readNewest().
     virtual outcome<store_batch> decodeBatch(const http_response &response) const = 0;
@@ -176,7 +181,7 @@
     data_centre_id dataCentre;
 };
 
-using operator_record = std::variant<traffic_plan, evacuation_record>;
+using operator_record = std::variant<traffic_plan, evacuation_record, rollout_order>;
 
 /// Decodes the records of the store.
 class record_dialect
@@ -188,6 +193,8 @@
     virtual outcome<std::optional<operator_record>> decodeOperator(const std::string &key, std::string_view value) const = 0;
     /// The data centre that the key evacuates; nullopt if the key does not belong to an evacuation.
     virtual std::optional<data_centre_id> evacuationOfKey(const std::string &key) const = 0;
+    /// The service whose rollout the key orders; nullopt if the key does not belong to a rollout.
+    virtual std::optional<service_id> rolloutOfKey(const std::string &key) const = 0;
     virtual outcome<endpoint_entry> decodeEndpoint(const std::string &key, std::string_view value) const = 0;
 };
 
--- a/src/gateway/dispatch_task.cpp
+++ b/src/gateway/dispatch_task.cpp
@@ -23,6 +23,8 @@
 // The quota broker responds within 100 ms, so a response that takes longer than this has been lost.
 constexpr milliseconds quotaResponseTimeout {500};
 constexpr milliseconds retryAfterMissingQuota {120};
+// A new holder of stage control decides about rollouts once the writes of the one before have ended.
+constexpr milliseconds rolloutHandoverInterval {500};
 constexpr int firstErrorStatus = 400;
 
 } // namespace
@@ -41,12 +43,14 @@
     , m_log(std::move(log))
     , m_random(random)
     , m_requests(m_log)
-    , m_fleet({m_settings.instance, m_settings.dataCentre, m_settings.cold}, m_settings.entries, dialects.records, m_log)
+    , m_fleet(
+          {m_settings.instance, m_settings.dataCentre, m_settings.cold, m_settings.rollouts}, m_settings.entries, dialects.records, m_log)
     , m_retryBudget(m_settings.retryBudget)
     , m_deadlines(
           loop, [this](flow_id due) { handleDeadline(due); }, m_log)
     , m_reportTimer(loop, [this] { reportState(); })
     , m_overdueTimer(loop, [this] { removeOverdueRegistrations(); })
+    , m_rolloutLease(rolloutHandoverInterval)
 {
 }
 
@@ -249,6 +253,7 @@
     m_fleet.reset(snapshot.topic, snapshot.records, {boot_clock::now(), snapshot.storeSilence});
     removeOverdueRegistrations();
     publishChanges();
+    reviewRollouts();
 }
 
 void dispatch_task::apply(const topic_update &change)
@@ -256,6 +261,7 @@
     m_fleet.change(change.topic, change.records, {boot_clock::now(), change.storeSilence});
     removeOverdueRegistrations();
     publishChanges();
+    reviewRollouts();
 }
 
 void dispatch_task::apply(const store_reachability &change)
@@ -366,6 +372,7 @@
         m_outbox.toStore(publish_member_report {encodeMemberReport(report)});
     }
     publishEngines();
+    reviewRollouts();
     m_outbox.setGauge("endpoints", static_cast<double>(m_fleet.endpoints().size()));
     m_outbox.setGauge("instances", static_cast<double>(m_fleet.instanceCount()));
     m_outbox.setGauge("active_requests", static_cast<double>(m_flows.size()));
--- a/src/gateway/dispatch_task.h
+++ b/src/gateway/dispatch_task.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "forwarding/stage_control_lease.h"
 #include "gateway/active_flow.h"
 #include "gateway/dispatch_outbox.h"
 #include "gateway/fleet_state.h"
@@ -25,6 +26,8 @@
     cold_start_tolerance cold;
     retry_limits retryBudget;
     registration_grace_settings entries;
+    /// Unset where versions are not rolled out by order.
+    std::optional<rollout_settings> rollouts;
     /// Time from the start of the shutdown until the process is killed.
     std::chrono::milliseconds gracePeriod {8000};
 };
@@ -65,6 +68,9 @@
     void apply(const topic_snapshot &snapshot);
     void apply(const topic_update &change);
     void apply(const store_reachability &change);
+    void apply(const store_contact &contact);
+    void apply(const rollout_status_written &written);
+    void apply(const assignment_confirmed &confirmed);
     void apply(const quota_response &quotaResponse);
     void apply(const shutdown_begun &begun);
 
@@ -107,6 +113,18 @@
     /// Sends a call that releases something at an endpoint, unless the endpoint is pausing.
     void release(const endpoint_id &endpoint, const socket_address &heldAt, http_request call);
     void updateReadiness();
+    /// Judges the rollouts, shares the evidence and, as the holder, decides.
+    void reviewRollouts();
+    void countInProgressAtOld();
+    void publishRolloutReports();
+    void followRollouts();
+    bool hasUnwrittenStatus() const;
+    void decideRollouts();
+    void writeRolloutStatus(const service_rollout &rollout);
+    void writeRolloutDecision(rollout_decision decided);
+    void logRolloutDecision(const rollout_decision &next);
+    void logRolloutFinding(const service_id &service, const rollout_finding &finding);
+    void setRolloutGauges();
     flow_context context();
 
     dispatch_settings m_settings;
@@ -128,6 +146,13 @@
     flow_deadlines m_deadlines;
     timer m_reportTimer;
     timer m_overdueTimer;
+    /// Whether this instance decides about rollouts.
+    stage_control_lease m_rolloutLease;
+    bool m_isFollowingRollouts = false;
+    std::vector<rollout_report> m_publishedReports;
+    deadline m_rolloutReportDue;
+    /// The newest states that this instance has written for the operator.
+    std::map<service_id, std::pair<rollout_number, rollout_state>> m_rolloutStatus;
     bool m_isReady = false;
     shutdown_schedule m_shutdown;
     bool m_isShuttingDown = false;
--- a/src/gateway/fleet_state.cpp
+++ b/src/gateway/fleet_state.cpp
@@ -13,7 +13,9 @@
                          registration_grace_settings bounds,
                          const record_dialect &records,
                          event_log log)
-    : m_records(records)
+    : m_self(endpoints.self)
+    , m_maxOrderDelay(bounds.silence)
+    , m_records(records)
     , m_log(std::move(log))
     , m_endpoints(endpoints)
     , m_graceList(bounds)
@@ -29,6 +31,7 @@
         topic_handler {&fleet_state::resetEndpoints, &fleet_state::changeEndpoints},
         topic_handler {&fleet_state::changeMembers, &fleet_state::changeMembers},
         topic_handler {&fleet_state::resetCrashReports, &fleet_state::changeCrashReports},
+        topic_handler {&fleet_state::changeRollouts, &fleet_state::changeRollouts},
     };
     return handlers.at(static_cast<std::size_t>(topic));
 }
@@ -87,8 +90,9 @@
 {
     std::set<data_centre_id> evacuated;
     for (const store_record &record : records) {
-        applyOperatorRecord(record, evacuated, arrival.at);
+        applyOperatorRecord(record, evacuated, arrival);
     }
+    clearUnlistedOrders(records);
     setEvacuated(std::move(evacuated));
 }
 
@@ -96,12 +100,12 @@
 {
     std::set<data_centre_id> evacuated = m_endpoints.evacuated();
     for (const store_record &record : records) {
-        applyOperatorRecord(record, evacuated, arrival.at);
+        applyOperatorRecord(record, evacuated, arrival);
     }
     setEvacuated(std::move(evacuated));
 }
 
-void fleet_state::applyOperatorRecord(const store_record &record, std::set<data_centre_id> &evacuated, instant now)
+void fleet_state::applyOperatorRecord(const store_record &record, std::set<data_centre_id> &evacuated, const record_arrival &arrival)
 {
     if (const auto dataCentre = m_records.evacuationOfKey(record.key)) {
         if (record.value) {
@@ -112,6 +116,9 @@
         return;
     }
     if (!record.value) {
+        if (const auto service = m_records.rolloutOfKey(record.key)) {
+            clearRolloutOrder(*service);
+        }
         return;
     }
     auto decoded = m_records.decodeOperator(record.key, *record.value);
@@ -121,7 +128,9 @@
     }
     if (decoded.value()) {
         if (auto *plan = std::get_if<traffic_plan>(&*decoded.value())) {
-            applyPlan(std::move(*plan), now);
+            applyPlan(std::move(*plan), arrival.at);
+        } else if (const auto *order = std::get_if<rollout_order>(&*decoded.value())) {
+            applyRolloutOrder(*order, record, arrival);
         }
     }
 }
--- a/src/gateway/fleet_state.h
+++ b/src/gateway/fleet_state.h
@@ -52,6 +52,8 @@
     endpoint_table &endpoints();
     const endpoint_table &endpoints() const;
     std::int64_t instanceCount() const;
+    /// The instances that have reported recently, without this one.
+    std::vector<instance_id> otherInstances(instant now) const;
     prompt_quarantine &quarantine();
     /// Writes a log line for each quarantine that has begun or ended since the last call.
     void logQuarantineChanges();
@@ -76,7 +78,13 @@
     void changeCrashReports(const std::vector<store_record> &records, const record_arrival &arrival);
     void applyCrashReport(const store_record &record, outcome<crash_report> &&report, instant now);
     void changeMembers(const std::vector<store_record> &records, const record_arrival &arrival);
-    void applyOperatorRecord(const store_record &record, std::set<data_centre_id> &evacuated, instant now);
+    void applyOperatorRecord(const store_record &record, std::set<data_centre_id> &evacuated, const record_arrival &arrival);
+    void applyRolloutOrder(const rollout_order &order, const store_record &record, const record_arrival &arrival);
+    void clearRolloutOrder(const service_id &service);
+    /// Ends the rollouts whose orders are missing from the newest records.
+    void clearUnlistedOrders(const std::vector<store_record> &listed);
+    void changeRollouts(const std::vector<store_record> &records, const record_arrival &arrival);
+    void applyRolloutDecision(const service_id &service, const store_record &record, instant now);
     void applyPlan(traffic_plan plan, instant now);
     void setEvacuated(std::set<data_centre_id> evacuated);
     void putEndpoint(const endpoint_entry &entry, instant now);
@@ -85,6 +93,9 @@
     void removeEndpoint(const endpoint_id &endpoint, std::string_view cause);
     void logUnreadable(const store_record &record, const error &cause);
 
+    instance_id m_self;
+    /// Longest time for which a record may be on its way while the store does not respond.
+    std::chrono::milliseconds m_maxOrderDelay;
     const record_dialect &m_records;
     event_log m_log;
     std::shared_ptr<const plan_index> m_plan;
--- a/src/gateway/gateway_messages.h
+++ b/src/gateway/gateway_messages.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "forwarding/flow_messages.h"
+#include "gateway/assignment_messages.h"
 #include "gateway/dialects.h"
 #include "gateway/quota_broker_messages.h"
 #include "http/http_message.h"
@@ -179,6 +180,18 @@
     bool isReachable = false;
 };
 
+/// The store has responded at the given time. Sent a few times a second while rollouts are followed.
+struct store_contact
+{
+    instant at;
+};
+
+/// The operator can read this state of a rollout.
+struct rollout_status_written
+{
+    rollout_decision decided;
+};
+
 struct shutdown_begun
 {
 };
@@ -192,6 +205,9 @@
                                       topic_snapshot,
                                       topic_update,
                                       store_reachability,
+                                      store_contact,
+                                      rollout_status_written,
+                                      assignment_confirmed,
                                       quota_response,
                                       shutdown_begun>;
 
@@ -209,6 +225,25 @@
     std::string value;
 };
 
+/// Orders are in force, so the evidence of the other instances is read; or none is any more.
+struct follow_rollouts
+{
+    bool isFollowing = false;
+};
+
+/// A report or decision about rollouts, for the other instances.
+struct publish_rollout_record
+{
+    std::string key;
+    std::string value;
+};
+
+/// Tells the operator the state of a rollout.
+struct publish_rollout_status
+{
+    rollout_decision decided;
+};
+
 /// Instances have joined or left; their reports have to be read again.
 struct members_changed
 {
@@ -216,6 +251,9 @@
 
 using store_message = std::variant<publish_member_report,
                                    publish_crash_report,
+                                   follow_rollouts,
+                                   publish_rollout_record,
+                                   publish_rollout_status,
                                    members_changed,
                                    instance_count_changed,
                                    holders_listed,
--- a/src/gateway/gateway_settings.cpp
+++ b/src/gateway/gateway_settings.cpp
@@ -43,7 +43,7 @@
 constexpr number_range tokensRange = {0, 1'000'000'000};
 constexpr number_range partitionsRange = {1, 1000};
 
-constexpr std::array<bound_rule, 13> boundRules = {{
+constexpr std::array<bound_rule, 14> boundRules = {{
     {"graceSeconds",
      secondsRange,
      [](gateway_settings &to, double value) {
@@ -105,6 +105,11 @@
      [](gateway_settings &to, double value) {
          to.quotaPartitions = static_cast<std::int64_t>(value);
      }},
+    {"exposeShare",
+     fractionRange,
+     [](gateway_settings &to, double value) {
+         to.exposeShare = value;
+     }},
     {"dutyTurnMs",
      millisecondsRange,
      [](gateway_settings &to, double value) {
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -8,6 +8,7 @@
 #include "forwarding/workspace_shares.h"
 
 #include <chrono>
+#include <optional>
 #include <string>
 
 namespace burdockshelf
@@ -40,6 +41,9 @@
     std::int64_t quotaPartitions = 12;
     /// Minimum time between the last order of one holder of the stage control and the first order of the next holder.
     std::chrono::milliseconds minHandoverInterval {3000};
+    /// Largest part of a service's requests that a version which is being rolled out may get before it is trusted. Rollouts are neither
+    /// followed nor reported without it.
+    std::optional<double> exposeShare;
     /// Percentage of a service's engines that should run prefill; 0 disables stage changes.
     std::int64_t prefillPercent = 0;
 };
--- a/src/gateway/gateway_tree.cpp
+++ b/src/gateway/gateway_tree.cpp
@@ -103,21 +103,30 @@
                           const quota_broker_addresses to = {address(m_dispatchMailbox), address(m_groupMailbox), address(m_meshMailbox)};
                           return std::make_unique<quota_broker_task>(m_quotaMailbox, quotas, to, m_log);
                       }});
-    m_root->addChild(
-        {"dispatcher", [this, settings, dialects, incarnation] {
-             const registration_grace_settings entries = {settings.silenceDetectionLimit, settings.maxDrainDelay};
-             const dispatch_settings dispatch = {
-                 settings.instance, incarnation, settings.dataCentre, settings.cold, settings.retryBudget, entries, settings.gracePeriod};
-             dispatch_addresses to;
-             to.callers = address(m_callerServerMailbox);
-             to.endpoints = address(m_endpointClientMailbox);
-             to.store = address(m_storeMailbox);
-             to.quotas = address(m_quotaMailbox);
-             to.stageControl = address(m_stageControlMailbox);
-             to.readiness = makeSink<readiness_report>(address(m_monitorMailbox));
-             to.metrics = makeSink<metric_batch>(address(m_monitorMailbox));
-             return std::make_unique<dispatch_task>(m_loop, m_dispatchMailbox, dispatch, dialects, to, m_log, random_source());
-         }});
+    m_root->addChild({"dispatcher", [this, settings, dialects, incarnation] {
+                          const registration_grace_settings entries = {settings.silenceDetectionLimit, settings.maxDrainDelay};
+                          const std::optional<rollout_settings> rollouts = settings.exposeShare
+                              ? std::optional(
+                                  rollout_settings {*settings.exposeShare, settings.silenceDetectionLimit, settings.maxConfigurationDelay})
+                              : std::nullopt;
+                          const dispatch_settings dispatch = {settings.instance,
+                                                              incarnation,
+                                                              settings.dataCentre,
+                                                              settings.cold,
+                                                              settings.retryBudget,
+                                                              entries,
+                                                              rollouts,
+                                                              settings.gracePeriod};
+                          dispatch_addresses to;
+                          to.callers = address(m_callerServerMailbox);
+                          to.endpoints = address(m_endpointClientMailbox);
+                          to.store = address(m_storeMailbox);
+                          to.quotas = address(m_quotaMailbox);
+                          to.stageControl = address(m_stageControlMailbox);
+                          to.readiness = makeSink<readiness_report>(address(m_monitorMailbox));
+                          to.metrics = makeSink<metric_batch>(address(m_monitorMailbox));
+                          return std::make_unique<dispatch_task>(m_loop, m_dispatchMailbox, dispatch, dialects, to, m_log, random_source());
+                      }});
     m_root->addChild(
         {"store", [this, settings, &store = dialects.store] {
              const store_settings at = {
@@ -128,12 +137,12 @@
              const store_addresses to = {address(m_dispatchMailbox), address(m_groupMailbox), address(m_meshMailbox), storeCallCounter()};
              return std::make_unique<store_task>(m_loop, m_storeMailbox, at, store, to, m_log, random_source());
          }});
-    m_root->addChild(
-        {"duty", [this, settings, &endpoints = dialects.endpoints] {
-             const stage_control_settings stageControl = {settings.instance, settings.minHandoverInterval, settings.prefillPercent};
-             return std::make_unique<stage_control_task>(
-                 m_loop, m_stageControlMailbox, stageControl, endpoints, address(m_dispatchMailbox), m_log);
-         }});
+    m_root->addChild({"duty", [this, settings, &endpoints = dialects.endpoints] {
+                          const stage_control_settings stageControl = {
+                              settings.instance, settings.minHandoverInterval, settings.prefillPercent, settings.exposeShare.has_value()};
+                          return std::make_unique<stage_control_task>(
+                              m_loop, m_stageControlMailbox, stageControl, endpoints, address(m_dispatchMailbox), m_log);
+                      }});
     m_root->addChild({"group", [this, settings, &store = dialects.store] {
                           const group_settings group = {{settings.instance, m_peerAddress}, settings.storeAddress};
                           const group_addresses to = {address(m_stageControlMailbox),
--- a/src/gateway/stage_control_task.cpp
+++ b/src/gateway/stage_control_task.cpp
@@ -60,6 +60,10 @@
 
 void stage_control_task::apply(const assignment_confirmed &confirmed)
 {
+    // The dispatcher decides about rollouts under the same assignment.
+    if (m_settings.hasRollouts && m_dispatcher.post(confirmed) != post_result::delivered) {
+        m_log.write(log_line("duty", "message_dropped").add("receiver", "dispatcher"));
+    }
     const bool wasHeld = m_lease.isHeld();
     m_lease.noteResponse(confirmed.holdsStageControl, confirmed.generation, confirmed.sentAt);
     if (m_lease.isHeld() != wasHeld) {
--- a/src/gateway/stage_control_task.h
+++ b/src/gateway/stage_control_task.h
@@ -22,6 +22,8 @@
     std::chrono::milliseconds minHandoverInterval {3000};
     /// Percentage of a service's engines that should run prefill.
     std::int64_t prefillPercent = 0;
+    /// The dispatcher decides about rollouts while this instance holds the stage control.
+    bool hasRollouts = false;
 };
 
 /// Orders engines to change their stage, as long as this instance holds the stage control.
--- a/src/gateway/store_task.cpp
+++ b/src/gateway/store_task.cpp
@@ -38,6 +38,9 @@
 constexpr milliseconds relayPause {100};
 // Longest time for passing on records that another instance has read.
 constexpr milliseconds maxRelayLatency {250};
+// Every instance writes its evidence once a second; a pause lets one poll return that of many.
+constexpr milliseconds rolloutsPause {250};
+constexpr milliseconds contactInterval {250};
 constexpr milliseconds membersPause {10000};
 constexpr milliseconds membersRelayPause {2000};
 constexpr milliseconds membersResponseTimeout {1000};
@@ -104,6 +107,7 @@
         makeTopicSettings(store_topic::endpoints, bounds.drain, bounds.silence, bounds.drain / drainPauseDivisor),
         makeMembersSettings(bounds.silence),
         makeTopicSettings(store_topic::crash_reports, bounds.configuration, bounds.silence, milliseconds(0)),
+        makeTopicSettings(store_topic::rollouts, bounds.configuration, bounds.silence, rolloutsPause),
     };
 }
 
@@ -124,6 +128,13 @@
     , m_crashReportWriter(loop, m_settings.address)
     , m_crashReportTimer(loop, [this] { writeCrashReport(); })
     , m_sendCrashReportTimer(loop, [this] { sendCrashReport(); })
+    , m_rolloutWriter(
+          loop,
+          m_settings.address,
+          m_dialect,
+          m_to.calls,
+          [this](const rollout_decision &decided) { post(rollout_status_written {decided}); },
+          m_log)
     , m_relay(loop)
     , m_relayClient(m_to.mesh, makeSink<peer_response>(self()), m_log)
     , m_holdersTimer(loop, [this] { requestHolders(); })
@@ -145,6 +156,7 @@
 
 outcome<void> store_task::start()
 {
+    m_followers.at(static_cast<std::size_t>(store_topic::rollouts))->setPaused(true);
     for (const auto &follower : m_followers) {
         follower->start();
     }
@@ -231,6 +243,22 @@
     });
 }
 
+void store_task::apply(const follow_rollouts &change)
+{
+    m_isFollowingRollouts = change.isFollowing;
+    m_followers.at(static_cast<std::size_t>(store_topic::rollouts))->setPaused(!change.isFollowing);
+}
+
+void store_task::apply(publish_rollout_record &&record)
+{
+    m_rolloutWriter.write(std::move(record));
+}
+
+void store_task::apply(publish_rollout_status &&status)
+{
+    m_rolloutWriter.write(std::move(status));
+}
+
 void store_task::apply(const members_changed & /*changed*/)
 {
     m_followers.at(static_cast<std::size_t>(store_topic::members))->readNow();
@@ -296,6 +324,11 @@
         m_isReachable = isReachable;
         post(store_reachability {isReachable});
     }
+    const instant now = boot_clock::now();
+    if (isReachable && m_isFollowingRollouts && m_contactDue.hasPassed(now)) {
+        m_contactDue = deadline::after(now, contactInterval);
+        post(store_contact {now});
+    }
 }
 
 void store_task::post(dispatch_message message)
--- a/src/gateway/store_task.h
+++ b/src/gateway/store_task.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "gateway/rollout_writer.h"
 #include "gateway/topic_follower.h"
 #include "runtime/task.h"
 
@@ -59,6 +60,9 @@
     void handle(store_message &&message) override;
     void apply(publish_member_report &&state);
     void apply(publish_crash_report &&report);
+    void apply(const follow_rollouts &change);
+    void apply(publish_rollout_record &&record);
+    void apply(publish_rollout_status &&status);
     void apply(const members_changed &changed);
     void apply(const instance_count_changed &change);
     void apply(const holders_listed &listed);
@@ -86,6 +90,10 @@
     /// The newest crash report that has not been sent yet.
     std::optional<std::string> m_unsentCrashReport;
     timer m_sendCrashReportTimer;
+    rollout_writer m_rolloutWriter;
+    bool m_isFollowingRollouts = false;
+    /// When the dispatcher is next told that the store responds.
+    deadline m_contactDue;
     store_gate m_gate;
     topic_relay m_relay;
     topic_relay_client m_relayClient;
--- a/src/gateway/topic_follower.cpp
+++ b/src/gateway/topic_follower.cpp
@@ -22,7 +22,8 @@
 
 std::string_view topicName(store_topic topic)
 {
-    static constexpr std::array<std::string_view, storeTopicCount> names = {"operators", "endpoints", "members", "crash_reports"};
+    static constexpr std::array<std::string_view, storeTopicCount> names = {
+        "operators", "endpoints", "members", "crash_reports", "rollouts"};
     return names.at(static_cast<std::size_t>(topic));
 }
 
@@ -72,8 +73,26 @@
     m_readerResyncCount.reset();
 }
 
+void topic_follower::setPaused(bool isPaused)
+{
+    if (isPaused == std::exchange(m_isPaused, isPaused)) {
+        return;
+    }
+    if (isPaused) {
+        m_relays.relay.markNotReading(m_settings.topic);
+        return;
+    }
+    m_fullReadCause = full_read_cause::needed;
+    if (!m_call.isBusy() && !m_isRequestPending) {
+        scheduleNextCall(milliseconds::zero());
+    }
+}
+
 void topic_follower::startNextCall()
 {
+    if (m_isPaused) {
+        return;
+    }
     const instant now = boot_clock::now();
     const bool isReader = isRelaying(now) || !m_relays.relayClient.isUsable(now);
     if (isReader && !m_fullReadCause && m_rereadAt.hasPassed(now)) {
--- a/src/gateway/topic_follower.h
+++ b/src/gateway/topic_follower.h
@@ -85,6 +85,8 @@
                    random_source &random);
 
     void start();
+    /// Stops after the present call, or reads everything anew. A follower that was never started is paused.
+    void setPaused(bool isPaused);
     /// Cuts a pause between polls short if this instance reads at the store. Does not cut the backoff after a failure short.
     void readNow();
     /// The instance to request records from has changed, or there is none now, in which case this instance reads at the store.
@@ -161,6 +163,7 @@
     /// When all records of the topic were last known.
     std::optional<instant> m_lastUpToDateAt;
     bool m_isRequestPending = false;
+    bool m_isPaused = false;
     /// Last known resyncCount of the reader; unset until its first response.
     std::optional<std::int64_t> m_readerResyncCount;
     std::vector<store_record> m_page;
