--- a/src/forwarding/endpoint_table.h
+++ b/src/forwarding/endpoint_table.h
@@ -8,6 +8,7 @@
 #include "forwarding/endpoint_speed.h"
 #include "forwarding/expected_completion_score.h"
 #include "forwarding/fractional_token_bucket.h"
+#include "forwarding/rollout_gate.h"
 #include "forwarding/seen_speed.h"
 #include "forwarding/service_speed.h"
 #include "forwarding/spill_over.h"
@@ -101,6 +102,8 @@
     bool pacesAllServices = false;
     /// Strategy for services whose endpoints report how long work takes.
     expected_completion_score completionScore = expected_completion_score();
+    /// Unset where versions are not rolled out by order.
+    std::optional<rollout_settings> rollouts;
 };
 
 /// The number of endpoints in each class of speed.
@@ -141,7 +144,8 @@
                                  const std::vector<endpoint_id> &excluded,
                                  const traffic_service *profile,
                                  instant now,
-                                 random_source &random);
+                                 random_source &random,
+                                 rollout_side side = rollout_side::trusted);
     const endpoint_state *find(const endpoint_id &endpoint) const;
     /// The endpoint that is registered at an address, leaving out the given one; null if there is none.
     const endpoint_state *findAt(const socket_address &address, const endpoint_id &except) const;
@@ -206,6 +210,9 @@
     /// The steps of paced endpoints since the last call.
     endpoint_pace_log::content takePaceChanges();
     std::size_t pacedEndpoints() const;
+    /// Which versions may get requests.
+    rollout_gate &rollouts();
+    const rollout_gate &rollouts() const;
 
 private:
     using service_endpoints = std::vector<endpoint_state *>;
@@ -306,6 +313,7 @@
     endpoint_id m_lastShared;
     std::vector<instance_id> m_instances;
     endpoint_restrictions m_restrictions;
+    rollout_gate m_rollouts;
     std::vector<lifted_restriction> m_lifted;
     std::map<std::pair<service_id, std::optional<engine_stage>>, usual_figures> m_usual;
     endpoint_pace_log m_paceLog;
--- a/src/forwarding/forward_flow_search.cpp
+++ b/src/forwarding/forward_flow_search.cpp
@@ -82,6 +82,8 @@
     m_reservationSearch.setPace(step.pace);
     if (step.isRefused) {
         m_actions.emplace_back(m_reservationSearch.endRound(tokensFor(attempt_kind::reserve), m_searchFacts));
+        // The untrusted version may be small; the next round asks the others.
+        leaveCandidate();
         refuseNotExecuted(refusal_cause::overloaded, true);
         return;
     }
@@ -107,13 +109,7 @@
     if (m_reservationSearch.isRoundFull()) {
         return nullptr;
     }
-    return m_context->endpoints.choose(m_service,
-                                       attempt_kind::reserve,
-                                       tokensFor(attempt_kind::reserve),
-                                       m_reservationSearch.excluded(),
-                                       m_profile,
-                                       m_now,
-                                       m_context->random);
+    return chooseEndpoint(attempt_kind::reserve, m_reservationSearch.excluded());
 }
 
 void forward_flow::sendNextReservation()
@@ -139,6 +135,8 @@
 void forward_flow::endReservationRound()
 {
     m_actions.emplace_back(m_reservationSearch.endRound(tokensFor(attempt_kind::reserve), m_searchFacts));
+    // The untrusted version may be small; the next round asks the others.
+    leaveCandidate();
     pauseReservationSearch();
 }
 
--- a/src/gateway/gateway_settings.cpp
+++ b/src/gateway/gateway_settings.cpp
@@ -46,7 +46,7 @@
 constexpr number_range descriptorsRange = {128, 1'048'576};
 constexpr std::int64_t mebibyte = 1024 * 1024;
 
-constexpr std::array<bound_rule, 15> boundRules = {{
+constexpr std::array<bound_rule, 16> boundRules = {{
     {"graceSeconds",
      secondsRange,
      [](gateway_settings &to, double value) {
@@ -108,6 +108,11 @@
      [](gateway_settings &to, double value) {
          to.quotaPartitions = static_cast<std::int64_t>(value);
      }},
+    {"exposeShare",
+     fractionRange,
+     [](gateway_settings &to, double value) {
+         to.exposeShare = value;
+     }},
     {"dutyTurnMs",
      millisecondsRange,
      [](gateway_settings &to, double value) {
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -9,6 +9,7 @@
 #include "forwarding/workspace_shares.h"
 
 #include <chrono>
+#include <optional>
 #include <string>
 
 namespace burdockshelf
@@ -46,6 +47,9 @@
     /// Memory of the machine and the descriptors that the process may open; what is held for callers is bounded by them.
     byte_count memory {88LL * 1024 * 1024};
     std::int64_t maxDescriptors = 4096;
+    /// Largest part of a service's requests that a version which is being rolled out may get before it is trusted. Rollouts are neither
+    /// followed nor reported without it.
+    std::optional<double> exposeShare;
     /// Percentage of a service's engines that should run prefill; 0 disables stage changes.
     std::int64_t prefillPercent = 0;
 };
--- a/src/gateway/topic_follower.h
+++ b/src/gateway/topic_follower.h
@@ -86,6 +86,8 @@
                    random_source &random);
 
     void start();
+    /// Stops after the present call, or reads everything anew. A follower that was never started is paused.
+    void setPaused(bool isPaused);
     /// Cuts a pause between polls short if this instance reads at the store. Does not cut the backoff after a failure short.
     void readNow();
 
@@ -162,6 +164,7 @@
     /// When all records of the topic were last known.
     std::optional<instant> m_lastUpToDateAt;
     bool m_isRequestPending = false;
+    bool m_isPaused = false;
     instant m_requestedAt;
     /// The next call goes to the store although there is a reader.
     bool m_readsOnceAtStore = false;
