Test that a lease reaches an instance over the mesh

Cause: nothing showed that a lease passes through the message between instances. Change: a test with two gateways waits for the line lease_granted, which comes after the holder's first period of 7.65 s.

--- a/tests/gateway/fleet_test.cpp
+++ b/tests/gateway/fleet_test.cpp
@@ -34,6 +34,20 @@
     LONGS_EQUAL(20, refusals);
 }
 
+// Guards against a lease that is lost between the holder's decision and the instance, which would show only when the holder is unreachable.
+// A new holder grants leases after its first period of 7.65 s.
+TEST(quota_pools, leaseToAnInstanceThatAsksRegularly)
+{
+    gateway_fleet site;
+    site.store.assignPartitionsTo("one");
+    while (!site.isTimedOut && site.logOf(1).find("event=lease_granted") == std::string::npos) {
+        site.call(1);
+        site.pause.start(deadline::after(boot_clock::now(), 300ms));
+        site.loop.run();
+    }
+    CHECK_FALSE(site.isTimedOut);
+}
+
 TEST_GROUP(read_topics) {};
 
 // Guards against an instance that the store refuses to serve and that accepts withdrawn keys until the store serves it again.
