--- a/tests/forwarding/scarce_capacity_flow_test.cpp
+++ b/tests/forwarding/scarce_capacity_flow_test.cpp
@@ -30,7 +30,8 @@
         return forward_flow(std::move(request));
     }
 
-    flow_actions end(forward_flow & target, const start_attempt &attempt, attempt_outcome outcome, std::optional<std::string> handle = {})
+    flow_actions end(
+        forward_flow & target, const start_attempt &attempt, attempt_outcome outcome, const std::optional<std::string> &handle = {})
     {
         return target.onEnd(attempt.number, outcome, {}, handle, site.context(), site.now);
     }
