Test a rollout from the order to the written status

Two gateways in one process with the stand-in store follow an order of 6 s to its completion; afterwards a request runs at the new endpoint and none at the old one.

--- a/tests/gateway/gateway_fleet.h
+++ b/tests/gateway/gateway_fleet.h
@@ -10,6 +10,7 @@
 
 #include <chrono>
 #include <fstream>
+#include <optional>
 #include <sstream>
 
 #include <fcntl.h>
@@ -50,6 +51,8 @@
     scratch_folder scratch;
     std::vector<int> logs;
     std::vector<std::unique_ptr<gateway_tree>> gateways;
+    /// For the gateways that are started from now on.
+    std::optional<double> exposeShare;
 
     gateway_fleet()
         : guard(loop,
@@ -96,6 +99,7 @@
         settings.callerAddress = settings.readinessAddress = settings.metricsAddress = settings.peerAddress = {"127.0.0.1", 0};
         settings.storeAddress = isSecond ? store.secondaryAddress() : store.address();
         settings.quotaPartitions = 4;
+        settings.exposeShare = exposeShare;
         gateways[gateway].reset();
         gateways[gateway] = std::make_unique<gateway_tree>(loop, settings, adapter.dialects(), logs[gateway], [](int) {});
         CHECK_TRUE(gateways[gateway]->start().has_value());
