--- a/src/gateway/fleet_state.cpp
+++ b/src/gateway/fleet_state.cpp
@@ -17,7 +17,6 @@
     , m_maxOrderDelay(bounds.silence)
     , m_records(records)
     , m_log(std::move(log))
-    , m_self(endpoints.self)
     , m_endpoints(endpoints)
     , m_graceList(bounds)
     , m_members(endpoints.self)
--- a/src/gateway/fleet_state.h
+++ b/src/gateway/fleet_state.h
@@ -100,7 +100,6 @@
     std::chrono::milliseconds m_maxOrderDelay;
     const record_dialect &m_records;
     event_log m_log;
-    instance_id m_self;
     std::shared_ptr<const plan_index> m_plan;
     endpoint_table m_endpoints;
     registration_grace_list m_graceList;
