--- a/tests/gateway/relay_readers_test.cpp
+++ b/tests/gateway/relay_readers_test.cpp
@@ -16,6 +16,7 @@
 std::vector<quota_partition_holder> holders(const std::vector<std::string> &names)
 {
     std::vector<quota_partition_holder> result;
+    result.reserve(names.size());
     for (const std::string &name : names) {
         result.push_back({quota_partition(static_cast<std::int64_t>(result.size())), instance(name)});
     }
