--- a/src/forwarding/endpoint_table_pace.cpp
+++ b/src/forwarding/endpoint_table_pace.cpp
@@ -92,6 +92,11 @@
 
 void endpoint_table::beginPace(endpoint_state &endpoint, pace_cause cause, instant now)
 {
+    if (endpoint.entry.stage) {
+        // Engines grant reservations by their free memory, which protects them from a flood. An instance that has one request among many
+        // engines gets too few responses to raise a limit of its own in time.
+        return;
+    }
     const usual_figures &usual = usualOf(endpoint.entry);
     if (endpoint.pace.isPaced() || !usual.hasTraffic() || !(m_settings.pacesAllServices || usual.reportsWorkTime())) {
         return;
--- a/src/forwarding/forward_flow_search.cpp
+++ b/src/forwarding/forward_flow_search.cpp
@@ -2,6 +2,7 @@
 
 #include "forwarding/forward_flow.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace burdockshelf
@@ -22,7 +23,8 @@
 
 void forward_flow::startReservationSearch()
 {
-    m_rank = m_request.plan->rankOf(m_service, m_request.priority);
+    // A workspace of a lower priority than the route must not put a route behind a less urgent one of the same workspace.
+    m_rank = m_request.plan->rankOf(m_service, std::min(m_request.priority, m_request.route->priority));
     m_searchBegun = m_now;
     m_lastAsked = m_now;
     m_reservationSearch.begin(m_attempts.tried(), deadline::never());
--- a/src/forwarding/search_policy.cpp
+++ b/src/forwarding/search_policy.cpp
@@ -77,8 +77,11 @@
         if (!situation.outlook.isScarce()) {
             return stepOf(ampleCapacity, situation);
         }
-        search_step step = stepOf(situation.latestStart.hasPassed(now) ? firstLate : firstInTime, situation);
-        step.isRefused = isTooLate(step.expectedWait, situation.searchLimit, now);
+        // An instance sees too few requests of the first rank to know from their outcome that capacity will not come in time, so a request
+        // that can still be in time goes on asking.
+        const bool isLate = situation.latestStart.hasPassed(now);
+        search_step step = stepOf(isLate ? firstLate : firstInTime, situation);
+        step.isRefused = isLate && isTooLate(step.expectedWait, situation.searchLimit, now);
         return step;
     }
 };
