--- a/src/forwarding/endpoint_table_placement.cpp
+++ b/src/forwarding/endpoint_table_placement.cpp
@@ -81,8 +81,8 @@
 
 endpoint_table::placement_rule endpoint_table::ruleFor(const service_id &service, attempt_kind attemptKind, instant now) const
 {
-    // An instance hears from an engine too rarely for a figure that changes many times a second, and whether an engine has memory shows only
-    // when it grants a reservation; so engines are placed by their load alone.
+    // An instance hears from an engine too rarely for a figure that changes many times a second, and whether an engine has memory shows
+    // only when it grants a reservation; so engines are placed by their load alone.
     const auto found = m_speeds.find(service);
     if (found == m_speeds.end() || !found->second.isReporting(now) || attemptKind != attempt_kind::plain_call) {
         return {m_utilisationScore, nullptr, remotePenalty};
--- a/tests/forwarding/endpoint_pace_test.cpp
+++ b/tests/forwarding/endpoint_pace_test.cpp
@@ -171,6 +171,20 @@
     }
 }
 
+// Engines are protected by their reservations. Guards against engines that stay at a low pace because an instance hears from each of them
+// too rarely.
+TEST(endpoint_pace, leavesEnginesToTheirReservations)
+{
+    paced_table table;
+    for (const char *name : {"e1", "e2"}) {
+        endpoint_entry engine = entryOf(name, home);
+        engine.stage = engine_stage::decode;
+        table.endpoints.put(engine, nullptr, table.now);
+        table.serve(name, health_verdict::good, {1, 0, 6, 100});
+    }
+    LONGS_EQUAL(0, table.endpoints.pacedEndpoints());
+}
+
 // Guards against an endpoint whose neighbours disturb it for a moment being taken for one that has just started.
 TEST(endpoint_pace, doesNotPaceADisturbedEndpoint)
 {
--- a/tests/forwarding/scarce_capacity_flow_test.cpp
+++ b/tests/forwarding/scarce_capacity_flow_test.cpp
@@ -84,6 +84,21 @@
     LONGS_EQUAL(1, site.sharing.waiting(true));
 }
 
+// Load: workspaces with priorities of their own at the edge of the capacity. Guards against requests of the first route that are refused
+// unasked because their workspace has a later priority, and against a first rank that is refused on the little evidence of one instance.
+TEST(scarce_capacity_flow, searchesByTheMoreUrgentOfRouteAndWorkspace)
+{
+    refuseElsewhere(300);
+    for (int i = 0; i < 300; ++i) {
+        site.sharing.of(service_id("engine")).monitor.noteRefused(priority_rank(0), site.now);
+    }
+    admitted_request request = flow("stream", 1).request();
+    request.priority = 2;
+    forward_flow first(std::move(request));
+    CHECK(findAction<start_attempt>(first.begin(site.context(), site.now)) != nullptr);
+    LONGS_EQUAL(1, site.sharing.waiting(true));
+}
+
 // Load: capacity that one stream frees while requests of both priorities wait. Guards against capacity that goes to whoever asks next, and
 // against an entry of the queue that outlives its request.
 TEST(scarce_capacity_flow, offersFreedCapacityToTheFirstPriority)
