Reword comments of the new parts

Cause: a read of the diff found turns that a newcomer stumbles over, and a constant that told how its value was found. Change: comments only.

--- a/src/forwarding/capacity_sharing.h
+++ b/src/forwarding/capacity_sharing.h
@@ -10,7 +10,7 @@
 namespace burdockshelf
 {
 
-/// What an instance knows of the capacity of one service whose requests have different priorities.
+/// Capacity of one service whose requests have different priorities, as observed by this instance, and the requests that wait for it.
 struct shared_capacity
 {
     room_monitor monitor;
--- a/src/forwarding/placement_score.h
+++ b/src/forwarding/placement_score.h
@@ -9,7 +9,7 @@
 namespace burdockshelf
 {
 
-/// What a placement decision knows of the work at an endpoint.
+/// State of one endpoint that a placement decision depends on.
 struct placement_inputs
 {
     attempt_kind attemptKind = attempt_kind::plain_call;
--- a/src/forwarding/rollout_gate.cpp
+++ b/src/forwarding/rollout_gate.cpp
@@ -219,7 +219,8 @@
     const rollout_report own = rollout->report();
     return std::all_of(instances.begin(), instances.end(), [&](const instance_id &instance) {
         const auto known = m_reports.find(instance);
-        // One that has not reported for so long is gone or out of contact, but before that the decision may just not have reached it.
+        // An instance that has not reported for this long has ended or is out of contact; before that, the decision may still be on its
+        // way.
         if (known == m_reports.end() || now - known->second.receivedAt > m_settings->silence) {
             return now - rollout->appliedAt() > m_settings->silence;
         }
--- a/src/forwarding/search_policy.cpp
+++ b/src/forwarding/search_policy.cpp
@@ -18,8 +18,8 @@
 constexpr std::size_t maxAskingAtOnce = 2;
 // A waiting request may ask one endpoint after this time whatever its place, so that none is starved.
 constexpr milliseconds longestWithoutAsking {700};
-// A request is refused at once when the expected wait exceeds this fraction of the time left. Simulated bursts show the most value at 0.5:
-// at 1 and above, requests of later ranks wait until they are late, and crowd out those that could still be in time.
+// A request is refused at once when the expected wait exceeds this fraction of the time left. Without a margin, requests of later ranks
+// would wait until they are late, and crowd out those that could still be in time.
 constexpr double refusalFactor = 0.5;
 constexpr milliseconds maxExpectedWait {30000};
 
--- a/tests/forwarding/reservation_queue_test.cpp
+++ b/tests/forwarding/reservation_queue_test.cpp
@@ -65,8 +65,8 @@
     CHECK_FALSE(queue.hasOffer(first));
 }
 
-// Load: three greedy workspaces beside a modest one. Guards against shares by the number of requests, and against an unused share that is
-// not returned at once.
+// Load: three workspaces that exceed their shares beside one that does not. Guards against shares by the number of requests, and against an
+// unused share that is not returned at once.
 TEST(reservation_queue, sharesAmongWorkspaces)
 {
     for (int i = 0; i < 10; ++i) {
--- a/tests/gateway/caller_memory_test.cpp
+++ b/tests/gateway/caller_memory_test.cpp
@@ -40,7 +40,7 @@
     LONGS_EQUAL(100 * 1024, shared->held().value());
 }
 
-// Guards against amounts that stay in the account after their data is gone, which would refuse callers for ever.
+// Guards against amounts that stay in the account after their data was released, which would refuse callers for ever.
 TEST(caller_memory, isEmptyOnceAllChargesAreGone)
 {
     CHECK_TRUE(rc::check("charges that are resized, forced and moved release what they hold", [] {
