Look for the pace of an engine at its start

Cause: the test of engines that are not paced also passed with the guard taken out, because the first good response had ended the pace. Change: the number of paced endpoints is checked right after the registration. Result: the test fails without the guard and passes with it; so does the test of ranks (searchesByTheMoreUrgentOfRouteAndWorkspace).

--- a/tests/forwarding/endpoint_pace_test.cpp
+++ b/tests/forwarding/endpoint_pace_test.cpp
@@ -180,9 +180,9 @@
         endpoint_entry engine = entryOf(name, home);
         engine.stage = engine_stage::decode;
         table.endpoints.put(engine, nullptr, table.now);
+        LONGS_EQUAL(0, table.endpoints.pacedEndpoints());
         table.serve(name, health_verdict::good, {1, 0, 6, 100});
     }
-    LONGS_EQUAL(0, table.endpoints.pacedEndpoints());
 }
 
 // Guards against an endpoint whose neighbours disturb it for a moment being taken for one that has just started.
