--- a/review/stand_ins_2.h
+++ b/review/stand_ins_2.h
@@ -611,6 +611,11 @@
     std::string name = "edge-z-1";
     int memoryMb = 110;
     int maxDescriptors = 4100;
+    // The bounds of the site, by default those of rampa-hat.
+    int configMs = 2000;
+    int contactMs = 3000;
+    int drainMs = 2000;
+    int budgetSlack = 56;
 };
 
 /// A gateway process, started with the command of the deploy file and settings like those of the template.
@@ -627,8 +632,10 @@
         std::ofstream(m_settings) << "{\"instance\":\"" << m_plan.name << "\",\"dataCentre\":\"z\",\"callerAddress\":\"127.0.0.1:" << m_callers
                                   << "\",\"readinessAddress\":\"127.0.0.1:" << m_ready << "\",\"metricsAddress\":\"127.0.0.1:" << freePort()
                                   << "\",\"storeAddress\":\"127.0.0.1:" << storePort << "\",\"peerAddress\":\"127.0.0.1:" << freePort()
-                                  << "\",\"graceSeconds\":8,\"configurationWithinMs\":2000,\"silenceWithinMs\":3000,\"drainWithinMs\":2000,"
-                                     "\"coldOver\":1.5,\"coldSlack\":5,\"repeatRatio\":0.2,\"repeatSlack\":56,\"quotaSlack\":190000,"
+                                  << "\",\"graceSeconds\":8,\"configurationWithinMs\":" << m_plan.configMs
+                                  << ",\"silenceWithinMs\":" << m_plan.contactMs << ",\"drainWithinMs\":" << m_plan.drainMs
+                                  << ",\"coldOver\":1.5,\"coldSlack\":5,\"repeatRatio\":0.2,\"repeatSlack\":" << m_plan.budgetSlack
+                                  << ",\"quotaSlack\":190000,"
                                      "\"quotaOver\":0.1,\"quotaWindowSeconds\":8,\"quotaParts\":12,\"dutyTurnMs\":3000,\"memoryMb\":"
                                   << m_plan.memoryMb << ",\"maxDescriptors\":" << m_plan.maxDescriptors << ",\"prefillPercent\":28}";
         start();
