--- a/review/10/nested_answer.cpp
+++ b/review/10/nested_answer.cpp
@@ -123,18 +123,9 @@
             return to.send(response(200, seal(id, request), "booked"));
         });
     }
-    std::atomic<bool> isOver = false;
-    std::thread beats([&] {
-        while (!isOver) {
-            std::this_thread::sleep_for(1200ms);
-            for (const auto &one : replicas) {
-                one->beat();
-            }
-        }
-    });
-
     int result = exitCouldNotRun;
     {
+        const heartbeats beats(replicas);
         gateway target(scratch.path(), platform.port(), {"edge-z-1", memoryMb, 4100});
         const auto callOnce = [&](int number) {
             const auto to = connection::open(target.callers());
@@ -171,14 +162,19 @@
             for (const auto &[status, number] : statuses) {
                 record.write("status %d: %d", status, number);
             }
-            record.write("replicas ran %d of them, %d at the same time, and spoiled %d answers of %zu bytes", runs.load(), mostRunning.load(), spoiled.load(), spoiledBytes);
+            record.write("replicas ran %d of them, %d at the same time, and spoiled %d answers of %zu bytes",
+                         runs.load(),
+                         mostRunning.load(),
+                         spoiled.load(),
+                         spoiledBytes);
             const bool hasEnded = target.hasEnded();
             const long peak = hasEnded ? 0 : target.memoryKb("VmHWM");
             int ordinary = 0;
             for (int attempt = 1; attempt <= 5 && ordinary != 200; ++attempt) {
                 ordinary = callOnce(attempt);
             }
-            record.write("gateway %s; peak of its resident memory %ld KB, limit %d KB", hasEnded ? "has ended" : "lives", peak, memoryMb * 1024);
+            record.write(
+                "gateway %s; peak of its resident memory %ld KB, limit %d KB", hasEnded ? "has ended" : "lives", peak, memoryMb * 1024);
             record.write("an ordinary request afterwards: status %d", ordinary);
             const bool isBroken = hasEnded || peak > memoryMb * 1024 || ordinary != 200;
             record.write("%s", isBroken ? "BROKEN: the process outgrows its machine (memory over the limit)" : "held");
@@ -187,13 +183,6 @@
             record.write("the gateway did not get ready");
         }
     }
-    isOver = true;
-    beats.join();
-    // The threads of the stand-ins end with the process.
-    std::fflush(nullptr);
-    const std::string command = "rm -rf '" + scratch.path() + "'";
-    if (std::system(command.c_str()) != 0) {
-        record.write("the temporary folder could not be removed");
-    }
+    scratch.remove();
     _exit(result);
 }
--- a/review/stand_ins_2.h
+++ b/review/stand_ins_2.h
@@ -215,13 +215,11 @@
         const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(until - steady::now()).count();
         pollfd ready = {m_socket, POLLIN, 0};
         if (left <= 0 || poll(&ready, 1, static_cast<int>(std::min<long>(left, 600000))) <= 0) {
-            m_hasTimedOut = true;
             return false;
         }
         char bytes[16384];
         const ssize_t count = recv(m_socket, bytes, sizeof bytes, 0);
         if (count <= 0) {
-            m_isReset = count < 0;
             return false;
         }
         m_buffer.append(bytes, static_cast<std::size_t>(count));
@@ -303,32 +301,6 @@
         return read && readBody(*read, until) ? read : std::nullopt;
     }
 
-    bool hasTimedOut() const
-    {
-        return m_hasTimedOut;
-    }
-
-    bool isReset() const
-    {
-        return m_isReset;
-    }
-
-    /// True when the peer has closed or reset the connection.
-    bool hasPeerGone() const
-    {
-        char next = 0;
-        const ssize_t count = recv(m_socket, &next, 1, MSG_PEEK | MSG_DONTWAIT);
-        return count == 0 || (count < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
-    }
-
-    void resetConnection()
-    {
-        const linger now = {1, 0};
-        setsockopt(m_socket, SOL_SOCKET, SO_LINGER, &now, sizeof now);
-        close(m_socket);
-        m_socket = -1;
-    }
-
     int socket() const
     {
         return m_socket;
@@ -337,8 +309,6 @@
 private:
     int m_socket;
     std::string m_buffer;
-    bool m_hasTimedOut = false;
-    bool m_isReset = false;
 };
 
 inline std::string response(int status, const std::string &headers, const std::string &body)
@@ -441,7 +411,8 @@
     static std::string query(const std::string &target, const std::string &name)
     {
         const auto from = target.find(name + "=");
-        return from == std::string::npos ? std::string() : target.substr(from + name.size() + 1, target.find('&', from) - from - name.size() - 1);
+        return from == std::string::npos ? std::string()
+                                         : target.substr(from + name.size() + 1, target.find('&', from) - from - name.size() - 1);
     }
 
     static std::string bigEndian(std::uint64_t value, int bytes)
@@ -576,15 +547,11 @@
         beat();
     }
 
-    const std::string &id() const
-    {
-        return m_plan.id;
-    }
-
     /// Writes the entry once more, as replicas do about every heartbeat_ms.
     void beat()
     {
-        const std::string stage = m_plan.stage.empty() ? "" : ",\"stage\":\"" + m_plan.stage + "\",\"models\":[{\"name\":\"m\",\"version\":1,\"adapters\":[]}]";
+        const std::string stage =
+            m_plan.stage.empty() ? "" : ",\"stage\":\"" + m_plan.stage + "\",\"models\":[{\"name\":\"m\",\"version\":1,\"adapters\":[]}]";
         m_registry.put("keyed.servers",
                        m_plan.id,
                        "{\"service\":\"" + m_plan.service + "\",\"address\":\"127.0.0.1:" + std::to_string(m_server.port())
@@ -593,12 +560,6 @@
                            + ",\"born\":1700000000000}");
     }
 
-    /// Status line and headers of an answer of this replica to a request.
-    std::string head(const message &request) const
-    {
-        return "X-Attempt-Id: " + request.header("x-attempt-id") + "\r\nX-Server-Seal: seal-" + m_plan.id + "\r\n";
-    }
-
 private:
     store &m_registry;
     replica_plan m_plan;
@@ -606,6 +567,35 @@
     server m_server;
 };
 
+/// Lets replicas write their entries again and again.
+class heartbeats
+{
+public:
+    explicit heartbeats(const std::vector<std::unique_ptr<replica>> &replicas)
+        : m_thread([this, &replicas] {
+            while (!m_isOver) {
+                std::this_thread::sleep_for(heartbeatTime);
+                for (const auto &one : replicas) {
+                    one->beat();
+                }
+            }
+        })
+    {
+    }
+
+    ~heartbeats()
+    {
+        m_isOver = true;
+        m_thread.join();
+    }
+
+private:
+    static constexpr auto heartbeatTime = 1200ms;
+
+    std::atomic<bool> m_isOver = false;
+    std::thread m_thread;
+};
+
 struct gateway_plan
 {
     std::string name = "edge-z-1";
@@ -629,7 +619,8 @@
         , m_callers(freePort())
         , m_ready(freePort())
     {
-        std::ofstream(m_settings) << "{\"instance\":\"" << m_plan.name << "\",\"dataCentre\":\"z\",\"callerAddress\":\"127.0.0.1:" << m_callers
+        std::ofstream(m_settings) << "{\"instance\":\"" << m_plan.name
+                                  << "\",\"dataCentre\":\"z\",\"callerAddress\":\"127.0.0.1:" << m_callers
                                   << "\",\"readinessAddress\":\"127.0.0.1:" << m_ready << "\",\"metricsAddress\":\"127.0.0.1:" << freePort()
                                   << "\",\"storeAddress\":\"127.0.0.1:" << storePort << "\",\"peerAddress\":\"127.0.0.1:" << freePort()
                                   << "\",\"graceSeconds\":8,\"configurationWithinMs\":" << m_plan.configMs
@@ -688,11 +679,6 @@
         return answer && answer->status() == 200;
     }
 
-    void signal(int number) const
-    {
-        kill(m_pid, number);
-    }
-
     bool hasEnded()
     {
         if (!m_hasEnded && waitpid(m_pid, &m_status, WNOHANG) == m_pid) {
@@ -720,11 +706,6 @@
         return 0;
     }
 
-    const std::string &log() const
-    {
-        return m_log;
-    }
-
 private:
     gateway_plan m_plan;
     std::string m_settings;
@@ -736,7 +717,7 @@
     bool m_hasEnded = false;
 };
 
-/// A temporary folder, removed with its files at the end.
+/// A temporary folder.
 class scratch_folder
 {
 public:
@@ -746,7 +727,8 @@
         m_path = mkdtemp(name);
     }
 
-    ~scratch_folder()
+    /// The cases end without destructors, because the threads of their stand-ins go on until then.
+    void remove() const
     {
         const std::string command = "rm -rf '" + m_path + "'";
         if (std::system(command.c_str()) != 0) {
