--- a/review/stand_ins_2.h
+++ b/review/stand_ins_2.h
@@ -29,6 +29,7 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <poll.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -648,6 +649,8 @@
         m_hasEnded = false;
         m_pid = fork();
         if (m_pid == 0) {
+            // The gateway must not outlive a case that is ended early.
+            prctl(PR_SET_PDEATHSIG, SIGKILL);
             setenv("BURDOCKSHELF_CONFIG", m_settings.c_str(), 1);
             const int log = open(m_log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
             dup2(log, STDOUT_FILENO);
