Judge the rule on ends of processes as it is written

Cases 6, 7, 8 and 10 took one gateway that passes its memory once for a break. The rule asks for three ends on each of two machines; the scripts now enforce memory_mb on two gateways in three turns each. The ports of gateways lie below those of connections, which took the port of a gateway that was being started again.

--- a/review/10/nested_answer.cpp
+++ b/review/10/nested_answer.cpp
@@ -1,5 +1,5 @@
 // Half of the decode replicas spoil one in fifty of their answers to the taking of a hold: the body is a long run of opening brackets. The
-// gateway parses it as JSON, which takes many times its bytes. Exits with 1 if the gateway outgrows the memory of its machine or ends.
+// gateway parses it as JSON, which takes many times its bytes. Exits with 1 if gateways end three times on two machines.
 #include "../stand_ins_2.h"
 
 #include <array>
@@ -126,61 +126,77 @@
     int result = exitCouldNotRun;
     {
         const heartbeats beats(replicas);
-        gateway target(scratch.path(), platform.port(), {"edge-z-1", memoryMb, 4100});
-        const auto callOnce = [&](int number) {
-            const auto to = connection::open(target.callers());
-            if (!to || !to->send(booking(number))) {
-                return 0;
-            }
-            const auto answer = to->readMessage(steady::now() + 1500ms);
-            return answer ? answer->status() : 0;
-        };
-        if (target.waitUntilReady() && callOnce(0) == 200) {
-            std::this_thread::sleep_for(1s);
-            record.write("ready; resident %ld KB, limit of the machine %d KB", target.memoryKb("VmRSS"), memoryMb * 1024);
-            std::mutex mutex;
-            std::map<int, int> statuses;
-            std::vector<std::thread> callers;
-            for (int i = 0; i < requests; ++i) {
-                callers.emplace_back([&, i] {
-                    int status = 0;
-                    if (const auto to = connection::open(target.callers()); to && to->send(summary(i))) {
-                        if (const auto answer = to->readMessage(steady::now() + 14s)) {
-                            status = answer->status();
+        std::vector<std::unique_ptr<gateway>> machines;
+        for (int i = 1; i <= machinesToEnd; ++i) {
+            machines.push_back(
+                std::make_unique<gateway>(scratch.path(), platform.port(), gateway_plan {"edge-z-" + std::to_string(i), memoryMb, 4100}));
+        }
+        bool couldRun = true;
+        for (int turn = 0; turn < machinesToEnd * endsOfEach && couldRun; ++turn) {
+            gateway &target = *machines[static_cast<std::size_t>(turn % machinesToEnd)];
+            const auto callOnce = [&](int number) {
+                const auto to = connection::open(target.callers());
+                if (!to || !to->send(booking(number))) {
+                    return 0;
+                }
+                const auto answer = to->readMessage(steady::now() + 1500ms);
+                return answer ? answer->status() : 0;
+            };
+            if (target.waitUntilReady() && callOnce(1000 + turn) == 200) {
+                std::this_thread::sleep_for(1s);
+                record.write("ready; resident %ld KB, limit of the machine %d KB", target.memoryKb("VmRSS"), memoryMb * 1024);
+                std::mutex mutex;
+                std::map<int, int> statuses;
+                std::vector<std::thread> callers;
+                for (int i = 0; i < requests; ++i) {
+                    callers.emplace_back([&, i] {
+                        int status = 0;
+                        if (const auto to = connection::open(target.callers()); to && to->send(summary(i))) {
+                            if (const auto answer = to->readMessage(steady::now() + 14s)) {
+                                status = answer->status();
+                            }
                         }
-                    }
-                    record.write("summary%d answered with %d; resident %ld KB", i, status, target.memoryKb("VmRSS"));
-                    const std::lock_guard lock(mutex);
-                    ++statuses[status];
-                });
-                std::this_thread::sleep_for(20ms);
-            }
-            record.write("%d requests sent", requests);
-            for (std::thread &one : callers) {
-                one.join();
-            }
-            for (const auto &[status, number] : statuses) {
-                record.write("status %d: %d", status, number);
-            }
-            record.write("replicas ran %d of them, %d at the same time, and spoiled %d answers of %zu bytes",
-                         runs.load(),
-                         mostRunning.load(),
-                         spoiled.load(),
-                         spoiledBytes);
-            const bool hasEnded = target.hasEnded();
-            const long peak = hasEnded ? 0 : target.memoryKb("VmHWM");
-            int ordinary = 0;
-            for (int attempt = 1; attempt <= 5 && ordinary != 200; ++attempt) {
-                ordinary = callOnce(attempt);
+                        record.write("summary%d answered with %d; resident %ld KB", i, status, target.memoryKb("VmRSS"));
+                        const std::lock_guard lock(mutex);
+                        ++statuses[status];
+                    });
+                    std::this_thread::sleep_for(20ms);
+                }
+                record.write("%d requests sent", requests);
+                for (std::thread &one : callers) {
+                    one.join();
+                }
+                for (const auto &[status, number] : statuses) {
+                    record.write("status %d: %d", status, number);
+                }
+                record.write("replicas ran %d of them, %d at the same time, and spoiled %d answers of %zu bytes",
+                             runs.load(),
+                             mostRunning.load(),
+                             spoiled.load(),
+                             spoiledBytes);
+                const bool hasEnded = target.restartIfEnded();
+                target.waitUntilReady();
+                const long peak = target.highestPeakKb();
+                int ordinary = 0;
+                for (int attempt = 1; attempt <= 5 && ordinary != 200; ++attempt) {
+                    ordinary = callOnce(attempt);
+                }
+                record.write("gateway %s; peak of its resident memory %ld KB, limit %d KB",
+                             hasEnded ? "was killed and started again" : "lives",
+                             peak,
+                             memoryMb * 1024);
+                record.write("an ordinary request afterwards: status %d", ordinary);
+            } else {
+                record.write("the gateway did not get ready");
+                couldRun = false;
             }
-            record.write(
-                "gateway %s; peak of its resident memory %ld KB, limit %d KB", hasEnded ? "has ended" : "lives", peak, memoryMb * 1024);
-            record.write("an ordinary request afterwards: status %d", ordinary);
-            const bool isBroken = hasEnded || peak > memoryMb * 1024 || ordinary != 200;
-            record.write("%s", isBroken ? "BROKEN: the process outgrows its machine (memory over the limit)" : "held");
+        }
+        const bool isBroken =
+            std::all_of(machines.begin(), machines.end(), [](const auto &machine) { return machine->ends() >= endsOfEach; });
+        record.write("ends for memory over the limit: %d and %d", machines[0]->ends(), machines[1]->ends());
+        record.write("%s", isBroken ? "BROKEN: processes end three times on each of two machines" : "held");
+        if (couldRun) {
             result = isBroken ? exitBroken : exitHeld;
-        } else {
-            record.write("the gateway did not get ready");
         }
     }
     scratch.remove();
--- a/review/stand_ins_2.h
+++ b/review/stand_ins_2.h
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <atomic>
+#include <cerrno>
 #include <chrono>
 #include <condition_variable>
 #include <csignal>
@@ -40,6 +41,10 @@
 using steady = std::chrono::steady_clock;
 using namespace std::chrono_literals;
 
+// "On a tenth of the machines in use (two at least) processes end by themselves three times in the day".
+constexpr int machinesToEnd = 2;
+constexpr int endsOfEach = 3;
+
 constexpr int exitHeld = 0;
 constexpr int exitBroken = 1;
 constexpr int exitCouldNotRun = 2;
@@ -110,15 +115,23 @@
     return ntohs(address.sin_port);
 }
 
-/// A port that was free a moment ago.
+/// A port that was free a moment ago, below those that the kernel gives to connections: a client must not get the port of a gateway that is
+/// being started again.
 inline int freePort()
 {
-    const int socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    const sockaddr_in address = loopback(0);
-    bind(socket, reinterpret_cast<const sockaddr *>(&address), sizeof address);
-    const int port = portOf(socket);
-    close(socket);
-    return port;
+    constexpr int firstPort = 12000;
+    constexpr int portCount = 18000;
+    static int next = static_cast<int>(getpid()) * 16 % portCount;
+    while (true) {
+        next = (next + 1) % portCount;
+        const int socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+        const sockaddr_in address = loopback(firstPort + next);
+        const bool isFree = bind(socket, reinterpret_cast<const sockaddr *>(&address), sizeof address) == 0;
+        close(socket);
+        if (isFree) {
+            return firstPort + next;
+        }
+    }
 }
 
 struct message
@@ -631,10 +644,13 @@
                                      "\"quotaOver\":0.1,\"quotaWindowSeconds\":8,\"quotaParts\":12,\"dutyTurnMs\":3000,\"memoryMb\":"
                                   << m_plan.memoryMb << ",\"maxDescriptors\":" << m_plan.maxDescriptors << ",\"prefillPercent\":28}";
         start();
+        m_watch = std::thread([this] { enforceMemory(); });
     }
 
     ~gateway()
     {
+        m_isWatched = false;
+        m_watch.join();
         if (!hasEnded()) {
             kill(m_pid, SIGKILL);
             waitpid(m_pid, nullptr, 0);
@@ -646,9 +662,13 @@
 
     void start()
     {
-        m_hasEnded = false;
-        m_pid = fork();
-        if (m_pid == 0) {
+        // Closed by exec. Until then the child has the memory of this program.
+        int execution[2] = {-1, -1};
+        if (pipe2(execution, O_CLOEXEC) != 0) {
+            return;
+        }
+        const pid_t started = fork();
+        if (started == 0) {
             // The gateway must not outlive a case that is ended early.
             prctl(PR_SET_PDEATHSIG, SIGKILL);
             setenv("BURDOCKSHELF_CONFIG", m_settings.c_str(), 1);
@@ -658,6 +678,36 @@
             execl("target/bin/burdockshelfd", "target/bin/burdockshelfd", "--platform", nullptr);
             _exit(127);
         }
+        close(execution[1]);
+        char none = 0;
+        while (read(execution[0], &none, 1) < 0 && errno == EINTR) { }
+        close(execution[0]);
+        m_isKilled = false;
+        m_pid = started;
+        m_hasEnded = false;
+    }
+
+    /// Starts the process again if the platform has killed it or it has ended by itself. Returns whether it had ended.
+    bool restartIfEnded()
+    {
+        if (!hasEnded()) {
+            return false;
+        }
+        ++m_ends;
+        std::this_thread::sleep_for(200ms);
+        start();
+        return true;
+    }
+
+    int ends() const
+    {
+        return m_ends;
+    }
+
+    /// The highest peak of the resident memory of all its processes, in KB.
+    long highestPeakKb() const
+    {
+        return m_highestPeakKb;
     }
 
     bool waitUntilReady(std::chrono::seconds limit = 20s)
@@ -684,7 +734,7 @@
 
     bool hasEnded()
     {
-        if (!m_hasEnded && waitpid(m_pid, &m_status, WNOHANG) == m_pid) {
+        if (!m_hasEnded && waitpid(m_pid, nullptr, m_isKilled ? 0 : WNOHANG) == m_pid) {
             m_hasEnded = true;
         }
         return m_hasEnded;
@@ -698,7 +748,7 @@
     /// A figure of /proc/PID/status in KB, such as VmHWM, the peak of the resident memory.
     long memoryKb(const std::string &name) const
     {
-        std::ifstream status("/proc/" + std::to_string(m_pid) + "/status");
+        std::ifstream status("/proc/" + std::to_string(m_pid.load()) + "/status");
         for (std::string word; status >> word;) {
             if (word == name + ":") {
                 long value = 0;
@@ -710,14 +760,32 @@
     }
 
 private:
+    // Kills the process as soon as it exceeds the memory of its machine, as the platform does.
+    void enforceMemory()
+    {
+        while (m_isWatched) {
+            const long peak = memoryKb("VmHWM");
+            m_highestPeakKb = std::max<long>(m_highestPeakKb, peak);
+            if (peak > m_plan.memoryMb * 1024L && !m_isKilled) {
+                m_isKilled = true;
+                kill(m_pid, SIGKILL);
+            }
+            std::this_thread::sleep_for(2ms);
+        }
+    }
+
     gateway_plan m_plan;
     std::string m_settings;
     std::string m_log;
     int m_callers;
     int m_ready;
-    pid_t m_pid = -1;
-    int m_status = 0;
-    bool m_hasEnded = false;
+    std::atomic<pid_t> m_pid = -1;
+    std::atomic<bool> m_isWatched = true;
+    std::atomic<bool> m_isKilled = false;
+    std::atomic<long> m_highestPeakKb = 0;
+    int m_ends = 0;
+    std::thread m_watch;
+    std::atomic<bool> m_hasEnded = false;
 };
 
 /// A temporary folder.
