Play responses without an end against a gateway process

The operators report that a faulty endpoint sent bytes without an end and that the machine that had called it kept them all. The gateway's client is tested for this inside one process, but no test looked at the memory of a real gateway, and none covered releases, orders, load reports or the store.

endless_site runs one gateway process between endpoints and a store whose tests choose every byte, each with a fixed number of bytes. What reads a process's memory and descriptors moves out of the tests of abusive callers, whose checks stay as they are.

--- a/tests/standins/users_platform/scripted_endpoint.cpp
+++ b/tests/standins/users_platform/scripted_endpoint.cpp
@@ -2,6 +2,7 @@
 
 #include "standins/users_platform/endpoint_entry_text.h"
 
+#include <algorithm>
 #include <iterator>
 #include <utility>
 
@@ -62,9 +63,10 @@
     }
 }
 
-void scripted_connection::writeEndlessly(std::string bytes)
+void scripted_connection::writeEndlessly(std::string bytes, std::size_t limit)
 {
     m_endless = std::move(bytes);
+    m_endlessLeft = limit;
     refill();
 }
 
@@ -73,8 +75,12 @@
     if (!m_stream || m_hasEnded) {
         return;
     }
-    while (m_stream->unsentBytes() < refillBytes) {
+    while (m_stream->unsentBytes() < refillBytes && m_endlessLeft > 0) {
         write(m_endless);
+        m_endlessLeft -= std::min(m_endlessLeft, m_endless.size());
+    }
+    if (m_endlessLeft == 0) {
+        return;
     }
     m_refillTimer.start(deadline::after(boot_clock::now(), refillInterval));
 }
--- a/tests/standins/users_platform/scripted_endpoint.h
+++ b/tests/standins/users_platform/scripted_endpoint.h
@@ -5,6 +5,7 @@
 #include "runtime/timer.h"
 
 #include <functional>
+#include <limits>
 #include <list>
 #include <memory>
 #include <string>
@@ -28,8 +29,8 @@
     /// Number of the connection at its endpoint, from 0.
     std::size_t number() const;
     void write(std::string_view bytes);
-    /// Writes the bytes again and again until the peer closes the connection.
-    void writeEndlessly(std::string bytes);
+    /// Writes the bytes again and again until the peer closes the connection, or until about as many bytes as given were written.
+    void writeEndlessly(std::string bytes, std::size_t limit = std::numeric_limits<std::size_t>::max());
     /// Ends the sending direction cleanly (FIN) after the bytes written so far.
     void finishWriting();
     /// Resets the connection (RST). Bytes that the kernel has not sent yet are lost.
@@ -52,6 +53,7 @@
     message_parser m_parser;
     http_request m_request;
     std::string m_endless;
+    std::size_t m_endlessLeft = 0;
     std::size_t m_writtenBytes = 0;
     bool m_hasEnded = false;
     timer m_refillTimer;
--- a/tests/system/abusive_callers_test.cpp
+++ b/tests/system/abusive_callers_test.cpp
@@ -2,12 +2,11 @@
 // answer an ordinary request while the abusive connections are still open. The numbers of clients and the bounds are fixed.
 
 #include "abusive_crowd.h"
+#include "process_watch.h"
 #include "soak/soak_site.h"
 
 #include <algorithm>
 #include <csignal>
-#include <filesystem>
-#include <fstream>
 
 #include <CppUTest/TestHarness.h>
 #include <sys/resource.h>
@@ -108,24 +107,14 @@
         }
     }
 
-    void noteDescriptors()
+    process_watch watch()
     {
-        std::error_code ignored;
-        const std::filesystem::directory_iterator open("/proc/" + std::to_string(gateway().process.pid()) + "/fd", ignored);
-        mostDescriptors = std::max(mostDescriptors, static_cast<std::size_t>(std::distance(begin(open), end(open))));
+        return process_watch(gateway().process.pid());
     }
 
-    std::int64_t peakResidentKb()
+    void noteDescriptors()
     {
-        std::ifstream status("/proc/" + std::to_string(gateway().process.pid()) + "/status");
-        for (std::string word; status >> word;) {
-            if (word == "VmHWM:") {
-                std::int64_t peak = 0;
-                status >> peak;
-                return peak;
-            }
-        }
-        return 0;
+        mostDescriptors = std::max(mostDescriptors, watch().openDescriptors());
     }
 
     /// Whether an ordinary caller that retries gets an answer.
@@ -163,7 +152,7 @@
         CHECK_TRUE(isAnswered());
         CHECK_FALSE(gateway().process.hasEnded());
         noteDescriptors();
-        const std::int64_t peak = peakResidentKb();
+        const std::int64_t peak = watch().peakResidentKb();
         CHECK_TEXT(peak > 0 && peak <= maxResidentKb, ("resident memory: " + std::to_string(peak) + " KB").c_str());
         CHECK_TEXT(mostDescriptors <= maxOpenDescriptors, ("open descriptors: " + std::to_string(mostDescriptors)).c_str());
     }
--- /dev/null
+++ b/tests/system/endless_responses_test.cpp
@@ -0,0 +1,108 @@
+// Endpoints, a store and an instance that send without end to one gateway process: it must stay alive and within the memory of its machine,
+// close the connection, tell its callers the truth, and answer an ordinary request afterwards. The numbers of requests and bytes are fixed.
+
+#include "fault_play.h"
+
+#include <string>
+#include <vector>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace burdockshelf;
+
+namespace
+{
+
+const faulty_response noResponse = {"no response", "", ""};
+
+} // namespace
+
+TEST_GROUP(endless_responses)
+{
+    fault_play calls;
+};
+
+// A reservation is granted in some thirty bytes.
+TEST(endless_responses, toReservations)
+{
+    calls.play(endlessResponses(), &isReservation, "POST", "/text/x");
+}
+
+TEST(endless_responses, toPrefills)
+{
+    calls.play(endlessResponses(), &isPrefill, "POST", "/text/x");
+}
+
+TEST(endless_responses, toRequestsOfEngines)
+{
+    calls.play(endlessResponses(), &isRun, "POST", "/text/x");
+}
+
+TEST(endless_responses, toRequestsOfPlainServices)
+{
+    calls.play(endlessResponses(), &isRun, "POST", "/unsafe/x");
+}
+
+// Nothing waits for the response to a release. The gateway releases the reservations of callers that leave during their prefill.
+TEST(endless_responses, toReleases)
+{
+    endless_site &site = calls.site();
+    CHECK_TRUE(site.start());
+    fault_series series(endlessResponses());
+    site.setFaults(
+        [&](const http_request &request) -> const faulty_response * {
+            if (isRelease(request)) {
+                return series.next();
+            }
+            return isPrefill(request) ? &noResponse : nullptr;
+        },
+        nullptr);
+    constexpr int prefills = 20;
+    for (std::size_t i = 0; i < 2 * endlessResponses().size(); ++i) {
+        site.send("POST", "/text/x", "left");
+    }
+    CHECK_TRUE(site.waitFor([&] { return site.sentFaults().contains("no response") && site.sentFaults().at("no response") >= prefills; }));
+    site.leave();
+    CHECK_TRUE(site.waitFor([&] { return site.sentFaults().size() == endlessResponses().size() + 1; }));
+    CHECK_TRUE(site.waitFor([&] { return site.areFaultyConnectionsClosed(); }));
+    site.setFaults(nullptr, nullptr);
+    site.checkItStands();
+}
+
+// What a gateway holds from the store must not grow with what the store sends.
+TEST(endless_responses, ofTheStore)
+{
+    endless_site &site = calls.site();
+    CHECK_TRUE(site.start());
+    fault_series series(endlessResponses());
+    site.setFaults(nullptr, [&](const http_request &) { return series.next(); });
+    CHECK_TRUE(site.waitFor([&] { return site.sentFaults().size() == endlessResponses().size(); }));
+    CHECK_TRUE(site.waitFor([&] { return site.areFaultyConnectionsClosed(); }));
+    site.setFaults(nullptr, nullptr);
+    site.checkItStands();
+}
+
+// Engines are asked for their state before they are ordered to change their stage.
+TEST_GROUP(endless_responses_to_orders)
+{
+    // Most engines are to change their stage, one after the other.
+    fault_play calls {90};
+};
+
+TEST(endless_responses_to_orders, loadReports)
+{
+    calls.playOwnCalls({endlessResponse("header fields"),
+                        endlessResponse("body in chunks of a byte"),
+                        endlessResponse("body without a length"),
+                        endlessResponse("trailer fields")},
+                       "/report");
+}
+
+TEST(endless_responses_to_orders, orders)
+{
+    calls.playOwnCalls({endlessResponse("header field"),
+                        endlessResponse("body with a length"),
+                        endlessResponse("body without a length"),
+                        endlessResponse("chunk extension")},
+                       "/order");
+}
