Bound what a document of JSON costs before it is parsed

Cause: a body was parsed as it came. A level of nesting takes about 80 bytes for each byte of text and an element of a flat list up to 24, so neither the bound on the body nor a check of the nesting alone bounds the memory. The same holds for every document from another process: prefills, load reports, pages, assignments and holders of the store, records, messages of peers, events and load reports of the product's engines, pages of its log service, and prompts of callers.

Change: json_limits states the nesting and the memory that a kind of document may have, by what a sound one contains. isWithin() adds up what the parser would allocate in one pass over the text, before anything is allocated, and parseWithin() refuses the rest. It replaces the check of the nesting that only entries of the store had. A document that is refused counts as malformed, as before.

--- a/src/gateway/crash_report_codec.cpp
+++ b/src/gateway/crash_report_codec.cpp
@@ -104,13 +104,13 @@
 
 outcome<crash_report> decodeCrashReport(std::string_view text, instant now)
 {
-    BOOST_OUTCOME_TRY(reader, json_reader::parse(text));
+    BOOST_OUTCOME_TRY(reader, json_reader::parse(text, error_code::invalid_message, messageLimits));
     return decodeReport(reader, now, milliseconds::zero());
 }
 
 outcome<crash_report> decodeStoredCrashReport(std::string_view text, instant now, milliseconds unixNow)
 {
-    BOOST_OUTCOME_TRY(reader, json_reader::parse(text));
+    BOOST_OUTCOME_TRY(reader, json_reader::parse(text, error_code::invalid_message, messageLimits));
     const milliseconds sinceWritten = unixNow - milliseconds(reader.integer("written_ms", writtenRange));
     return decodeReport(reader, now, sinceWritten > maxClockDifference ? sinceWritten : milliseconds::zero());
 }
--- a/src/gateway/gateway_tree.cpp
+++ b/src/gateway/gateway_tree.cpp
@@ -107,7 +107,7 @@
                           return std::make_unique<mesh_supervisor>(m_loop,
                                                                    m_meshMailbox,
                                                                    meshSettingsOf(settings, incarnation),
-                                                                   peer_codec(makeRecordCodecTable()),
+                                                                   peer_codec(makeRecordCodecTable(), messageLimits),
                                                                    outlets,
                                                                    random_source());
                       }});
--- a/src/gateway/member_codec.cpp
+++ b/src/gateway/member_codec.cpp
@@ -1,5 +1,7 @@
 #include "gateway/member_codec.h"
 
+#include "wire/json_limits.h"
+
 #include <nlohmann/json.hpp>
 
 namespace burdockshelf
@@ -24,7 +26,7 @@
 
 outcome<member_report> decodeMemberReport(std::string_view text)
 {
-    const auto parsed = nlohmann::json::parse(text, nullptr, false);
+    const auto parsed = parseWithin(text, messageLimits);
     const bool isUsable = parsed.is_object() && parsed.contains("incarnation") && parsed["incarnation"].is_string()
         && parsed.contains("sequence") && parsed["sequence"].is_number_integer();
     if (!isUsable) {
--- a/src/gateway/rollout_codec.cpp
+++ b/src/gateway/rollout_codec.cpp
@@ -144,7 +144,7 @@
 
 outcome<rollout_decision> decodeRolloutDecision(const service_id &service, std::string_view text, instant now, milliseconds unixNow)
 {
-    BOOST_OUTCOME_TRY(reader, json_reader::parse(text));
+    BOOST_OUTCOME_TRY(reader, json_reader::parse(text, error_code::invalid_message, messageLimits));
     rollout_decision decided;
     decided.service = service;
     decided.target = service_version(reader.text("target"));
@@ -170,7 +170,7 @@
 
 outcome<std::vector<rollout_report>> decodeRolloutReports(std::string_view text)
 {
-    BOOST_OUTCOME_TRY(reader, json_reader::parse(text));
+    BOOST_OUTCOME_TRY(reader, json_reader::parse(text, error_code::invalid_message, messageLimits));
     std::vector<rollout_report> reports;
     for (json_reader &entry : reader.objects("rollouts")) {
         reports.push_back(decodeReport(entry));
--- a/src/wire/completion_codec.cpp
+++ b/src/wire/completion_codec.cpp
@@ -1,6 +1,7 @@
 #include "wire/completion_codec.h"
 
 #include "core/digest.h"
+#include "wire/json_limits.h"
 
 #include <utility>
 
@@ -91,9 +92,9 @@
 
 outcome<model_request> decodeModelRequest(bool isChat, std::string body)
 {
-    const json document = json::parse(body, nullptr, false);
+    const json document = parseWithin(body, promptLimits);
     if (!document.is_object()) {
-        return failure(error_code::invalid_argument, "the request body is not a JSON object in valid UTF-8");
+        return failure(error_code::invalid_argument, "the request body is not a JSON object in valid UTF-8, or too costly to parse");
     }
     const auto model = document.find("model");
     if (model == document.end() || !model->is_string() || model->get_ref<const std::string &>().empty()) {
--- a/src/wire/engine_codec.cpp
+++ b/src/wire/engine_codec.cpp
@@ -1,5 +1,7 @@
 #include "wire/engine_codec.h"
 
+#include "wire/json_limits.h"
+
 #include <limits>
 #include <utility>
 
@@ -33,11 +35,11 @@
     {503, error_code::unavailable},
 };
 
-outcome<json> parseObject(std::string_view text, const char *what)
+outcome<json> parseObject(std::string_view text, const char *what, const json_limits &limits = messageLimits)
 {
-    json parsed = json::parse(text, nullptr, false);
+    json parsed = parseWithin(text, limits);
     if (!parsed.is_object()) {
-        return failure(error_code::invalid_message, std::string(what) + " is not a JSON object");
+        return failure(error_code::invalid_message, std::string(what) + " is not a JSON object, or too costly to parse");
     }
     return parsed;
 }
@@ -99,7 +101,7 @@
 
 outcome<json> requestBody(const model_request &model, const request_id &request, int priority)
 {
-    BOOST_OUTCOME_TRY(body, parseObject(model.body, "the request body"));
+    BOOST_OUTCOME_TRY(body, parseObject(model.body, "the request body", promptLimits));
     body["request_id"] = request.value();
     body["priority"] = priority;
     body.erase("max_completion_tokens");
--- a/src/wire/json_reader.cpp
+++ b/src/wire/json_reader.cpp
@@ -117,8 +117,13 @@
 
 json_reader::~json_reader() = default;
 
-outcome<json_reader> json_reader::parse(std::string_view text, error_code code)
+outcome<json_reader> json_reader::parse(std::string_view text, error_code code, const json_limits &limits)
 {
+    if (!isWithin(text, limits)) {
+        return failure(code,
+                       "the document: found more than " + std::to_string(limits.nesting) + " levels of nesting or "
+                           + std::to_string(limits.memory.value()) + " bytes once parsed, allowed: less");
+    }
     auto shared = std::make_shared<document>();
     shared->code = code;
     shared->root = json::parse(text, nullptr, false);
--- a/src/wire/json_reader.h
+++ b/src/wire/json_reader.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/outcome.h"
+#include "wire/json_limits.h"
 
 #include <array>
 #include <chrono>
@@ -36,8 +37,9 @@
 class json_reader
 {
 public:
-    /// Parses a text that must be a JSON object. Errors of the document have the given code.
-    static outcome<json_reader> parse(std::string_view text, error_code code = error_code::invalid_message);
+    /// Parses a text that must be a JSON object within the limits. Errors of the document have the given code.
+    static outcome<json_reader>
+    parse(std::string_view text, error_code code = error_code::invalid_message, const json_limits &limits = documentLimits);
 
     ~json_reader();
     json_reader(const json_reader &) = default;
--- a/src/wire/peer_codec.cpp
+++ b/src/wire/peer_codec.cpp
@@ -18,6 +18,9 @@
 
 using json = nlohmann::json;
 
+// A hello has three ids.
+constexpr json_limits helloLimits = {8, byte_count(64 * 1024)};
+
 constexpr std::array<std::string_view, 4> verdictNames = {"succeeded", "failed", "slow", "cancelled"};
 
 std::string toText(const json &body)
@@ -578,8 +581,9 @@
 
 } // namespace
 
-peer_codec::peer_codec(record_codec_table records)
+peer_codec::peer_codec(record_codec_table records, json_limits limits)
     : m_records(records)
+    , m_limits(limits)
 {
 }
 
@@ -591,6 +595,9 @@
 
 outcome<peer_message> peer_codec::decode(std::string_view kind, std::string_view body) const
 {
+    if (!isWithin(body, m_limits)) {
+        return failure(error_code::invalid_message, "the body is too costly to parse");
+    }
     for (const kind_entry &entry : kinds) {
         if (entry.kind == kind) {
             return entry.decode(body, m_records);
@@ -606,6 +613,9 @@
 
 outcome<peer_hello> peer_codec::decodeHello(std::string_view body) const
 {
+    if (!isWithin(body, helloLimits)) {
+        return boost::outcome_v2::failure(invalid("the hello is too costly to parse"));
+    }
     member_reader members(body);
     peer_hello hello;
     members.read("i", hello.instance);
@@ -627,6 +637,9 @@
 
 error peer_codec::decodeError(std::string_view body) const
 {
+    if (!isWithin(body, messageLimits)) {
+        return invalid("the error is too costly to parse");
+    }
     member_reader members(body);
     std::string name;
     error refusal;
--- a/src/wire/peer_codec.h
+++ b/src/wire/peer_codec.h
@@ -2,6 +2,7 @@
 
 #include "core/outcome.h"
 #include "policy/peer_message.h"
+#include "wire/json_limits.h"
 #include "wire/peer_hello.h"
 #include "wire/record_codec_table.h"
 
@@ -22,7 +23,8 @@
 class peer_codec
 {
 public:
-    explicit peer_codec(record_codec_table records);
+    /// The limits apply to the bodies of messages.
+    explicit peer_codec(record_codec_table records, json_limits limits = documentLimits);
 
     encoded_peer_message encode(const peer_message &message) const;
     /// A kind that this build does not know gives the error unsupported; a body that does not match its kind gives invalid_message.
@@ -37,6 +39,7 @@
 
 private:
     record_codec_table m_records;
+    json_limits m_limits;
 };
 
 } // namespace burdockshelf
--- a/src/wire/platform_codec.cpp
+++ b/src/wire/platform_codec.cpp
@@ -16,6 +16,11 @@
     enum_name<instance_state> {instance_state::leaving, "leaving"},
 };
 
+outcome<json_reader> parseMessage(std::string_view text)
+{
+    return json_reader::parse(text, error_code::invalid_message, messageLimits);
+}
+
 void writeIdAndContent(json_writer &writer, const record_id &id, const encoded_record &content)
 {
     writer.set("id", id);
@@ -64,7 +69,7 @@
 
 outcome<log_append> decodeLogAppend(std::string_view text)
 {
-    BOOST_OUTCOME_TRY(reader, json_reader::parse(text));
+    BOOST_OUTCOME_TRY(reader, parseMessage(text));
     log_append append;
     append.id = reader.id<record_id>("id");
     append.content = readContent(reader);
@@ -81,7 +86,7 @@
 
 outcome<log_offset> decodeAppendResponse(std::string_view text)
 {
-    BOOST_OUTCOME_TRY(reader, json_reader::parse(text));
+    BOOST_OUTCOME_TRY(reader, parseMessage(text));
     const auto offset = reader.amount<log_offset>("offset");
     BOOST_OUTCOME_TRYV(reader.result());
     return offset;
@@ -103,7 +108,7 @@
 
 outcome<log_page> decodeLogPage(std::string_view text)
 {
-    BOOST_OUTCOME_TRY(reader, json_reader::parse(text));
+    BOOST_OUTCOME_TRY(reader, parseMessage(text));
     log_page page;
     page.first = reader.amount<log_offset>("first");
     page.head = reader.amount<log_offset>("head");
@@ -127,7 +132,7 @@
 
 outcome<listed_instance> decodeInstance(std::string_view text)
 {
-    BOOST_OUTCOME_TRY(reader, json_reader::parse(text));
+    BOOST_OUTCOME_TRY(reader, parseMessage(text));
     listed_instance instance = readInstance(reader);
     BOOST_OUTCOME_TRYV(reader.result());
     return instance;
@@ -146,7 +151,7 @@
 
 outcome<std::vector<listed_instance>> decodeInstanceList(std::string_view text)
 {
-    BOOST_OUTCOME_TRY(reader, json_reader::parse(text));
+    BOOST_OUTCOME_TRY(reader, parseMessage(text));
     std::vector<listed_instance> instances;
     for (json_reader &entry : reader.objects("instances")) {
         instances.push_back(readInstance(entry));
