--- a/tests/platform/spoiled_documents_test.cpp
+++ b/tests/platform/spoiled_documents_test.cpp
@@ -60,6 +60,15 @@
                                   [&](const std::string &text) { static_cast<void>(store.decodeHolders(okResponse(text))); });
 }
 
+// A record may be as short as its length field, and takes a hundred bytes once decoded.
+TEST(spoiled_documents, ofManyEmptyRecordsAreCheap)
+{
+    const std::string batch(3'000'000, '\0');
+    const peak_memory memory;
+    CHECK_FALSE(adapter.dialects().store.decodeBatch(okResponse(batch)).has_value());
+    CHECK(memory.growthKb() < 2 * maxDocumentMemoryKb);
+}
+
 TEST(spoiled_documents, ofRecordsAreCheap)
 {
     const record_dialect &records = adapter.dialects().records;
--- a/tests/system/costly_documents_test.cpp
+++ b/tests/system/costly_documents_test.cpp
@@ -48,6 +48,19 @@
     site.checkItStands();
 }
 
+//  A record may be as short as its length field, and takes a hundred bytes once decoded.
+TEST(costly_documents, forBatchesOfRecords)
+{
+    static const faulty_response batch = {
+        "empty records", "HTTP/1.1 200 OK\r\nContent-Length: 3000000\r\n\r\n" + std::string(3'000'000, '\0'), ""};
+    endless_site &site = calls.site();
+    CHECK_TRUE(site.start());
+    site.setFaults(nullptr, [&](const http_request &request) { return request.path() == "/log-read" ? &batch : nullptr; });
+    CHECK_TRUE(site.waitFor([&] { return site.sentFaults().contains("empty records") && site.sentFaults().at("empty records") >= 5; }));
+    site.setFaults(nullptr, nullptr);
+    site.checkItStands();
+}
+
 // Engines are asked for their state before they are ordered to change their stage.
 TEST_GROUP(costly_documents_of_engines)
 {
