Bound the response to a call by what a sound one contains

Cause: every call to an endpoint read up to 8 MB, also those whose sound response has thirty bytes (reservations, prefills, releases), and every call that one task makes at a time, orders and load reports included, read 4 MB. The limit stood in each reader; an announced length was not looked at, so a body that is too large was read up to the limit. What a call holds was counted without the head, and against 16 MB on every machine.

The responses to calls that nothing waits for are not kept. What all calls hold counts the memory of their heads, and is at most half of what callers may take where that is less than 16 MB.

--- a/src/gateway/dispatch_actions.cpp
+++ b/src/gateway/dispatch_actions.cpp
@@ -27,6 +27,7 @@
     command.address = action.address;
     command.isStreamed = action.isStreamed;
     command.needsServerSeal = executesRequest(action.attemptKind);
+    command.maxResponse = executesRequest(action.attemptKind) ? response_limits::request : response_limits::acknowledgement;
     command.isRetryable = request.route->kind == request_kind::idempotent || !executesRequest(action.attemptKind);
     if (action.attemptKind == attempt_kind::reserve) {
         command.request = m_dialects.endpoints.reserve(action);
--- a/src/gateway/endpoint_client_call.h
+++ b/src/gateway/endpoint_client_call.h
@@ -14,6 +14,9 @@
     /// When a call that nothing waits for is ended; all others are ended by the dispatcher.
     deadline endAt = deadline::never();
     http_response response;
+    /// Memory that the buffered response takes, as counted in the sum of all calls.
+    std::size_t heldBytes = 0;
+    std::size_t headBytes = 0;
     response_facts facts;
     bool hasHead = false;
     bool hasBody = false;
--- a/src/gateway/endpoint_client_task.cpp
+++ b/src/gateway/endpoint_client_task.cpp
@@ -24,15 +24,23 @@
 // Calls that must not be retried do not reuse a connection that has been idle for longer, because the endpoint may be closing it. Does not
 // apply to endpoints that announce their idle timeout.
 constexpr milliseconds maxIdleForNonRetryable {400};
-// Maximum size of a buffered response body; no service sends larger responses.
-constexpr std::size_t maxBufferedBytes = 8 * 1024 * 1024;
-// Maximum size of the buffered response bodies of all calls together, well below the memory of a small instance.
+constexpr byte_count maxHead {64 * 1024};
+// Memory of the buffered responses of all calls together, and the share of what callers may take that they may take at most.
 constexpr std::size_t maxBufferedBytesOfAllCalls = 16 * 1024 * 1024;
+constexpr std::size_t bufferedShareDivisor = 2;
 // Longest time for the response to a call that nothing waits for.
 constexpr milliseconds fireAndForgetTimeout {2000};
 constexpr std::size_t defaultConnectionsPerEndpoint = 32;
 constexpr int firstNonSuccessStatus = 300;
 
+std::size_t bufferLimit(const caller_memory *memory)
+{
+    if (memory == nullptr) {
+        return maxBufferedBytesOfAllCalls;
+    }
+    return std::min(maxBufferedBytesOfAllCalls, static_cast<std::size_t>(memory->limits().total.value()) / bufferedShareDivisor);
+}
+
 } // namespace
 
 endpoint_client_task::endpoint_client_task(event_loop &loop,
@@ -40,14 +48,15 @@
                                            const endpoint_dialect &dialect,
                                            address<dispatch_message> dispatcher,
                                            event_log log,
-                                           std::shared_ptr<caller_memory> memory)
+                                           const std::shared_ptr<caller_memory> &memory)
     : task(std::move(box))
     , m_loop(loop)
     , m_dialect(dialect)
     , m_dispatcher(std::move(dispatcher))
     , m_log(std::move(log))
-    , m_bufferedMemory(std::move(memory), source_address())
+    , m_bufferedMemory(memory, source_address())
     , m_maxPerEndpoint(defaultConnectionsPerEndpoint)
+    , m_maxBufferedBytes(bufferLimit(memory.get()))
     , m_destroyTimer(loop,
                      [this] {
                          m_pendingDestruction.clear();
@@ -156,7 +165,7 @@
     if (connections.open >= m_maxPerEndpoint) {
         return nullptr;
     }
-    auto created = std::make_unique<client_connection>(m_loop, to, client_connection_settings {byte_count(64 * 1024), userTimeout});
+    auto created = std::make_unique<client_connection>(m_loop, to, client_connection_settings {maxHead, userTimeout});
     ++connections.open;
     if (!created->isOpen()) {
         destroyLater(std::move(created));
@@ -169,6 +178,7 @@
 {
     exchange_handlers handlers;
     handlers.takesLastResponse = target.command.expected.isEmpty();
+    handlers.maxBody = target.command.maxResponse;
     handlers.acceptsResponse = [this, &target](const http_response &head) {
         const response_facts facts = m_dialect.decodeResponseHead(head, boot_clock::now());
         noteNotice(target, facts);
@@ -184,23 +194,26 @@
     handlers.onHead = [this, &target](http_response &&head, const message_framing &framing) {
         target.hasHead = true;
         target.endsAtConnectionClose = framing.endsAtConnectionClose;
-        m_bufferedBytes -= target.response.body.size();
-        target.response.body.clear();
         target.facts = m_dialect.decodeResponseHead(head, boot_clock::now());
-        target.response.status = head.status;
-        target.response.headers = endToEndHeaders(head.headers);
+        target.response = {head.status, endToEndHeaders(head.headers), {}};
+        target.headBytes = static_cast<std::size_t>(target.connection->headCost().value());
         const bool isSuccess = target.response.status < firstNonSuccessStatus;
         const bool isUsable = !target.facts.isBodyUnusable && (!target.command.needsServerSeal || target.facts.hasServerSeal);
         if (target.command.isStreamed && isSuccess && isUsable) {
             target.isRelayed = true;
-            post(attempt_response_head {target.command.flow, target.command.number, target.response, target.facts});
+            target.connection->liftBodyLimit();
+            http_response relayed = {target.response.status, std::move(target.response.headers), {}};
+            post(attempt_response_head {target.command.flow, target.command.number, std::move(relayed), target.facts});
+            target.headBytes = 0;
         }
+        accountFor(target);
+        makeRoom(target);
     };
     handlers.onBody = [this, &target](std::string_view bytes) {
         target.hasBody = true;
         if (target.isRelayed) {
             post(attempt_body_data {target.command.flow, target.command.number, std::string(bytes)});
-        } else {
+        } else if (!target.isFireAndForget) {
             buffer(target, bytes);
         }
     };
@@ -212,34 +225,44 @@
 
 void endpoint_client_task::buffer(call &target, std::string_view bytes)
 {
-    if (target.response.body.size() + bytes.size() > maxBufferedBytes) {
-        target.connection->rejectResponse();
-        return;
-    }
     target.response.body.append(bytes);
-    m_bufferedBytes += bytes.size();
-    accountForBuffered();
-    if (m_bufferedBytes <= maxBufferedBytesOfAllCalls) {
+    accountFor(target);
+    makeRoom(target);
+}
+
+void endpoint_client_task::makeRoom(const call &receiving)
+{
+    if (m_bufferedBytes <= m_maxBufferedBytes) {
         return;
     }
     call &largest = findLargestCall();
-    if (&largest == &target) {
+    if (&largest == &receiving) {
         // Its connection is in a handler and ends the exchange afterwards.
-        target.connection->rejectResponse();
+        receiving.connection->rejectResponse();
     } else {
         finishExchange(largest, exchange_outcome::too_large);
     }
 }
 
-void endpoint_client_task::accountForBuffered()
+void endpoint_client_task::accountFor(call &target)
 {
+    const std::size_t held = target.headBytes + target.response.body.size();
+    m_bufferedBytes = m_bufferedBytes - target.heldBytes + held;
+    target.heldBytes = held;
     m_bufferedMemory.force(byte_count(static_cast<std::int64_t>(m_bufferedBytes)));
 }
 
+void endpoint_client_task::dropResponse(call &target)
+{
+    target.response = {target.response.status, {}, {}};
+    target.headBytes = 0;
+    accountFor(target);
+}
+
 endpoint_client_task::call &endpoint_client_task::findLargestCall()
 {
     const auto largest = std::max_element(m_calls.begin(), m_calls.end(), [](const auto &left, const auto &right) {
-        return left.second->response.body.size() < right.second->response.body.size();
+        return left.second->heldBytes < right.second->heldBytes;
     });
     return *largest->second;
 }
@@ -247,8 +270,7 @@
 void endpoint_client_task::retire(const call_key &key)
 {
     const auto found = m_calls.find(key);
-    m_bufferedBytes -= found->second->response.body.size();
-    accountForBuffered();
+    dropResponse(*found->second);
     m_endedCalls.push_back(std::move(found->second));
     m_calls.erase(found);
     m_destroyTimer.start(deadline());
@@ -270,8 +292,7 @@
         report(target, attempt_outcome::lost, "not an HTTP response");
         break;
     case exchange_outcome::too_large:
-        m_bufferedBytes -= target.response.body.size();
-        target.response.body = {};
+        dropResponse(target);
         report(target, attempt_outcome::lost, "response too large");
         break;
     case exchange_outcome::complete: {
@@ -311,7 +332,6 @@
     ended.number = target.command.number;
     ended.end = end;
     if (!target.isRelayed) {
-        m_bufferedBytes -= target.response.body.size();
         ended.response = std::exchange(target.response, {});
     }
     ended.facts = target.facts;
--- a/src/gateway/endpoint_client_task.h
+++ b/src/gateway/endpoint_client_task.h
@@ -24,7 +24,7 @@
                          const endpoint_dialect &dialect,
                          address<dispatch_message> dispatcher,
                          event_log log,
-                         std::shared_ptr<caller_memory> memory = nullptr);
+                         const std::shared_ptr<caller_memory> &memory = nullptr);
     ~endpoint_client_task() override;
 
     outcome<void> start() override;
@@ -46,11 +46,14 @@
     void apply(const connection_limits &limits);
     std::unique_ptr<client_connection> takeConnection(const open_attempt &command);
     exchange_handlers handlersFor(call &target);
-    /// Buffers a part of a response that is not relayed. Ends the attempt when its response is too large, or the attempt with the largest
-    /// response when all buffered responses together are.
+    /// Buffers a part of a response that is not relayed.
     void buffer(call &target, std::string_view bytes);
+    /// Ends the attempt with the largest response when all of them together take too much.
+    void makeRoom(const call &receiving);
     call &findLargestCall();
-    void accountForBuffered();
+    /// Updates the sum of all calls after the call's response has changed.
+    void accountFor(call &target);
+    void dropResponse(call &target);
     void finishExchange(call &target, exchange_outcome end);
     /// Removes a call that has ended; its connection has been released before.
     void retire(const call_key &key);
@@ -78,8 +81,9 @@
     endpoint_notices m_notices;
     memory_charge m_bufferedMemory;
     std::size_t m_maxPerEndpoint;
-    /// Size of the buffered responses of all calls.
+    /// Memory of the buffered responses of all calls, and its limit.
     std::size_t m_bufferedBytes = 0;
+    std::size_t m_maxBufferedBytes;
     // Connections and calls are destroyed from the event loop, never inside one of their own handlers.
     std::vector<std::unique_ptr<client_connection>> m_pendingDestruction;
     std::vector<std::unique_ptr<call>> m_endedCalls;
--- a/src/gateway/gateway_messages.h
+++ b/src/gateway/gateway_messages.h
@@ -5,6 +5,7 @@
 #include "gateway/caller_memory.h"
 #include "gateway/dialects.h"
 #include "gateway/quota_broker_messages.h"
+#include "gateway/response_limits.h"
 #include "http/http_message.h"
 
 #include <map>
@@ -82,6 +83,8 @@
     http_request request;
     /// The body; a caller's request is held once and shared by its attempts. Empty for requests that carry their own body.
     std::shared_ptr<const std::string> body;
+    /// Largest body of a response that is not streamed.
+    byte_count maxResponse = response_limits::acknowledgement;
     /// The id in the response; empty for a call without an id. A response with another id, or one without an id to a request that has one,
     /// belongs to another request and is ignored.
     attempt_id expected;
--- a/src/gateway/group_task.cpp
+++ b/src/gateway/group_task.cpp
@@ -1,5 +1,7 @@
 #include "gateway/group_task.h"
 
+#include "gateway/response_limits.h"
+
 #include <utility>
 
 namespace burdockshelf
@@ -59,6 +61,7 @@
     m_to.calls.count(store_call::leave_group);
     m_joinCall.begin(m_dialect.leaveGroup(m_settings.self),
                      deadline::after(boot_clock::now(), leaveTimeout),
+                     response_limits::acknowledgement,
                      [this](const outcome<http_response> &) { finish(); });
 }
 
@@ -88,8 +91,10 @@
     }
     const http_request request = m_dialect.joinGroup(m_settings.self, m_assignment.generation, sessionTimeout);
     m_to.calls.count(store_call::join_group);
-    m_joinCall.begin(
-        request, deadline::after(now, joinTimeout), [this, now](const outcome<http_response> &response) { handleJoined(response, now); });
+    m_joinCall.begin(request,
+                     deadline::after(now, joinTimeout),
+                     response_limits::partitions,
+                     [this, now](const outcome<http_response> &response) { handleJoined(response, now); });
 }
 
 bool group_task::isIdle(instant now) const
@@ -139,9 +144,10 @@
     const instant now = boot_clock::now();
     m_nextHoldersReadAt = deadline::after(now, minHoldersReadInterval);
     m_to.calls.count(store_call::read_holders);
-    m_holdersCall.begin(m_dialect.readHolders(), deadline::after(now, holdersTimeout), [this](const outcome<http_response> &response) {
-        handleHolders(response);
-    });
+    m_holdersCall.begin(m_dialect.readHolders(),
+                        deadline::after(now, holdersTimeout),
+                        response_limits::partitions,
+                        [this](const outcome<http_response> &response) { handleHolders(response); });
 }
 
 void group_task::handleHolders(const outcome<http_response> &response)
--- a/src/gateway/rollout_writer.cpp
+++ b/src/gateway/rollout_writer.cpp
@@ -1,5 +1,7 @@
 #include "gateway/rollout_writer.h"
 
+#include "gateway/response_limits.h"
+
 #include <utility>
 
 namespace burdockshelf
@@ -55,7 +57,10 @@
     const deadline until = deadline::after(boot_clock::now(), writeTimeout);
     const http_request request = std::move(next.mapped().request);
     m_client.begin(
-        request, until, [this, key = next.key(), status = std::move(next.mapped().status)](const outcome<http_response> &response) {
+        request,
+        until,
+        response_limits::acknowledgement,
+        [this, key = next.key(), status = std::move(next.mapped().status)](const outcome<http_response> &response) {
             const auto written = response ? m_dialect.decodeWriteResult(response.value()) : outcome<void>(response.error());
             if (!written) {
                 m_log.write(
--- a/src/gateway/serial_http_client.cpp
+++ b/src/gateway/serial_http_client.cpp
@@ -60,7 +60,7 @@
     discardConnection();
 }
 
-void serial_http_client::begin(const http_request &request, deadline until, handler onDone)
+void serial_http_client::begin(const http_request &request, deadline until, byte_count maxBody, handler onDone)
 {
     m_onDone = std::move(onDone);
     m_response = {};
@@ -71,15 +71,12 @@
         m_connection = std::make_unique<client_connection>(m_loop, m_server, client_connection_settings {});
     }
     exchange_handlers handlers;
+    handlers.maxBody = maxBody;
     handlers.onHead = [this](http_response &&head, const message_framing & /*framing*/) {
         m_response = std::move(head);
         noteProgress();
     };
     handlers.onBody = [this](std::string_view bytes) {
-        if (m_response.body.size() + bytes.size() > maxBodyBytes) {
-            m_connection->rejectResponse();
-            return;
-        }
         m_response.body.append(bytes);
         noteProgress();
     };
--- a/src/gateway/serial_http_client.h
+++ b/src/gateway/serial_http_client.h
@@ -21,16 +21,12 @@
 };
 
 /// HTTP client that makes one call at a time, each with a deadline, on a persistent connection to one server. Replaces the connection after
-/// a failed call, because it may have become unresponsive. A response with a longer body than maxBodyBytes fails the call with
-/// error_code::too_large. Owned by one task.
+/// a failed call, because it may have become unresponsive. Owned by one task.
 class serial_http_client
 {
 public:
     using handler = std::function<void(outcome<http_response>)>;
 
-    /// The store sends at most a megabyte of records in one response, which the encoding of values in base64 makes larger by a third.
-    static constexpr std::size_t maxBodyBytes = 4 * 1024 * 1024;
-
     serial_http_client(event_loop &loop, const socket_address &server, deadline_scope scope = deadline_scope::whole_response);
     ~serial_http_client();
     serial_http_client(const serial_http_client &) = delete;
@@ -39,7 +35,8 @@
     bool isBusy() const;
     /// Ends the running call without calling its handler.
     void abandon();
-    void begin(const http_request &request, deadline until, handler onDone);
+    /// A response with a longer body than maxBody fails the call with error_code::too_large; see response_limits.
+    void begin(const http_request &request, deadline until, byte_count maxBody, handler onDone);
 
 private:
     void finish(outcome<http_response> result);
--- a/src/gateway/stage_control_task.cpp
+++ b/src/gateway/stage_control_task.cpp
@@ -1,5 +1,7 @@
 #include "gateway/stage_control_task.h"
 
+#include "gateway/response_limits.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -90,6 +92,7 @@
     m_engineClient = std::make_unique<serial_http_client>(m_loop, change->endpoint.address);
     m_engineClient->begin(m_dialect.requestEngineStatus(change->endpoint.id),
                           deadline::after(now, engineCallTimeout),
+                          response_limits::engineStatus,
                           [this, change = *change](const outcome<http_response> &response) { handleEngineStatus(change, response); });
 }
 
@@ -118,6 +121,7 @@
         change.endpoint.id, change.to, m_settings.instance, m_lease.generation(), status.value().ordersAccepted};
     m_engineClient->begin(m_dialect.orderStageChange(order),
                           deadline::after(now, engineCallTimeout),
+                          response_limits::acknowledgement,
                           [this, change](const outcome<http_response> &ordered) { handleOrderResponse(change, ordered); });
 }
 
--- a/src/gateway/store_task.cpp
+++ b/src/gateway/store_task.cpp
@@ -1,5 +1,7 @@
 #include "gateway/store_task.h"
 
+#include "gateway/response_limits.h"
+
 #include <algorithm>
 #include <array>
 #include <set>
@@ -176,7 +178,7 @@
     const deadline until = deadline::after(boot_clock::now(), writeTimeout);
     const http_request request = m_dialect.write(store_topic::members, m_settings.instance.value(), state.value);
     m_to.calls.count(store_call::write);
-    m_writer.begin(request, until, [this](const outcome<http_response> &response) {
+    m_writer.begin(request, until, response_limits::acknowledgement, [this](const outcome<http_response> &response) {
         const auto written = response ? m_dialect.decodeWriteResult(response.value()) : outcome<void>(response.error());
         if (!written) {
             m_log.write(log_line("store", "write_failed").add("topic", "members").add("cause", written.error().message));
@@ -229,7 +231,7 @@
     const deadline until = deadline::after(boot_clock::now(), writeTimeout);
     const http_request request = m_dialect.write(store_topic::crash_reports, m_settings.instance.value(), value);
     m_to.calls.count(store_call::write);
-    m_crashReportWriter.begin(request, until, [this, value](const outcome<http_response> &response) {
+    m_crashReportWriter.begin(request, until, response_limits::acknowledgement, [this, value](const outcome<http_response> &response) {
         const auto written = response ? m_dialect.decodeWriteResult(response.value()) : outcome<void>(response.error());
         if (!written) {
             m_log.write(log_line("store", "write_failed").add("topic", "crash_reports").add("cause", written.error().message));
--- a/src/gateway/topic_follower.cpp
+++ b/src/gateway/topic_follower.cpp
@@ -1,5 +1,7 @@
 #include "gateway/topic_follower.h"
 
+#include "gateway/response_limits.h"
+
 #include <algorithm>
 #include <array>
 #include <utility>
@@ -128,7 +130,9 @@
     m_calls.count(store_call::probe);
     m_callBegunAt = boot_clock::now();
     const deadline until = deadline::after(m_callBegunAt, m_retry.probeTimeout());
-    m_call.begin(m_dialect.probe(m_settings.topic), until, [this](const outcome<http_response> &response) { handleProbe(response); });
+    m_call.begin(m_dialect.probe(m_settings.topic), until, response_limits::records, [this](const outcome<http_response> &response) {
+        handleProbe(response);
+    });
 }
 
 void topic_follower::readNewest()
@@ -136,9 +140,10 @@
     m_calls.count(store_call::read_newest);
     m_callBegunAt = boot_clock::now();
     const deadline until = deadline::after(m_callBegunAt, m_retry.readTimeout());
-    m_call.begin(m_dialect.readNewest(m_settings.topic, m_afterKey), until, [this](const outcome<http_response> &response) {
-        handlePage(response);
-    });
+    m_call.begin(m_dialect.readNewest(m_settings.topic, m_afterKey),
+                 until,
+                 response_limits::records,
+                 [this](const outcome<http_response> &response) { handlePage(response); });
 }
 
 void topic_follower::readUpdates()
@@ -151,6 +156,7 @@
     m_callBegunAt = now;
     m_call.begin(m_dialect.readFrom(m_settings.topic, m_position, wait),
                  deadline::after(now, wait + m_retry.readTimeout()),
+                 response_limits::records,
                  [this](const outcome<http_response> &response) { handleBatch(response); });
 }
 
--- a/src/http1/client_connection.cpp
+++ b/src/http1/client_connection.cpp
@@ -66,6 +66,8 @@
     m_isComplete = false;
     m_isTooLarge = false;
     m_skipped = {};
+    m_body = {};
+    m_hasBodyLimit = true;
     m_keepAliveTimeout = std::chrono::milliseconds(-1);
     m_parser.resume();
     m_parser.setNoBody(request.method == "HEAD");
@@ -100,6 +102,16 @@
     m_isTooLarge = true;
 }
 
+void client_connection::liftBodyLimit()
+{
+    m_hasBodyLimit = false;
+}
+
+byte_count client_connection::headCost() const
+{
+    return m_parser.headCost();
+}
+
 bool client_connection::isOpen() const
 {
     return m_isUsable;
@@ -144,13 +156,19 @@
     m_keepAliveTimeout = keepAliveTimeout(head.headers);
     m_isResponseAccepted = !m_handlers.acceptsResponse || m_handlers.acceptsResponse(head);
     if (m_isResponseAccepted) {
+        m_body = {};
         m_handlers.onHead(std::move(head), framing);
+        m_isTooLarge = m_isTooLarge || (m_hasBodyLimit && framing.contentLength > m_handlers.maxBody.value());
     }
 }
 
 void client_connection::onBody(std::string_view bytes)
 {
-    if (m_isResponseAccepted && !m_isTooLarge) {
+    if (!m_isResponseAccepted) {
+        return;
+    }
+    countBody(static_cast<std::int64_t>(bytes.size()));
+    if (!m_isTooLarge) {
         m_handlers.onBody(bytes);
     }
 }
@@ -216,6 +234,12 @@
     m_isTooLarge = m_isTooLarge || m_skipped > m_maxSkipped;
 }
 
+void client_connection::countBody(std::int64_t bytes)
+{
+    m_body += byte_count(bytes);
+    m_isTooLarge = m_isTooLarge || (m_hasBodyLimit && m_body > m_handlers.maxBody);
+}
+
 void client_connection::stopReading()
 {
     if (m_stream) {
--- a/src/http1/client_connection.h
+++ b/src/http1/client_connection.h
@@ -27,7 +27,10 @@
     too_large,
 };
 
-/// Callbacks for the running exchange of a connection. The connection must not be destroyed inside a callback.
+/// Limit for the bodies of responses whose caller sets none.
+constexpr std::int64_t defaultMaxBody = 1024 * 1024;
+
+/// Callbacks and limits for the running exchange of a connection. The connection must not be destroyed inside a callback.
 struct exchange_handlers
 {
     /// Decides whether a response belongs to this exchange. If not, the response is discarded and the next one is read. Optional.
@@ -35,6 +38,8 @@
     /// For requests whose responses carry no id. When several responses have arrived at once, the last one belongs to this exchange: those
     /// before it are repeated responses to earlier requests. onHead is called for each of them.
     bool takesLastResponse = false;
+    /// Largest body of the response. The exchange ends as too_large when a larger one is announced or received.
+    byte_count maxBody {defaultMaxBody};
     std::function<void(http_response &&, const message_framing &)> onHead;
     std::function<void(std::string_view)> onBody;
     std::function<void(exchange_outcome)> onEnd;
@@ -42,6 +47,7 @@
 
 struct client_connection_settings
 {
+    /// Memory that the head of a response may take.
     byte_count maxHead {64 * 1024};
     /// TCP_USER_TIMEOUT: the connection is closed when sent bytes stay unacknowledged for this long.
     std::chrono::milliseconds userTimeout {4000};
@@ -65,9 +71,13 @@
     /// Ends the exchange without calling its handlers. A request that has not been sent yet is not sent any more. The connection cannot be
     /// reused.
     void abandon();
-    /// To be called by onHead or onBody when the response is larger than the receiver accepts. The exchange ends as too_large once the
-    /// handler has returned.
+    /// To be called by onHead or onBody when there is no room for the response. The exchange ends as too_large once the handler has
+    /// returned.
     void rejectResponse();
+    /// To be called by onHead when the body is passed on as it arrives, so that its length does not matter.
+    void liftBodyLimit();
+    /// Memory that the head of the running exchange's response takes.
+    byte_count headCost() const;
     /// False if the connection has ended, could not be started or cannot be used for another exchange.
     bool isOpen() const;
     bool isConnected() const;
@@ -93,6 +103,8 @@
     bool isSuperseded();
     /// Counts bytes that were read before the exchange's own response.
     void countSkipped(std::size_t bytes);
+    /// Counts the body of the exchange's own response, and notes when it is too large.
+    void countBody(std::int64_t bytes);
     void stopReading();
 
     socket_address m_server;
@@ -108,6 +120,8 @@
     bool m_isComplete = false;
     bool m_isTooLarge = false;
     byte_count m_skipped;
+    byte_count m_body;
+    bool m_hasBodyLimit = true;
     bool m_isUsable = true;
     bool m_isKeptAlive = true;
     deadline m_idleUntil = deadline::never();
--- a/src/http1/message_parser.cpp
+++ b/src/http1/message_parser.cpp
@@ -160,6 +160,7 @@
         }
         const bool isBodiless = hasNoBody || parser.status_code < 200 || parser.status_code == 204 || parser.status_code == 304;
         framing.endsAtConnectionClose = !isBodiless && !framing.isChunked && framing.contentLength < 0;
+        framing.contentLength = isBodiless ? 0 : framing.contentLength;
         http_response head;
         head.status = static_cast<int>(parser.status_code);
         head.headers = std::move(headers);
--- a/src/http1/message_parser.h
+++ b/src/http1/message_parser.h
@@ -15,7 +15,7 @@
 {
     bool keepAlive = true;
     bool isChunked = false;
-    /// Length of the body in bytes; negative if the head does not specify one.
+    /// Length of the body in bytes; negative if the head does not specify one. 0 for a response that has no body whatever its head says.
     std::int64_t contentLength = -1;
     /// True for a response without a length, whose body extends to the end of the connection.
     bool endsAtConnectionClose = false;
--- a/tests/gateway/endless_body_test.cpp
+++ b/tests/gateway/endless_body_test.cpp
@@ -44,7 +44,7 @@
         });
     }
 
-    void open(std::int64_t number, const std::string &target)
+    void open(std::int64_t number, const std::string &target, byte_count maxResponse = response_limits::request)
     {
         open_attempt order;
         order.flow = flow_id(number);
@@ -53,6 +53,7 @@
         order.request.target = target;
         order.request.headers = {{"Host", "h"}, {"X-Attempt-Id", "a" + std::to_string(number)}};
         order.expected = attempt_id("a" + std::to_string(number));
+        order.maxResponse = maxResponse;
         CHECK(toClient->post(std::move(order)) == post_result::delivered);
     }
 
@@ -92,6 +93,25 @@
     LONGS_EQUAL(0, site.endpoint.openConnectionCount());
 }
 
+// Guards against calls whose sound response has thirty bytes, and which read eight megabytes of a spoiled one.
+TEST(endless_body, endsACallAtTheLimitOfItsKind)
+{
+    endless_endpoint site;
+    site.endpoint.setRequestHandler([](scripted_connection &from, const http_request &request) {
+        from.write(endlessHead(request));
+        from.writeEndlessly(std::string(megabyte / 64, 'a'));
+    });
+    site.open(1, "/x", response_limits::acknowledgement);
+    site.run();
+    LONGS_EQUAL(1, site.ended.size());
+    CHECK(site.ended.front().end == attempt_outcome::lost);
+    CHECK(site.ended.front().response.body.empty());
+    site.run(100ms);
+    LONGS_EQUAL(0, site.endpoint.openConnectionCount());
+    // What the sockets on the way buffer.
+    CHECK(site.endpoint.sentBytes() < 4 * megabyte);
+}
+
 // Guards against an instance that exceeds its memory because several endpoints, or one on many connections, write endless bodies at once.
 // A response of ordinary size is not affected.
 TEST(endless_body, limitsTheSumOfAllBufferedBodies)
@@ -157,10 +177,13 @@
     serial_http_client client(loop, endpoint.address());
     std::optional<outcome<http_response>> result;
     const instant before = boot_clock::now();
-    client.begin({"GET", "/", {{"Host", "h"}}, ""}, deadline::after(before, testTimeout), [&](outcome<http_response> response) {
-        result = std::move(response);
-        loop.stop();
-    });
+    client.begin({"GET", "/", {{"Host", "h"}}, ""},
+                 deadline::after(before, testTimeout),
+                 response_limits::records,
+                 [&](outcome<http_response> response) {
+                     result = std::move(response);
+                     loop.stop();
+                 });
     loop.run();
     CHECK_FALSE(result->has_value());
     CHECK(result->error().code == error_code::too_large);
--- a/tests/gateway/serial_http_client_test.cpp
+++ b/tests/gateway/serial_http_client_test.cpp
@@ -51,11 +51,14 @@
     {
         partsLeft = parts;
         guard.start(deadline::after(boot_clock::now(), 5s));
-        client.begin({"GET", "/x", {}, ""}, deadline::after(boot_clock::now(), timeout), [this](const outcome<http_response> &response) {
-            isComplete = response.has_value();
-            received = response ? response.value().body.size() : 0;
-            loop.stop();
-        });
+        client.begin({"GET", "/x", {}, ""},
+                     deadline::after(boot_clock::now(), timeout),
+                     byte_count(1024),
+                     [this](const outcome<http_response> &response) {
+                         isComplete = response.has_value();
+                         received = response ? response.value().body.size() : 0;
+                         loop.stop();
+                     });
         loop.run();
     }
 };
--- a/tests/http1/endless_response_test.cpp
+++ b/tests/http1/endless_response_test.cpp
@@ -90,6 +90,17 @@
     exchange.checkEnds("HTTP/1.1 200 OK\r\n", "a:\r\n");
 }
 
+// A body that is announced as too large need not be read.
+TEST(endless_response, endsAtALengthOverTheLimit)
+{
+    exchange.server.setRequestHandler([](scripted_connection &from, const http_request &) {
+        from.write("HTTP/1.1 200 OK\r\nId: mine\r\nContent-Length: 1000000000\r\n\r\n");
+    });
+    client_connection connection(exchange.loop, exchange.server.address(), {});
+    exchange.run(connection);
+    CHECK(exchange.end == exchange_outcome::too_large);
+}
+
 TEST(endless_response, endsAtBlankLinesWithoutEnd)
 {
     exchange.checkEnds("", "\r\n\r\n\r\n\r\n");
