Bound the head of a response by the memory that it takes

Cause: the limit of 64 KiB counted bytes. A field takes 64 bytes however short it is, in a list that may be half empty, so such a head takes two megabytes, and stays with its call until the body is complete.

Change: the limit of a response's head counts the memory that the head takes, and is 32 KiB for endpoints. The limit that callers are promised stays one of bytes.

Why this works: a call can't hold more than 32 KiB of a head, and holds it within the account of all calls. Sound heads have some ten fields, and take a tenth of it.

Tests: endless_responses.headsOfManyFieldsWithoutABody and message_parser.limitsTheMemoryOfAResponsesHead fail before.

--- a/src/gateway/endpoint_client_task.cpp
+++ b/src/gateway/endpoint_client_task.cpp
@@ -24,7 +24,8 @@
 // Calls that must not be retried do not reuse a connection that has been idle for longer, because the endpoint may be closing it. Does not
 // apply to endpoints that announce their idle timeout.
 constexpr milliseconds maxIdleForNonRetryable {400};
-constexpr byte_count maxHead {64 * 1024};
+// Memory that the head of a response may take. Sound ones take a tenth of it.
+constexpr byte_count maxHead {32 * 1024};
 // Memory of the buffered responses of all calls together, and the share of what callers may take that they may take at most.
 constexpr std::size_t maxBufferedBytesOfAllCalls = 16 * 1024 * 1024;
 constexpr std::size_t bufferedShareDivisor = 2;
--- a/src/http1/message_parser.cpp
+++ b/src/http1/message_parser.cpp
@@ -96,7 +96,8 @@
     {
         headBytes += static_cast<std::int64_t>(size);
         headCost += static_cast<std::int64_t>(size);
-        if (headBytes > maxHead) {
+        // Callers are promised a limit in bytes; what a server sends is bounded by the memory that it takes.
+        if ((readsRequests ? headBytes : headCost) > maxHead) {
             state = parse_state::head_too_large;
             return 1;
         }
--- a/src/http1/message_parser.h
+++ b/src/http1/message_parser.h
@@ -63,6 +63,7 @@
         responses,
     };
 
+    /// The limit applies to the bytes of a request's head, and to the memory that a response's head takes.
     message_parser(direction reads, byte_count maxHead, message_handler &handler);
     ~message_parser();
     message_parser(const message_parser &) = delete;
--- a/tests/http1/message_parser_test.cpp
+++ b/tests/http1/message_parser_test.cpp
@@ -81,6 +81,23 @@
     CHECK(parse_state::head_too_large == parseRequest("GET / HTTP/1.1\r\nX: " + std::string(2000, 'a') + "\r\n\r\n"));
 }
 
+// Guards against responses whose many short fields take thirty times the memory of their bytes.
+TEST(message_parser, limitsTheMemoryOfAResponsesHead)
+{
+    const auto stateAfter = [](int fields) {
+        std::string head = "HTTP/1.1 200 OK\r\n";
+        for (int i = 0; i < fields; ++i) {
+            head += "a:\r\n";
+        }
+        recording_handler seen;
+        message_parser parser(message_parser::direction::responses, byte_count(32 * 1024), seen);
+        parser.take(head);
+        return parser.state();
+    };
+    CHECK(stateAfter(100) == parse_state::reading);
+    CHECK(stateAfter(1000) == parse_state::head_too_large);
+}
+
 // Guards against a response without a length that is reported as complete before the stream has ended cleanly.
 TEST(message_parser, completesAResponseWithoutLengthAtTheEndOfTheStream)
 {
--- a/tests/system/endless_responses_test.cpp
+++ b/tests/system/endless_responses_test.cpp
@@ -82,6 +82,29 @@
     site.checkItStands();
 }
 
+//  Heads of very many short fields cost thirty times their bytes, and stay with the call until its body is complete.
+TEST(endless_responses, headsOfManyFieldsWithoutABody)
+{
+    static const std::string fields = repeatedText("a:\r\n", 15'000);
+    static const std::vector<faulty_response> heads = {
+        {"head without its end", "HEAD" + fields, ""},
+        {"body that does not come", "HEADContent-Length: 5\r\n" + fields + "\r\n", ""},
+        {"stream that does not come", "HEADContent-Type: text/event-stream\r\n" + fields + "\r\n", ""},
+    };
+    endless_site &site = calls.site();
+    CHECK_TRUE(site.start());
+    fault_series series(heads);
+    site.setFaults([&](const http_request &request) { return isRun(request) ? series.next() : nullptr; }, nullptr);
+    for (int i = 0; i < 60; ++i) {
+        calls.send("POST", "/unsafe/x");
+        calls.send("POST", "/text/x");
+    }
+    calls.finish();
+    LONGS_EQUAL(heads.size(), site.sentFaults().size());
+    site.setFaults(nullptr, nullptr);
+    site.checkItStands();
+}
+
 // Engines are asked for their state before they are ordered to change their stage.
 TEST_GROUP(endless_responses_to_orders)
 {
