Keep no responses that are not passed on

Cause: the dispatcher kept the response to every attempt until its request had ended: refused and spoiled reservations, prefills, and failures after which the request was sent again. Up to 8 MB each, they were in no account any more, because the endpoint client releases what it hands over.

Evidence: 60 requests that fail once with 7 MB, of which some are retried, leave more than 21 MB behind (dispatcher.keepsNoFailuresThatAreRetried, which fails on the code before).

Change: a response is stored while the flow judges it, and dropped if the flow does not pass it on. The head of a stream is handed over when it is passed on. The end of a stream no longer replaces the head that was stored for it.

--- a/src/gateway/active_flow.h
+++ b/src/gateway/active_flow.h
@@ -37,12 +37,20 @@
         });
     }
 
+    /// Returns a stored response; an empty one with status 0 if there is none.
+    http_response takeResponse(attempt_number number)
+    {
+        auto stored = responses.extract(number);
+        return stored.empty() ? http_response {0, {}, {}} : std::move(stored.mapped());
+    }
+
     flow_id id;
     /// The request without its body.
     http_request original;
     std::shared_ptr<const held_body> body;
     forward_flow flow;
-    /// Response heads that the flow has not processed yet, and complete buffered responses.
+    /// Heads of streams that have not been passed on yet, and the complete response that the flow is judging. A response that it does not
+    /// pass on is not kept: one of every attempt would add up to many times the memory of a request.
     std::map<attempt_number, http_response> responses;
     std::map<attempt_number, start_attempt> sent;
     bool isCallerDisconnected = false;
--- a/src/gateway/dispatch_actions.cpp
+++ b/src/gateway/dispatch_actions.cpp
@@ -63,8 +63,9 @@
 void dispatch_task::perform(active_flow &flow, const relay_response_head &action)
 {
     recordFirstByte(flow, action.number);
-    flow.end.status = flow.responses[action.number].status;
-    m_outbox.toCallers(caller_response_head {flow.id, flow.responses[action.number]});
+    http_response head = flow.takeResponse(action.number);
+    flow.end.status = head.status;
+    m_outbox.toCallers(caller_response_head {flow.id, std::move(head)});
 }
 
 void dispatch_task::recordFirstByte(active_flow &flow, attempt_number number)
@@ -90,7 +91,7 @@
 void dispatch_task::perform(active_flow &flow, const relay_full_response &action)
 {
     recordFirstByte(flow, action.number);
-    http_response response = std::move(flow.responses[action.number]);
+    http_response response = flow.takeResponse(action.number);
     const int status = response.status;
     m_outbox.toCallers(caller_full_response {flow.id, std::move(response)});
     recordOutcome(flow, "answered", status);
--- a/src/gateway/dispatch_task.cpp
+++ b/src/gateway/dispatch_task.cpp
@@ -217,9 +217,13 @@
     }
     const response_summary summary = {ended.response.status, ended.facts.hasServerSeal, ended.hasConnectionEnded};
     if (ended.response.status != 0) {
-        target->responses[ended.number] = std::move(ended.response);
+        // The head of a stream that has not been passed on is kept.
+        target->responses.try_emplace(ended.number, std::move(ended.response));
     }
     carryOut(*target, target->flow.onEnd(ended.number, ended.end, summary, handle, context(), now));
+    if (active_flow *running = find(ended.flow)) {
+        running->responses.erase(ended.number);
+    }
 }
 
 void dispatch_task::recordFailure(active_flow &flow, const start_attempt &sent, const attempt_ended &ended)
--- a/tests/gateway/dispatch_test.cpp
+++ b/tests/gateway/dispatch_test.cpp
@@ -1,4 +1,5 @@
 #include "gateway/dispatch_fixture.h"
+#include "support/peak_memory.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -77,3 +78,35 @@
         LONGS_EQUAL(flow % 2 == 1 ? 429 : 503, response->status);
     }
 }
+
+// Failures that are not passed on, because the request is retried, were kept until the request had ended, outside of every bound.
+TEST(dispatcher, keepsNoFailuresThatAreRetried)
+{
+    constexpr std::int64_t failureBytes = 7 * 1024 * 1024;
+    constexpr std::int64_t requests = 60;
+    dispatch_fixture fixture;
+    topic_snapshot endpoints = {store_topic::endpoints, {}, {}};
+    for (std::int64_t i = 0; i < requests; ++i) {
+        endpoints.records.push_back({"p" + std::to_string(i), dispatch_fixture::endpointEntry(), store_offset(i)});
+    }
+    fixture.post(std::move(endpoints));
+    fixture.run(20ms);
+    const peak_memory memory;
+    std::size_t retries = 0;
+    for (std::int64_t flow = 1; flow <= requests; ++flow) {
+        fixture.arrive(flow);
+        fixture.run(1ms);
+        fixture.post(quota_response {flow_id(flow), quota_granted {{workspace_id("w"), 200.0, std::nullopt}}});
+        fixture.run(1ms);
+        attempt_ended failed = {flow_id(flow), attempt_number(1), attempt_outcome::whole, {}, {}, false, ""};
+        failed.response = {500, {}, std::string(failureBytes, 'x')};
+        failed.facts.hasServerSeal = true;
+        fixture.toEndpoints.clear();
+        fixture.post(std::move(failed));
+        fixture.run(1ms);
+        retries += fixture.hasSentAttempt() ? 1 : 0;
+        fixture.toCallers.clear();
+    }
+    CHECK(retries >= 4);
+    CHECK(memory.growthKb() < 3 * failureBytes / 1024);
+}
