Lower the size of messages between gateways

Cause: a gateway took bodies of 8 MB, 32 MB for each connection, from other instances, whose largest message is 64 KB of records before it is encoded.

Change: 1 MiB for a message and 4 MiB for what is being received from one instance.

Measured: a stand-in that answers each question for records with some six megabytes is refused, and the gateway reads at the store (endless_responses.ofAnotherInstance). The test passes on the code before as well: one such message at a time fits into the memory of the machine. It guards the bound.

--- a/src/gateway/gateway_tree.cpp
+++ b/src/gateway/gateway_tree.cpp
@@ -30,6 +30,9 @@
 constexpr std::chrono::milliseconds meshHeartbeatTimeout {2500};
 constexpr std::chrono::milliseconds meshConnectTimeout {300};
 constexpr std::chrono::milliseconds meshDrainTime {100};
+// Instances send each other at most 64 KB of records in one message, which their encoding may make three times as long.
+constexpr byte_count maxPeerMessage {1024 * 1024};
+constexpr byte_count maxReceivedFromPeer {4 * 1024 * 1024};
 constexpr backoff_settings meshBackoff = {std::chrono::milliseconds(100), std::chrono::milliseconds(800)};
 
 mesh_settings meshSettingsOf(const gateway_settings &settings, const incarnation_id &incarnation)
@@ -42,6 +45,8 @@
     mesh.connectTimeout = meshConnectTimeout;
     mesh.drainTime = meshDrainTime;
     mesh.backoff = meshBackoff;
+    mesh.limits.body = maxPeerMessage;
+    mesh.limits.received = maxReceivedFromPeer;
     return mesh;
 }
 
--- a/tests/system/endless_responses_test.cpp
+++ b/tests/system/endless_responses_test.cpp
@@ -2,7 +2,9 @@
 // close the connection, tell its callers the truth, and answer an ordinary request afterwards. The numbers of requests and bytes are fixed.
 
 #include "fault_play.h"
+#include "talkative_peer.h"
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -82,6 +84,28 @@
     site.checkItStands();
 }
 
+// The gateway asks the holder of the partitions for records.
+TEST(endless_responses, ofAnotherInstance)
+{
+    endless_site &site = calls.site();
+    talkative_peer peer(site.loop());
+    http_client store(site.loop(), site.store().address());
+    std::optional<int> joined;
+    http_call_handlers handlers;
+    handlers.onDone = [&](const http_call_result &result) {
+        joined = result ? result.value().status : 0;
+    };
+    const std::string join = R"({"group":"duties","member":"peer@)" + peer.address().toString()
+        + R"(","topics":["engine-duty","quota-pool"],"ttl_ms":3000,"generation":0})";
+    store.send({"POST", "/log-join", {}, join}, std::move(handlers), deadline::after(boot_clock::now(), std::chrono::seconds(5)));
+    CHECK_TRUE(site.waitFor([&] { return joined.has_value(); }));
+    LONGS_EQUAL(200, *joined);
+    site.store().assignPartitionsTo("peer");
+    CHECK_TRUE(site.start());
+    CHECK_TRUE(site.waitFor([&] { return peer.answerCount() >= 8; }));
+    site.checkItStands();
+}
+
 //  Heads of very many short fields cost thirty times their bytes, and stay with the call until its body is complete.
 TEST(endless_responses, headsOfManyFieldsWithoutABody)
 {
