Bound what the product's own client keeps of a response

The operators' report: a faulty replica sent bytes without an end, in a head or in a body, and the machine that had called it kept them all.

Cause: evhttp has no limit of its own for what a client reads. It keeps a line until its end, a chunk or a body with a length until it is complete, the fields of every interim response, and a body without length until the connection ends.

Change: http_client sets evhttp's limits of heads and bodies, bounds what waits in the input until it is complete, and the interim responses; what all calls to one server hold is at most 32 MB, and the call that holds the most ends first. Such a call fails with too_large, or connection_lost within a head, and its connection is closed. The callers state the bound of their calls: 1 MiB for prefills and lists of instances, 64 KiB for aborts, releases, orders and load, 16 KiB for appends and announcements, 8 MiB else.

Why this works: every byte that arrives passes the input buffer, where it is counted; what leaves it is bounded by the limits of heads and bodies.

--- a/src/endpoints/endpoint_task.cpp
+++ b/src/endpoints/endpoint_task.cpp
@@ -193,8 +193,9 @@
             LOG(WARNING) << "endpoints: the result of an order could not be delivered.";
         }
     };
-    m_client.send(
-        engine_codec::orderRequest(order), {nullptr, nullptr, ended}, deadline::after(boot_clock::now(), m_settings.controlTimeout));
+    m_client.send(engine_codec::orderRequest(order),
+                  {nullptr, nullptr, ended, m_settings.maxControlResponse},
+                  deadline::after(boot_clock::now(), m_settings.controlTimeout));
 }
 
 void endpoint_task::receive(const load_query & /*query*/)
@@ -203,11 +204,7 @@
         return;
     }
     m_client.send(engine_codec::loadRequest(),
-                  {nullptr,
-                   nullptr,
-                   [this](const http_call_result &result) {
-                       onLoadEnded(result);
-                   }},
+                  {nullptr, nullptr, [this](const http_call_result &result) { onLoadEnded(result); }, m_settings.maxControlResponse},
                   deadline::after(boot_clock::now(), m_settings.loadTimeout));
 }
 
@@ -226,7 +223,8 @@
     const auto ended = [this, id, isPlain](http_call_result result) {
         onBufferedEnded(id, std::move(result), isPlain);
     };
-    running.call = m_client.send(request, {nullptr, nullptr, ended}, until);
+    const byte_count maxBody = isPlain ? byte_count(defaultMaxResponseBody) : m_settings.maxPrefillResponse;
+    running.call = m_client.send(request, {nullptr, nullptr, ended, maxBody}, until);
 }
 
 void endpoint_task::startStream(const attempt_id &id, attempt entry, const http_request &request, deadline until)
@@ -340,13 +338,10 @@
 
 void endpoint_task::sendControlCall(std::uint64_t id)
 {
-    m_client.send(m_controlCalls.at(id).request,
-                  {nullptr,
-                   nullptr,
-                   [this, id](const http_call_result &result) {
-                       onControlEnded(id, result);
-                   }},
-                  deadline::after(boot_clock::now(), m_settings.controlTimeout));
+    m_client.send(
+        m_controlCalls.at(id).request,
+        {nullptr, nullptr, [this, id](const http_call_result &result) { onControlEnded(id, result); }, m_settings.maxControlResponse},
+        deadline::after(boot_clock::now(), m_settings.controlTimeout));
 }
 
 void endpoint_task::onControlEnded(std::uint64_t id, const http_call_result &result)
--- a/src/endpoints/endpoint_task.h
+++ b/src/endpoints/endpoint_task.h
@@ -25,6 +25,9 @@
     std::chrono::milliseconds controlRetryPeriod {10000};
     std::chrono::milliseconds initialRetryDelay {100};
     std::chrono::milliseconds loadTimeout {1000};
+    /// Largest responses to a prefill, to a load query, and to an abort, release or order.
+    byte_count maxPrefillResponse {1024 * 1024};
+    byte_count maxControlResponse {64 * 1024};
     /// A larger server-sent event fails the attempt.
     byte_count maxEventBytes {1024 * 1024};
     /// Events buffered while the receiver's mailbox is full; a stream that exceeds this number fails.
--- a/src/http/http_client.cpp
+++ b/src/http/http_client.cpp
@@ -17,6 +17,12 @@
 {
 
 constexpr std::size_t maxIdleConnections = 64;
+constexpr std::int64_t maxHeadBytes = 64 * 1024;
+// Sound servers send one interim response before the final one.
+constexpr int maxInterimResponses = 8;
+constexpr int statusContinue = 100;
+// Bytes of responses that all calls of a client may hold.
+constexpr std::size_t maxHeldBytes = 32 * 1024 * 1024;
 
 struct method_name
 {
@@ -70,13 +76,17 @@
     evhttp_connection *handle = nullptr;
     bool hasSent = false;
     bool isClosed = false;
+    call *user = nullptr;
 
     connection(event_loop &loop, const socket_address &server)
         : handle(evhttp_connection_base_new(loop.base(), nullptr, server.ip.c_str(), server.port))
     {
         evhttp_connection_set_retries(handle, 0);
         evhttp_connection_set_closecb(handle, &connection::onClose, this);
-        evbuffer_add_cb(bufferevent_get_output(evhttp_connection_get_bufferevent(handle)), &connection::onOutput, this);
+        evhttp_connection_set_max_headers_size(handle, maxHeadBytes);
+        bufferevent *stream = evhttp_connection_get_bufferevent(handle);
+        evbuffer_add_cb(bufferevent_get_output(stream), &connection::onOutput, this);
+        evbuffer_add_cb(bufferevent_get_input(stream), &connection::onInput, this);
     }
 
     ~connection()
@@ -93,6 +103,8 @@
         static_cast<connection *>(self)->isClosed = true;
     }
 
+    static void onInput(evbuffer *buffer, const evbuffer_cb_info *info, void *self);
+
     // evhttp writes the request only after the connection is established, so without output nothing can have reached the server.
     static void onOutput(evbuffer * /*buffer*/, const evbuffer_cb_info *info, void *self)
     {
@@ -111,15 +123,28 @@
     std::unique_ptr<connection> connectionInUse;
     evhttp_request *request = nullptr;
     std::unique_ptr<timer> expiry;
+    int interimResponses = 0;
+    std::size_t heldBytes = 0;
+    bool isTooLarge = false;
 
     http_call_error makeError(error_code code, std::string message) const
     {
         return {{code, std::move(message)}, !connectionInUse->hasSent};
     }
 
+    http_call_error makeTooLargeError() const
+    {
+        return makeError(error_code::too_large, client->m_server.toString() + " sent a response that is too large");
+    }
+
     static int onHeaders(evhttp_request *request, void *self)
     {
         auto *current = static_cast<call *>(self);
+        // evhttp adds the fields of every interim response to those of the final one.
+        if (evhttp_request_get_response_code(request) == statusContinue && ++current->interimResponses > maxInterimResponses) {
+            current->isTooLarge = true;
+            return -1;
+        }
         if (current->handlers.onHeaders) {
             const auto notify = current->handlers.onHeaders;
             notify(readHeaders(request));
@@ -135,10 +160,20 @@
         notify(bytes);
     }
 
+    static void onError(evhttp_request_error cause, void *self)
+    {
+        auto *current = static_cast<call *>(self);
+        current->isTooLarge = current->isTooLarge || cause == EVREQ_HTTP_DATA_TOO_LONG;
+    }
+
     static void onDone(evhttp_request *request, void *self)
     {
         auto *current = static_cast<call *>(self);
         current->request = nullptr;
+        if (current->isTooLarge) {
+            current->client->finishCall(current->id, current->makeTooLargeError(), false);
+            return;
+        }
         const bool hasFailed = request == nullptr || evhttp_request_get_response_code(request) == 0;
         if (hasFailed) {
             const bool isNotSent = !current->connectionInUse->hasSent;
@@ -156,6 +191,21 @@
     }
 };
 
+// Bytes wait here until evhttp can use them: a line until its end, and a chunk or a body with a length until it is complete.
+void http_client::connection::onInput(evbuffer *buffer, const evbuffer_cb_info *info, void *self)
+{
+    call *target = static_cast<connection *>(self)->user;
+    // evhttp empties the buffer when a request has failed, after it has freed the request.
+    if (info->n_added == 0 || target == nullptr || target->request == nullptr) {
+        return;
+    }
+    const std::size_t waiting = evbuffer_get_length(buffer);
+    target->client->accountFor(*target, waiting + evbuffer_get_length(evhttp_request_get_input_buffer(target->request)));
+    if (waiting > static_cast<std::size_t>(maxHeadBytes + target->handlers.maxBody.value())) {
+        target->client->rejectResponse(*target);
+    }
+}
+
 http_client::http_client(event_loop &loop, socket_address server)
     : m_loop(loop)
     , m_server(std::move(server))
@@ -182,6 +232,11 @@
     started->connectionInUse = acquireConnection();
     started->request = evhttp_request_new(&call::onDone, started.get());
     evhttp_request_set_header_cb(started->request, &call::onHeaders);
+    evhttp_request_set_error_cb(started->request, &call::onError);
+    started->connectionInUse->user = started.get();
+    // The body of a stream is used as it arrives.
+    const ev_ssize_t maxBody = started->handlers.onData ? -1 : static_cast<ev_ssize_t>(started->handlers.maxBody.value());
+    evhttp_connection_set_max_body_size(started->connectionInUse->handle, maxBody);
     if (started->handlers.onData) {
         evhttp_request_set_chunked_cb(started->request, &call::onChunk);
     }
@@ -193,9 +248,14 @@
     evbuffer_add(evhttp_request_get_output_buffer(started->request), request.body.data(), request.body.size());
     started->expiry = std::make_unique<timer>(m_loop, [this, id] {
         const auto found = m_calls.find(id);
-        if (found != m_calls.end()) {
-            finishCall(id, found->second->makeError(error_code::deadline_exceeded, m_server.toString() + " did not answer in time"), false);
+        if (found == m_calls.end()) {
+            return;
         }
+        const call &target = *found->second;
+        finishCall(id,
+                   target.isTooLarge ? target.makeTooLargeError()
+                                     : target.makeError(error_code::deadline_exceeded, m_server.toString() + " did not answer in time"),
+                   false);
     });
     started->expiry->start(until);
     call &entry = *started;
@@ -219,6 +279,8 @@
     if (found == m_calls.end()) {
         return;
     }
+    accountFor(*found->second, 0);
+    found->second->connectionInUse->user = nullptr;
     if (found->second->request != nullptr) {
         evhttp_cancel_request(found->second->request);
     }
@@ -230,7 +292,7 @@
 void http_client::extend(http_call_id call, deadline until)
 {
     const auto found = m_calls.find(call);
-    if (found != m_calls.end()) {
+    if (found != m_calls.end() && !found->second->isTooLarge) {
         found->second->expiry->start(until);
     }
 }
@@ -265,6 +327,8 @@
     CHECK(found != m_calls.end()) << "http: a call was completed twice.";
     std::unique_ptr<call> ended = std::move(found->second);
     m_calls.erase(found);
+    accountFor(*ended, 0);
+    ended->connectionInUse->user = nullptr;
     if (ended->request != nullptr) {
         evhttp_cancel_request(ended->request);
     }
@@ -276,6 +340,28 @@
     ended->handlers.onDone(std::move(result));
 }
 
+void http_client::accountFor(call &target, std::size_t held)
+{
+    m_heldBytes = m_heldBytes - target.heldBytes + held;
+    target.heldBytes = held;
+    if (m_heldBytes <= maxHeldBytes) {
+        return;
+    }
+    const auto largest = std::max_element(m_calls.begin(), m_calls.end(), [](const auto &left, const auto &right) {
+        return left.second->heldBytes < right.second->heldBytes;
+    });
+    rejectResponse(*largest->second);
+}
+
+// Runs inside evhttp, so the call ends from the event loop.
+void http_client::rejectResponse(call &target)
+{
+    if (!target.isTooLarge) {
+        target.isTooLarge = true;
+        target.expiry->start(deadline());
+    }
+}
+
 void http_client::discard(std::unique_ptr<connection> unwanted)
 {
     m_discarded.push_back(std::move(unwanted));
--- a/src/http/http_client.h
+++ b/src/http/http_client.h
@@ -4,6 +4,7 @@
 #include "core/outcome.h"
 #include "core/quantity.h"
 #include "core/socket_address.h"
+#include "core/units.h"
 #include "http/http_message.h"
 #include "runtime/event_loop.h"
 #include "runtime/timer.h"
@@ -29,7 +30,10 @@
 
 using http_call_result = boost::outcome_v2::basic_result<http_response, http_call_error, boost::outcome_v2::policy::terminate>;
 
-/// Callbacks of a call started with http_client::send(). They may start and cancel calls.
+/// Limit for the bodies of responses whose caller sets none.
+constexpr std::int64_t defaultMaxResponseBody = 8 * 1024 * 1024;
+
+/// Callbacks and limits of a call started with http_client::send(). The callbacks may start and cancel calls.
 struct http_call_handlers
 {
     /// Called when the status and headers have arrived; the body is still empty. Optional.
@@ -38,9 +42,13 @@
     std::function<void(std::string_view)> onData;
     /// Called exactly once when the call ends, unless it is cancelled.
     std::function<void(http_call_result)> onDone;
+    /// Largest body of the response. With onData, the longest part of the body that may be held back until it is complete, such as a chunk.
+    /// A call that exceeds it fails with too_large, and its connection is closed.
+    byte_count maxBody {defaultMaxResponseBody};
 };
 
-/// HTTP/1.1 client for one server, based on evhttp. Reuses idle connections. Owned by one task. Never retries a call.
+/// HTTP/1.1 client for one server, based on evhttp. Reuses idle connections. Owned by one task. Never retries a call. What the server sends
+/// is bounded for each call, and for all calls together: when they hold too much, the one that holds the most fails with too_large.
 class http_client
 {
 public:
@@ -65,6 +73,9 @@
 
     std::unique_ptr<connection> acquireConnection();
     void finishCall(http_call_id id, http_call_result result, bool keepConnection);
+    /// Updates what the call holds of its response, and ends the largest calls while all of them hold too much.
+    void accountFor(call &target, std::size_t held);
+    void rejectResponse(call &target);
     void discard(std::unique_ptr<connection> unwanted);
 
     event_loop &m_loop;
@@ -75,6 +86,8 @@
     std::vector<std::unique_ptr<connection>> m_discarded;
     timer m_discardTimer;
     http_call_id m_lastCallId;
+    /// Bytes of responses that all calls hold.
+    std::size_t m_heldBytes = 0;
 };
 
 } // namespace burdockshelf
--- a/src/log_service/instance_list_task.cpp
+++ b/src/log_service/instance_list_task.cpp
@@ -12,6 +12,10 @@
 namespace
 {
 
+constexpr byte_count maxAnnouncementResponse {16 * 1024};
+// An instance takes some 200 bytes in the list.
+constexpr byte_count maxListResponse {1024 * 1024};
+
 error instanceListError(const http_call_result &result)
 {
     if (result.has_error()) {
@@ -92,23 +96,16 @@
         return;
     }
     const http_request call = {"POST", "/instances/register", {{"Content-Type", "application/json"}}, encodeInstance(m_settings.self)};
-    m_announcement = m_client.send(call,
-                                   {nullptr,
-                                    nullptr,
-                                    [this](const http_call_result &result) {
-                                        finishAnnouncement(result);
-                                    }},
-                                   callDeadline());
+    m_announcement =
+        m_client.send(call,
+                      {nullptr, nullptr, [this](const http_call_result &result) { finishAnnouncement(result); }, maxAnnouncementResponse},
+                      callDeadline());
 }
 
 void instance_list_task::readList()
 {
     m_read = m_client.send({"GET", "/instances", {}, {}},
-                           {nullptr,
-                            nullptr,
-                            [this](const http_call_result &result) {
-                                finishList(result);
-                            }},
+                           {nullptr, nullptr, [this](const http_call_result &result) { finishList(result); }, maxListResponse},
                            callDeadline());
 }
 
--- a/src/log_service/log_task.cpp
+++ b/src/log_service/log_task.cpp
@@ -14,6 +14,8 @@
 
 // Wait before a batch is posted again to receivers whose mailboxes were full.
 constexpr std::chrono::milliseconds deliveryRetryInterval {20};
+// The response to an append has one offset.
+constexpr byte_count maxAppendResponse {16 * 1024};
 
 // A body that this version cannot decode is kept as a record of unknown kind rather than dropped: it takes up an offset, and every reader
 // must count the same offsets.
@@ -88,11 +90,7 @@
     const http_request call = {"POST", "/log/append", {{"Content-Type", "application/json"}}, body};
     request.record = unknown_record {};
     m_client.send(call,
-                  {nullptr,
-                   nullptr,
-                   [this, request](const http_call_result &result) {
-                       finishAppend(request, result);
-                   }},
+                  {nullptr, nullptr, [this, request](const http_call_result &result) { finishAppend(request, result); }, maxAppendResponse},
                   deadline::after(boot_clock::now(), m_settings.appendTimeout));
 }
 
