Cut long values in log lines

Cause: the id in a response that belongs to another request goes into the log as it came, up to the size of a head. A faulty endpoint sends many of them, so that the writer's buffer of 256 KB drops the lines of other parts.

Change: a value has at most 1,024 bytes. Measured: log_writer.cutsLongValues fails without it; the memory of the log was bounded before.

--- a/src/logging/log_line.cpp
+++ b/src/logging/log_line.cpp
@@ -8,6 +8,10 @@
 namespace
 {
 
+// Values may come from callers and endpoints, and a long one would take the place of other lines in the log.
+constexpr std::size_t maxValueBytes = 1024;
+constexpr std::string_view cutMark = "...";
+
 bool canStayUnquoted(std::string_view value)
 {
     return !value.empty()
@@ -24,6 +28,9 @@
 
 log_line &log_line::add(std::string_view name, std::string_view value)
 {
+    if (value.size() > maxValueBytes) {
+        return add(name, std::string(value.substr(0, maxValueBytes - cutMark.size())).append(cutMark));
+    }
     if (canStayUnquoted(value)) {
         return addRaw(name, value);
     }
--- a/tests/logging/log_writer_test.cpp
+++ b/tests/logging/log_writer_test.cpp
@@ -34,6 +34,14 @@
     STRCMP_EQUAL("part=part event=event cause=\"a b ='\" count=3 empty=\"\"", line.text().c_str());
 }
 
+// Guards against a value from an endpoint or a caller that takes the place of many other lines.
+TEST(log_writer, cutsLongValues)
+{
+    const log_line line = log_line("part", "event").add("id", std::string(60'000, 'x')).add("text", std::string(60'000, ' '));
+    CHECK(line.text().size() < 3000);
+    CHECK(line.text().find("x... text=\"") != std::string::npos);
+}
+
 // Guards against a stalled reader of the log that blocks the process or makes its memory grow, and against lines dropped without a report.
 TEST(log_writer, dropsAndCountsLinesWhileTheReaderIsStalled)
 {
