--- a/tests/platform/spoiled_documents_test.cpp
+++ b/tests/platform/spoiled_documents_test.cpp
@@ -1,7 +1,6 @@
 #include "platform/platform.h"
 
-#include <openssl/evp.h>
-
+#include "support/base64_text.h"
 #include "support/spoiled_json.h"
 
 using namespace burdockshelf;
@@ -14,17 +13,6 @@
     return {200, {}, body};
 }
 
-// The base64 form of a record's value.
-std::string base64(const std::string &bytes)
-{
-    std::string text((bytes.size() + 2) / 3 * 4 + 1, '\0');
-    const int length = EVP_EncodeBlock(reinterpret_cast<unsigned char *>(text.data()),
-                                       reinterpret_cast<const unsigned char *>(bytes.data()),
-                                       static_cast<int>(bytes.size()));
-    text.resize(static_cast<std::size_t>(length));
-    return text;
-}
-
 } // namespace
 
 // Guards against bodies that cost many times their size once parsed: one spoiled response of an endpoint ended an instance (review, case
@@ -88,7 +76,7 @@
 {
     const store_dialect &store = adapter.dialects().store;
     const auto page = [](std::size_t records, std::size_t recordBytes) {
-        const std::string value = base64(std::string(recordBytes, 'x'));
+        const std::string value = base64Text(std::string(recordBytes, 'x'));
         std::string text = R"({"items":[)";
         for (std::size_t i = 0; i < records; ++i) {
             text += (i == 0 ? "" : ",") + (R"({"key":"k)" + std::to_string(i)) + R"(","value":")" + value + R"(","offset":1})";
--- a/tests/standins/users_platform/standin_store.cpp
+++ b/tests/standins/users_platform/standin_store.cpp
@@ -1,10 +1,11 @@
 #include "standins/users_platform/standin_store.h"
 
+#include "support/base64_text.h"
+
 #include <algorithm>
 #include <charconv>
 
 #include <nlohmann/json.hpp>
-#include <openssl/evp.h>
 
 namespace burdockshelf
 {
@@ -41,16 +42,6 @@
     return text;
 }
 
-std::string base64(const std::string &bytes)
-{
-    std::string text((bytes.size() + 2) / 3 * 4 + 1, '\0');
-    const int length = EVP_EncodeBlock(reinterpret_cast<unsigned char *>(text.data()),
-                                       reinterpret_cast<const unsigned char *>(bytes.data()),
-                                       static_cast<int>(bytes.size()));
-    text.resize(static_cast<std::size_t>(length));
-    return text;
-}
-
 constexpr int partitionsPerTopic = 4;
 
 http_response jsonResponse(const nlohmann::json &body)
@@ -161,7 +152,7 @@
     const topic &named = m_topics[queryValue(exchange.request().query(), "topic")];
     nlohmann::json items = nlohmann::json::array();
     for (const auto &[key, offset] : named.newest) {
-        items.push_back({{"key", key}, {"value", base64(named.records[offset].value)}, {"offset", offset}});
+        items.push_back({{"key", key}, {"value", base64Text(named.records[offset].value)}, {"offset", offset}});
     }
     http_response response;
     response.body = nlohmann::json {{"items", items}, {"more", false}, {"end", named.records.size()}}.dump();
