--- a/tests/standins/users_platform/scripted_endpoint.cpp
+++ b/tests/standins/users_platform/scripted_endpoint.cpp
@@ -25,6 +25,10 @@
 constexpr std::size_t refillBytes = 256 * 1024;
 // Keeps the bytes that are under way in the kernel small against what a test allows the peer to read.
 constexpr int sendBufferBytes = 64 * 1024;
+// Small against the uploads of tests, so that most of an upload that is not read stays at its sender.
+constexpr int receiveBufferBytes = 16 * 1024;
+// Announced bodies from this length on are long uploads.
+constexpr std::int64_t minUploadBytes = 64 * 1024;
 constexpr int listenBacklog = 64;
 
 } // namespace
@@ -111,9 +115,10 @@
     return m_writtenBytes - (m_stream ? m_stream->unsentBytes() : 0);
 }
 
-void scripted_connection::onRequestHead(http_request &&head, const message_framing & /*framing*/)
+void scripted_connection::onRequestHead(http_request &&head, const message_framing &framing)
 {
     m_request = std::move(head);
+    m_isUpload = m_owner.m_uploadHandler && framing.contentLength >= minUploadBytes;
 }
 
 void scripted_connection::onBody(std::string_view bytes)
@@ -129,6 +134,9 @@
 {
     for (std::string_view bytes = m_stream->peek(); !bytes.empty(); bytes = m_stream->peek()) {
         m_stream->drop(m_parser.take(bytes));
+        if (handleUpload()) {
+            return;
+        }
         if (m_parser.state() == parse_state::complete) {
             m_parser.resume();
             m_owner.handleRequest(*this, std::exchange(m_request, {}));
@@ -139,6 +147,17 @@
     }
 }
 
+bool scripted_connection::handleUpload()
+{
+    if (!m_isUpload || m_request.body.size() < m_owner.m_uploadAnsweredAfter) {
+        return false;
+    }
+    m_stream->setReading(false);
+    m_owner.m_requests.push_back(m_request);
+    m_owner.m_uploadHandler(*this, std::exchange(m_request, {}));
+    return true;
+}
+
 scripted_endpoint::scripted_endpoint(event_loop &loop)
     : m_loop(loop)
 {
@@ -177,6 +196,14 @@
     m_requestHandler = std::move(handler);
 }
 
+void scripted_endpoint::setUploadHandler(std::size_t afterBytes, request_handler handler)
+{
+    m_uploadAnsweredAfter = afterBytes;
+    m_uploadHandler = std::move(handler);
+    // Accepted connections inherit it.
+    setsockopt(evconnlistener_get_fd(m_listener), SOL_SOCKET, SO_RCVBUF, &receiveBufferBytes, sizeof(receiveBufferBytes));
+}
+
 const std::vector<http_request> &scripted_endpoint::requests() const
 {
     return m_requests;
--- a/tests/standins/users_platform/scripted_endpoint.h
+++ b/tests/standins/users_platform/scripted_endpoint.h
@@ -44,6 +44,8 @@
     void onBody(std::string_view bytes) override;
     void onComplete() override;
     void readMore();
+    /// Calls the endpoint's upload handler when it is due; true if it was called.
+    bool handleUpload();
     void refill();
 
     scripted_endpoint &m_owner;
@@ -56,6 +58,7 @@
     std::size_t m_endlessLeft = 0;
     std::size_t m_writtenBytes = 0;
     bool m_hasEnded = false;
+    bool m_isUpload = false;
     timer m_refillTimer;
     timer m_resetTimer;
 };
@@ -76,6 +79,9 @@
     std::string entry(const std::string &service, const std::string &zone, const std::string &stage = {}) const;
     /// Sets the handler that is called for every complete request.
     void setRequestHandler(request_handler handler);
+    /// Sets a handler that is called in place of the other one for long uploads, as soon as the given number of bytes of the body has
+    /// arrived. Nothing more is read from the connection.
+    void setUploadHandler(std::size_t afterBytes, request_handler handler);
     /// All requests received, in their order.
     const std::vector<http_request> &requests() const;
     std::size_t connectionCount() const;
@@ -100,6 +106,8 @@
     evconnlistener *m_listener = nullptr;
     socket_address m_address;
     request_handler m_requestHandler;
+    request_handler m_uploadHandler;
+    std::size_t m_uploadAnsweredAfter = 0;
     std::list<scripted_connection> m_connections;
     std::vector<http_request> m_requests;
 };
--- a/tests/system/endless_site.cpp
+++ b/tests/system/endless_site.cpp
@@ -125,6 +125,20 @@
     m_storeFaults = std::move(storeCalls);
 }
 
+void endless_site::setUploadHandler(std::size_t afterBytes, const scripted_endpoint::request_handler &handler)
+{
+    for (scripted_endpoint *endpoint : {&m_plain, &m_prefill, &m_decode}) {
+        endpoint->setUploadHandler(afterBytes, [this, handler](scripted_connection &from, const http_request &request) {
+            if (isPrefill(request)) {
+                respond(from, request);
+                return;
+            }
+            m_runs.emplace_back(request.headers.value("X-Attempt-Id"));
+            handler(from, request);
+        });
+    }
+}
+
 void endless_site::respond(scripted_connection &from, const http_request &request)
 {
     if (request.headers.has("X-Attempt-Id") && !request.headers.has("X-Stage")) {
@@ -180,11 +194,17 @@
 }
 
 raw_caller &endless_site::send(const std::string &method, const std::string &target, const std::string &idStart)
+{
+    return send(method, target, idStart, 1);
+}
+
+raw_caller &endless_site::send(const std::string &method, const std::string &target, const std::string &idStart, std::size_t bodyBytes)
 {
     raw_caller &caller = m_requests.emplace_back(m_loop, m_callers);
     caller.send(method + " " + target + " HTTP/1.1\r\nHost: 127.0.0.1\r\nX-Attempt-Id: " + idStart + std::to_string(++m_lastRequest)
                 + "\r\nX-Deadline-Ms: 4000\r\nAuthorization: Bearer k1\r\n"
-                + (target.starts_with("/text/") ? "X-Token-Counts: 100,50\r\n" : "") + "Content-Length: 1\r\n\r\nx");
+                + (target.starts_with("/text/") ? "X-Token-Counts: 100,50\r\n" : "") + "Content-Length: " + std::to_string(bodyBytes)
+                + "\r\n\r\n" + std::string(bodyBytes, 'x'));
     return caller;
 }
 
@@ -211,9 +231,15 @@
     return std::all_of(m_requests.begin(), m_requests.end(), [](const raw_caller &each) { return each.isDone(); });
 }
 
+std::size_t endless_site::runCount(const std::string &idStart) const
+{
+    return static_cast<std::size_t>(
+        std::count_if(m_runs.begin(), m_runs.end(), [&](const std::string &each) { return each.starts_with(idStart); }));
+}
+
 bool endless_site::hasRunWithIdStart(const std::string &idStart) const
 {
-    return std::any_of(m_runs.begin(), m_runs.end(), [&](const std::string &each) { return each.starts_with(idStart); });
+    return runCount(idStart) > 0;
 }
 
 bool endless_site::areFaultyConnectionsClosed() const
--- a/tests/system/endless_site.h
+++ b/tests/system/endless_site.h
@@ -35,14 +35,19 @@
     /// Starts the gateway and waits until it serves; false if it does not.
     bool start();
     void setFaults(fault_choice endpoints, fault_choice storeCalls);
+    /// Sets the upload handler of all endpoints, for other requests than prefills.
+    void setUploadHandler(std::size_t afterBytes, const scripted_endpoint::request_handler &handler);
     /// Sends a request with an id of its own, which begins with the text.
     raw_caller &send(const std::string &method, const std::string &target, const std::string &idStart);
+    /// The same with a body of that many bytes.
+    raw_caller &send(const std::string &method, const std::string &target, const std::string &idStart, std::size_t bodyBytes);
     /// All callers close their connections.
     void leave();
     /// Runs the loop until the condition holds; false if that takes longer than any deadline in these tests.
     bool waitFor(const std::function<bool()> &condition);
     bool areAllAnswered() const;
-    /// True if an endpoint has received a request to run whose id begins with the text.
+    /// How often endpoints have received a request to run whose id begins with the text.
+    std::size_t runCount(const std::string &idStart) const;
     bool hasRunWithIdStart(const std::string &idStart) const;
     /// True if the gateway has closed every connection on which a faulty response without an end was sent.
     bool areFaultyConnectionsClosed() const;
--- a/tests/system/fault_play.cpp
+++ b/tests/system/fault_play.cpp
@@ -10,12 +10,6 @@
 
 constexpr std::size_t requestsPerFault = 8;
 
-// Statuses that promise that a request has not run.
-bool promisesNotRun(int status)
-{
-    return status == 408 || status == 421 || status == 429 || status == 503;
-}
-
 } // namespace
 
 fault_play::fault_play(std::int64_t prefillPercent)
@@ -68,7 +62,7 @@
     CHECK_TRUE(m_site.waitFor([this] { return m_site.areAllAnswered(); }));
     CHECK_TRUE(m_site.waitFor([this] { return m_site.areFaultyConnectionsClosed(); }));
     for (const sent_request &each : m_sent) {
-        const bool isUntrue = promisesNotRun(each.caller->status()) && m_site.hasRunWithIdStart(each.id);
+        const bool isUntrue = statusPromisesNotRun(each.caller->status()) && m_site.hasRunWithIdStart(each.id);
         CHECK_TEXT(!isUntrue, ("request " + each.id + " has run and got " + std::to_string(each.caller->status())).c_str());
     }
 }
--- a/tests/system/faulty_responses.cpp
+++ b/tests/system/faulty_responses.cpp
@@ -92,6 +92,11 @@
     return request.headers.has("X-Attempt-Id") && !isPrefill(request) && request.path() != "/safe/ordinary";
 }
 
+bool statusPromisesNotRun(int status)
+{
+    return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
 std::string repeatedText(const std::string &text, std::size_t count)
 {
     std::string all;
--- a/tests/system/faulty_responses.h
+++ b/tests/system/faulty_responses.h
@@ -53,6 +53,9 @@
 /// A request of a caller that an endpoint is to run, other than the ordinary ones with which a test looks whether the gateway serves.
 bool isRun(const http_request &request);
 
+/// True for statuses that promise that a request has not run.
+bool statusPromisesNotRun(int status);
+
 /// The text as often as given.
 std::string repeatedText(const std::string &text, std::size_t count);
 
