Read no body in a 204 or 304 that states a length

Callers got a 504 at their deadline for a 304 whose Content-Length is that of the response which it stands for, as RFC 9110 allows; on a connection that stays open, the start of the next response would have been read as the body.

http_parser decides by the length, and by the status only where there is none. It was told to skip the body only for responses to HEAD requests. It is now told for each response that has no body, whatever its head says.

--- a/src/http1/message_parser.cpp
+++ b/src/http1/message_parser.cpp
@@ -166,7 +166,8 @@
         head.status = static_cast<int>(parser.status_code);
         head.headers = std::move(headers);
         handler.onResponseHead(std::move(head), framing);
-        return hasNoBody ? 1 : 0;
+        // Tells http_parser to read no body, which it would do for a 204 or 304 that states a length.
+        return isBodiless ? 1 : 0;
     }
 
     int finishMessage()
--- /dev/null
+++ b/tests/http1/invalid_response_test.cpp
@@ -0,0 +1,89 @@
+#include "http1/message_parser.h"
+
+#include "support/response_samples.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace burdockshelf;
+
+namespace
+{
+
+constexpr int firstFinalStatus = 200;
+
+/// What a receiver acts on.
+struct received_response : public message_handler
+{
+    int status = 0;
+    std::string body;
+    int heads = 0;
+    bool isComplete = false;
+
+    void onResponseHead(http_response &&head, const message_framing & /*framing*/) override
+    {
+        status = head.status;
+        ++heads;
+    }
+
+    void onBody(std::string_view bytes) override
+    {
+        body.append(bytes);
+    }
+
+    void onComplete() override
+    {
+        isComplete = status >= firstFinalStatus;
+    }
+};
+
+// Parses the bytes, given in pieces of that size, until a final response is complete.
+parse_state parse(const std::string &bytes, std::size_t pieceSize, bool hasCleanEnd, received_response &seen)
+{
+    message_parser parser(message_parser::direction::responses, byte_count(32 * 1024), seen);
+    for (std::size_t at = 0; at < bytes.size();) {
+        const std::size_t taken = parser.take(std::string_view(bytes).substr(at, pieceSize));
+        at += taken;
+        if (parser.state() == parse_state::complete && !seen.isComplete) {
+            parser.resume();
+        } else if (parser.state() != parse_state::reading) {
+            return parser.state();
+        }
+    }
+    if (hasCleanEnd) {
+        parser.finishInput();
+    }
+    return parser.state();
+}
+
+} // namespace
+
+TEST_GROUP(invalid_response) {};
+
+// The check must not refuse what ordinary servers send, and the result must not depend on how the bytes arrive.
+TEST(invalid_response, isToldFromAnUnusualOne)
+{
+    for (const response_sample &sample : soundResponses()) {
+        const std::string bytes = responseBytes(sample);
+        for (const std::size_t pieceSize : {std::size_t(1), std::size_t(7), bytes.size()}) {
+            received_response seen;
+            CHECK_TEXT(parse(bytes, pieceSize, sample.endsAtClose, seen) == parse_state::complete, sample.name.c_str());
+            CHECK_TEXT(seen.isComplete, sample.name.c_str());
+            LONGS_EQUAL_TEXT(sample.status, seen.status, sample.name.c_str());
+            STRCMP_EQUAL_TEXT(sample.body.c_str(), seen.body.c_str(), sample.name.c_str());
+        }
+    }
+}
+
+// A response to a HEAD request has no body, also after an interim response.
+TEST(invalid_response, isNoneToAHeadRequestWithALength)
+{
+    received_response seen;
+    message_parser parser(message_parser::direction::responses, byte_count(1024), seen);
+    parser.setNoBody(true);
+    const std::string interim = "HTTP/1.1 100 Continue\r\n\r\n";
+    const std::string response = "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n";
+    LONGS_EQUAL(interim.size(), parser.take(interim + response));
+    parser.resume();
+    LONGS_EQUAL(response.size(), parser.take(response));
+    CHECK(parser.state() == parse_state::complete);
+}
--- a/tests/system/invalid_responses_test.cpp
+++ b/tests/system/invalid_responses_test.cpp
@@ -183,3 +183,27 @@
     }
     STRCMP_EQUAL("", found.c_str());
 }
+
+// Responses that ordinary servers may send must pass as they are.
+TEST(invalid_responses, areToldFromUnusualOnes)
+{
+    prepare(soundResponses());
+    for (const request_kind &kind : requestKinds) {
+        for (std::size_t i = 0; i < samples.size(); ++i) {
+            // A stream has to have an event, and its end must be visible.
+            const bool isForStreams = samples[i].status == statusOk && !samples[i].body.empty();
+            if (samples[i].endsAtClose || (!isForStreams && kind.target == std::string("/text/x"))) {
+                continue;
+            }
+            const faulty_response &fault = faults[i];
+            site.setFaults([&](const http_request &request) { return isRun(request) ? &fault : nullptr; }, nullptr);
+            const raw_caller &caller = site.send(kind.method, kind.target, idStart(i));
+            CHECK_TRUE(site.waitFor([&] { return caller.isDone(); }));
+            const std::string name = std::string(kind.target) + " " + samples[i].name;
+            expect(isComplete(caller, samples[i].status), name, "got " + std::to_string(caller.status()));
+            expect(caller.body() == samples[i].body, name, "got the body " + caller.body());
+            site.leave();
+        }
+    }
+    STRCMP_EQUAL("", found.c_str());
+}
