Check the framing of responses before they are parsed

On withInvalidFraming, with a gateway process and an endpoint that sends 32 kinds of invalid framing, found 16 of them accepted for safe and for unsafe requests. Callers got 8 of them as whole responses, for streams too: chunks without a line break after them or with text or bare carriage returns in the line of their size, chunks in a 204 or of HTTP/1.0, and bodies compressed in transfer. The other 8 were not told until the deadline: codings other than chunked, read as bodies without a length, and numbers of more than 63 bits.

The cause is http_parser as Debian builds it, without its strict checks, and its reading of a coding that it doesn't know as the absence of a length.

response_syntax follows a response from line to line and decides what one is; http_parser gets only what it has let through, and both must find the end at the same place. What breaks the rule is 'broken', as other bytes that are no HTTP are: the attempt is lost, and its connection is not used again. The names of fields are compared in one place now.

--- a/src/http/http_message.cpp
+++ b/src/http/http_message.cpp
@@ -1,22 +1,13 @@
 #include "http/http_message.h"
 
+#include "http/field_syntax.h"
+
 #include <algorithm>
 #include <initializer_list>
-#include <strings.h>
 
 namespace burdockshelf
 {
 
-namespace
-{
-
-bool isSameName(std::string_view left, std::string_view right)
-{
-    return left.size() == right.size() && strncasecmp(left.data(), right.data(), left.size()) == 0;
-}
-
-} // namespace
-
 http_headers::http_headers(std::initializer_list<http_header> fields)
     : m_fields(fields)
 {
@@ -29,18 +20,18 @@
 
 void http_headers::remove(std::string_view name)
 {
-    std::erase_if(m_fields, [name](const http_header &field) { return isSameName(field.name, name); });
+    std::erase_if(m_fields, [name](const http_header &field) { return isSameFieldName(field.name, name); });
 }
 
 bool http_headers::has(std::string_view name) const
 {
-    return std::any_of(m_fields.begin(), m_fields.end(), [name](const http_header &field) { return isSameName(field.name, name); });
+    return std::any_of(m_fields.begin(), m_fields.end(), [name](const http_header &field) { return isSameFieldName(field.name, name); });
 }
 
 std::string_view http_headers::value(std::string_view name) const
 {
     for (const http_header &field : m_fields) {
-        if (isSameName(field.name, name)) {
+        if (isSameFieldName(field.name, name)) {
             return field.value;
         }
     }
--- a/src/http1/message_parser.cpp
+++ b/src/http1/message_parser.cpp
@@ -1,5 +1,7 @@
 #include "http1/message_parser.h"
 
+#include "http/response_syntax.h"
+
 #include <algorithm>
 #include <cstring>
 #include <utility>
@@ -27,6 +29,8 @@
 struct message_parser::engine
 {
     http_parser parser = {};
+    /// Decides what a response is, ahead of http_parser, which accepts more.
+    response_syntax syntax;
     http_parser_settings callbacks = {};
     message_handler &handler;
     std::int64_t maxHead;
@@ -170,6 +174,20 @@
         return isBodiless ? 1 : 0;
     }
 
+    // Passes on what may be parsed of the bytes; nothing of what breaks the syntax is acted on.
+    std::string_view soundPartOf(std::string_view bytes)
+    {
+        if (readsRequests) {
+            return bytes;
+        }
+        const std::size_t sound = syntax.take(bytes);
+        if (syntax.isBroken()) {
+            state = parse_state::broken;
+            return {};
+        }
+        return bytes.substr(0, sound);
+    }
+
     int finishMessage()
     {
         state = parse_state::complete;
@@ -193,10 +211,18 @@
     if (self.state != parse_state::reading || bytes.empty()) {
         return 0;
     }
-    const std::size_t taken = http_parser_execute(&self.parser, &self.callbacks, bytes.data(), bytes.size());
+    const std::string_view sound = self.soundPartOf(bytes);
+    if (self.state == parse_state::broken) {
+        return 0;
+    }
+    const std::size_t taken = http_parser_execute(&self.parser, &self.callbacks, sound.data(), sound.size());
     if (self.state == parse_state::complete) {
         return taken;
     }
+    // Both must find the end at the same place.
+    if (self.syntax.isComplete() && self.state == parse_state::reading) {
+        self.state = parse_state::broken;
+    }
     // An upgrade would switch to another protocol. No code here offers one.
     if (HTTP_PARSER_ERRNO(&self.parser) != HPE_OK || self.parser.upgrade != 0) {
         if (self.state == parse_state::reading) {
@@ -221,6 +247,7 @@
 {
     if (m_engine->state == parse_state::complete) {
         m_engine->state = parse_state::reading;
+        m_engine->syntax.begin();
         http_parser_pause(&m_engine->parser, 0);
     }
 }
@@ -228,6 +255,7 @@
 void message_parser::setNoBody(bool hasNoBody)
 {
     m_engine->hasNoBody = hasNoBody;
+    m_engine->syntax.setNoBody(hasNoBody);
 }
 
 void message_parser::setMaxHead(byte_count maxHead)
--- a/src/http1/message_parser.h
+++ b/src/http1/message_parser.h
@@ -53,7 +53,7 @@
 };
 
 /// Parses HTTP/1.1 requests or responses from a byte stream with the http_parser library. Conflicting lengths and unknown transfer
-/// encodings are errors, to prevent request smuggling.
+/// encodings are errors, to prevent request smuggling. Responses are parsed as far as response_syntax lets them through.
 class message_parser
 {
 public:
--- a/src/http1/message_writer.cpp
+++ b/src/http1/message_writer.cpp
@@ -1,11 +1,12 @@
 #include "http1/message_writer.h"
 
+#include "http/field_syntax.h"
+
 #include <algorithm>
 #include <array>
 #include <charconv>
 
 #include <http_parser.h>
-#include <strings.h>
 
 namespace burdockshelf
 {
@@ -25,11 +26,6 @@
     "expect",
 };
 
-bool isSameName(std::string_view left, std::string_view right)
-{
-    return left.size() == right.size() && strncasecmp(left.data(), right.data(), left.size()) == 0;
-}
-
 std::string_view reasonPhrase(int status)
 {
     return http_status_str(static_cast<http_status>(status));
@@ -62,7 +58,7 @@
         while (!entry.empty() && entry.back() == ' ') {
             entry.remove_suffix(1);
         }
-        if (isSameName(entry, name)) {
+        if (isSameFieldName(entry, name)) {
             return true;
         }
         list = comma == std::string_view::npos ? std::string_view() : list.substr(comma + 1);
@@ -140,7 +136,7 @@
 bool isHopByHop(std::string_view name)
 {
     for (const std::string_view hop : hopByHopNames) {
-        if (isSameName(hop, name)) {
+        if (isSameFieldName(hop, name)) {
             return true;
         }
     }
--- a/tests/http1/invalid_response_test.cpp
+++ b/tests/http1/invalid_response_test.cpp
@@ -55,10 +55,33 @@
     return parser.state();
 }
 
+// The names of the samples that are not found to be broken, or of which more heads are acted on.
+std::string findAccepted(const std::vector<response_sample> &samples, int maxHeads)
+{
+    std::string accepted;
+    for (const response_sample &sample : samples) {
+        const std::string bytes = responseBytes(sample);
+        for (const std::size_t pieceSize : {std::size_t(1), std::size_t(7), bytes.size()}) {
+            received_response seen;
+            const parse_state state = parse(bytes, pieceSize, true, seen);
+            if (state != parse_state::broken || seen.isComplete || seen.heads > maxHeads) {
+                accepted += sample.name + ", in pieces of " + std::to_string(pieceSize) + "\n";
+            }
+        }
+    }
+    return accepted;
+}
+
 } // namespace
 
 TEST_GROUP(invalid_response) {};
 
+// Guards against bodies that are cut out of a response at another place than where its server ended them.
+TEST(invalid_response, isBrokenByItsFraming)
+{
+    STRCMP_EQUAL("", findAccepted(invalidFraming(), 1).c_str());
+}
+
 // The check must not refuse what ordinary servers send, and the result must not depend on how the bytes arrive.
 TEST(invalid_response, isToldFromAnUnusualOne)
 {
--- a/tests/support/response_samples.h
+++ b/tests/support/response_samples.h
@@ -156,6 +156,13 @@
         inChunks("size that ends in a carriage return", "8\rXdata:1\n\n\r\n0\r\n\r\n"),
         inChunks("line feed in an extension", "8;a\nb\r\ndata:1\n\n\r\n0\r\n\r\n"),
         inChunks("control byte in an extension", "8;a\x01\r\ndata:1\n\n\r\n0\r\n\r\n"),
+    };
+}
+
+/// Responses with a line among their trailers that is no field.
+inline std::vector<response_sample> invalidTrailers()
+{
+    return {
         inChunks("blank in the name of a trailer", "8\r\ndata:1\n\n\r\n0\r\nX Trace: a\r\n\r\n"),
         inChunks("trailer without a colon", "8\r\ndata:1\n\n\r\n0\r\nX-Trace\r\n\r\n"),
         inChunks("folded trailer", "8\r\ndata:1\n\n\r\n0\r\nX-Trace: a\r\n b\r\n\r\n"),
@@ -167,7 +174,7 @@
 inline std::vector<response_sample> invalidResponses()
 {
     std::vector<response_sample> all = invalidStatusLines();
-    for (const auto &more : {invalidFields(), invalidFraming()}) {
+    for (const auto &more : {invalidFields(), invalidTrailers(), invalidFraming()}) {
         all.insert(all.end(), more.begin(), more.end());
     }
     return all;
--- a/tests/system/invalid_responses_test.cpp
+++ b/tests/system/invalid_responses_test.cpp
@@ -168,6 +168,12 @@
     }
 };
 
+// Of the same kind: lengths and codings that a receiver and the endpoint may understand differently.
+TEST(invalid_responses, withInvalidFraming)
+{
+    checkFailures(invalidFraming());
+}
+
 // The report: an endpoint answered a long upload with a 200 without a length, sent a part of its body and reset the connection. Callers got
 // the part as a complete answer.
 TEST(invalid_responses, thatEndInAResetDuringAnUpload)
