Refuse responses whose status line is none

On withStatusesThatDoNotExist, with a gateway process, found 16 of 26 kinds of invalid status lines accepted, for safe, unsafe and streaming requests each:

- 000, 002, 099, numbers of one or two digits and 101 counted as interim responses.
Callers waited until their deadline, or got what came next on the connection (8 of the 16).
- 600 and 999 were passed on (2).
- 0200, two blanks before the status, HTTP/0.9 and HTTP/2.0, a control byte in the reason and a line break before the line were passed on as a 200 (6).

http_parser reads any number up to 999 as the status and skips what it doesn't know in a status line, and client_connection took every status below 200 for an interim one. response_syntax now takes a status line only as RFC 9112 has it: HTTP/1.x, one blank, three digits from 100 to 599 but not 101, since no request asks for another protocol. The one exception is a missing blank before an empty reason, which ordinary servers leave out.

--- a/src/http/response_syntax.cpp
+++ b/src/http/response_syntax.cpp
@@ -16,13 +16,23 @@
 // Longest line, as in http_parser. What sound servers send is far shorter.
 constexpr std::size_t maxLineBytes = 80 * 1024;
 
+constexpr std::string_view protocol = "HTTP/1.";
+constexpr std::size_t statusDigits = 3;
+constexpr int switchingProtocols = 101;
 constexpr int firstFinalStatus = 200;
 constexpr int noContent = 204;
 constexpr int notModified = 304;
+constexpr int minStatus = 100;
+constexpr int maxStatus = 599;
 
 constexpr int decimal = 10;
 constexpr int hexadecimal = 16;
 
+bool isDigit(char character)
+{
+    return character >= '0' && character <= '9';
+}
+
 // Reads a number of digits only; negative if the text is anything else or the number has more than 63 bits.
 std::int64_t readNumber(std::string_view text, int base)
 {
@@ -136,16 +146,27 @@
     (this->*checks[static_cast<std::size_t>(m_part)])(line);
 }
 
+// Some servers leave out the blank before an empty reason.
 void response_syntax::checkStatusLine(std::string_view line)
 {
-    // Servers may send line breaks before it.
-    if (line.empty()) {
+    constexpr std::size_t minorAt = protocol.size();
+    constexpr std::size_t statusAt = minorAt + 2;
+    constexpr std::size_t reasonAt = statusAt + statusDigits;
+    m_part = part::broken;
+    if (line.size() < reasonAt || !line.starts_with(protocol) || !isDigit(line[minorAt]) || line[minorAt + 1] != ' ') {
+        return;
+    }
+    const std::string_view digits = line.substr(statusAt, statusDigits);
+    const std::string_view reason = line.substr(reasonAt);
+    if (!std::all_of(digits.begin(), digits.end(), &isDigit) || !(reason.empty() || reason.front() == ' ') || !isFieldText(reason)) {
+        return;
+    }
+    m_status = static_cast<int>(readNumber(digits, decimal));
+    // No code here asks for another protocol.
+    if (m_status < minStatus || m_status > maxStatus || m_status == switchingProtocols) {
         return;
     }
-    const auto blank = std::min(line.find(' '), line.size());
-    const std::string_view status = withoutBlanks(line.substr(blank));
-    std::from_chars(status.data(), status.data() + status.size(), m_status);
-    m_isVersion10 = line.starts_with("HTTP/1.0");
+    m_isVersion10 = line[minorAt] == '0';
     m_part = part::field;
 }
 
--- a/tests/http1/invalid_response_test.cpp
+++ b/tests/http1/invalid_response_test.cpp
@@ -76,6 +76,12 @@
 
 TEST_GROUP(invalid_response) {};
 
+// Guards against a status that does not exist, which was read as an interim response or passed on; nothing of the head may be acted on.
+TEST(invalid_response, isBrokenByItsStatusLine)
+{
+    STRCMP_EQUAL("", findAccepted(invalidStatusLines(), 0).c_str());
+}
+
 // Guards against bodies that are cut out of a response at another place than where its server ended them.
 TEST(invalid_response, isBrokenByItsFraming)
 {
--- a/tests/system/invalid_responses_test.cpp
+++ b/tests/system/invalid_responses_test.cpp
@@ -168,6 +168,12 @@
     }
 };
 
+// The report: an endpoint answered with a status of 000, and callers got it as an answer.
+TEST(invalid_responses, withStatusesThatDoNotExist)
+{
+    checkFailures(invalidStatusLines());
+}
+
 // Of the same kind: lengths and codings that a receiver and the endpoint may understand differently.
 TEST(invalid_responses, withInvalidFraming)
 {
