Refuse responses with a line that is no field

On withFieldsThatAreNone, with a gateway process, found 10 of 23 kinds of such lines in responses that callers got as whole, for safe, unsafe and streaming requests each: blanks in, before and after a name, also in the name of the length, folded values, a control byte at the start of a value, and a bare carriage return for the end of the head. withTrailersThatAreNone found 3 of 4. Reservations and prefills were used although their responses had such a line (toReservations, toPrefills). Control bytes in a name were refused before.

http_parser as Debian builds it takes blanks for bytes of a name, joins folded values, and doesn't look at the first byte of a value. The check of names here was for callers' requests only.

response_syntax now takes a line of a head or a trailer only as RFC 9110 has it, before anything of the head is acted on. Requests and responses share one table of the bytes that a name may have.

--- a/src/http/response_syntax.cpp
+++ b/src/http/response_syntax.cpp
@@ -178,7 +178,12 @@
     }
     const auto colon = line.find(':');
     const std::string_view name = line.substr(0, colon);
-    const std::string_view value = colon == std::string_view::npos ? std::string_view() : withoutBlanks(line.substr(colon + 1));
+    // A folded line begins with a blank, and a line without a colon is a name only.
+    if (colon == std::string_view::npos || !isToken(name) || !isFieldText(line.substr(colon + 1))) {
+        m_part = part::broken;
+        return;
+    }
+    const std::string_view value = withoutBlanks(line.substr(colon + 1));
     if (m_part == part::field && isSameFieldName(name, "Content-Length")) {
         setLength(value);
     } else if (m_part == part::field && isSameFieldName(name, "Transfer-Encoding")) {
--- a/src/http1/message_parser.cpp
+++ b/src/http1/message_parser.cpp
@@ -1,9 +1,9 @@
 #include "http1/message_parser.h"
 
+#include "http/field_syntax.h"
 #include "http/response_syntax.h"
 
 #include <algorithm>
-#include <cstring>
 #include <utility>
 
 #include <http_parser.h>
@@ -19,11 +19,6 @@
 // A list of fields grows by doubling, so half of it may be unused.
 constexpr std::int64_t fieldCost = 2 * sizeof(http_header);
 
-bool hasSpace(const char *text, std::size_t size)
-{
-    return std::memchr(text, ' ', size) != nullptr || std::memchr(text, '\t', size) != nullptr;
-}
-
 } // namespace
 
 struct message_parser::engine
@@ -117,8 +112,9 @@
     int addField(const char *text, std::size_t size)
     {
         flushField();
-        // A space before the colon makes receivers disagree on the name of the field.
-        if (readsRequests && hasSpace(text, size)) {
+        // http_parser accepts blanks. One before the colon makes receivers disagree on the name of the field. A piece of a name may be
+        // empty.
+        if (readsRequests && size > 0 && !isToken({text, size})) {
             state = parse_state::broken;
             return 1;
         }
--- a/tests/http1/invalid_response_test.cpp
+++ b/tests/http1/invalid_response_test.cpp
@@ -82,6 +82,13 @@
     STRCMP_EQUAL("", findAccepted(invalidStatusLines(), 0).c_str());
 }
 
+// Guards against lines that http_parser takes for fields, such as names with blanks and folded values.
+TEST(invalid_response, isBrokenByALineThatIsNoField)
+{
+    STRCMP_EQUAL("", findAccepted(invalidFields(), 0).c_str());
+    STRCMP_EQUAL("", findAccepted(invalidTrailers(), 1).c_str());
+}
+
 // Guards against bodies that are cut out of a response at another place than where its server ended them.
 TEST(invalid_response, isBrokenByItsFraming)
 {
--- a/tests/system/invalid_responses_test.cpp
+++ b/tests/system/invalid_responses_test.cpp
@@ -174,12 +174,33 @@
     checkFailures(invalidStatusLines());
 }
 
+// The report: an endpoint sent a field whose name held a blank or a control byte, and callers got the line, or another body.
+TEST(invalid_responses, withFieldsThatAreNone)
+{
+    checkFailures(invalidFields());
+}
+
+TEST(invalid_responses, withTrailersThatAreNone)
+{
+    checkFailures(invalidTrailers());
+}
+
 // Of the same kind: lengths and codings that a receiver and the endpoint may understand differently.
 TEST(invalid_responses, withInvalidFraming)
 {
     checkFailures(invalidFraming());
 }
 
+TEST(invalid_responses, toReservations)
+{
+    checkGrantsNothing(&isReservation);
+}
+
+TEST(invalid_responses, toPrefills)
+{
+    checkGrantsNothing(&isPrefill);
+}
+
 // The report: an endpoint answered a long upload with a 200 without a length, sent a part of its body and reset the connection. Callers got
 // the part as a complete answer.
 TEST(invalid_responses, thatEndInAResetDuringAnUpload)
