Read what arrived before a reset when a write fails first

libevent calls the write first where a socket has both events, and byte_stream reported the failed write as the end of the connection, with the response still in the kernel. On reset_response found the four cases of 72 in which a whole response and the reset arrive together while the upload is queued or half sent. In the other direction nothing failed: no part of a body without a length counted as whole in any order.

After a failed write, byte_stream now reads what has arrived, and then reports the end as failed, never as orderly: the kernel reports the reset once, to the write, and an end of reading after it. Whether a response is whole follows from its framing alone. The connection is not used again, since the upload is unsent.

--- a/src/http1/byte_stream.cpp
+++ b/src/http1/byte_stream.cpp
@@ -18,6 +18,9 @@
 namespace
 {
 
+// More than the kernel holds of a connection.
+constexpr std::size_t maxRemainingBytes = 8 * 1024 * 1024;
+
 void setNoDelay(int socket)
 {
     const int on = 1;
@@ -173,8 +176,25 @@
         }
         return;
     }
-    const bool isClosed = (what & BEV_EVENT_EOF) != 0;
+    const bool isReadEnd = (what & BEV_EVENT_READING) != 0;
+    if (!isReadEnd && (bufferevent_get_enabled(stream->m_handle) & EV_READ) != 0) {
+        stream->readRemaining();
+    }
+    // Once a write has failed, the end of reading looks orderly also after a reset.
+    const bool isClosed = isReadEnd && (what & BEV_EVENT_EOF) != 0;
     stream->m_handlers.onEnded(isClosed ? stream_end_cause::closed : stream_end_cause::failed);
 }
 
+void byte_stream::readRemaining()
+{
+    evbuffer *input = bufferevent_get_input(m_handle);
+    const std::size_t before = receivedBytes();
+    evbuffer_unfreeze(input, 0);
+    while (receivedBytes() < maxRemainingBytes && evbuffer_read(input, bufferevent_getfd(m_handle), -1) > 0) { }
+    evbuffer_freeze(input, 0);
+    if (receivedBytes() > before) {
+        m_handlers.onReadable();
+    }
+}
+
 } // namespace burdockshelf
--- a/src/http1/byte_stream.h
+++ b/src/http1/byte_stream.h
@@ -69,6 +69,8 @@
     byte_stream(bufferevent *handle, handlers handlers);
 
     void shutDownWriting();
+    /// Reads what had arrived before a write failed, so that it does not matter which of the two the event loop notices first.
+    void readRemaining();
 
     static void onRead(bufferevent *handle, void *self);
     static void onWrite(bufferevent *handle, void *self);
