Show that nothing of an invalid response is believed

- thatClaimNotToHaveRun: callers got a 503, which promises that a request has not run, for refusals with a status of 999, a blank in the name of a field or an invalid chunk, though an endpoint had received the request; safe, unsafe and streaming, three kinds each.
- failsAtAnInvalidResponse, for the client that reads the store, load reports and orders: it accepted invalid responses, or waited until its deadline.
- A head with an invalid line in an interim response before the final one.

--- a/tests/gateway/raw_caller.h
+++ b/tests/gateway/raw_caller.h
@@ -34,6 +34,11 @@
         m_stream->write(bytes);
     }
 
+    void setReading(bool isReading)
+    {
+        m_stream->setReading(isReading);
+    }
+
     /// All bytes received, heads and framing included.
     const std::string &bytes() const
     {
--- a/tests/gateway/serial_http_client_test.cpp
+++ b/tests/gateway/serial_http_client_test.cpp
@@ -1,8 +1,12 @@
 #include "gateway/serial_http_client.h"
 
 #include "http/http_server.h"
+#include "standins/users_platform/scripted_endpoint.h"
+#include "support/response_samples.h"
 
 #include <optional>
+#include <string>
+#include <vector>
 
 #include <CppUTest/TestHarness.h>
 
@@ -86,3 +90,28 @@
     CHECK(slow.isComplete == std::optional<bool>(false));
     CHECK(boot_clock::now() - begun < 2s);
 }
+
+// The store, load reports and orders are read through this client. Guards against an invalid response that counts as an acknowledgement or
+// as records, and against another call on its connection.
+TEST(serial_http_client, failsAtAnInvalidResponse)
+{
+    event_loop loop;
+    scripted_endpoint server(loop);
+    std::string answer;
+    server.setRequestHandler([&](scripted_connection &from, const http_request &) { from.write(answer); });
+    serial_http_client client(loop, server.address(), deadline_scope::start_of_response);
+    std::string accepted;
+    const std::vector<response_sample> samples = invalidResponses();
+    for (const response_sample &sample : samples) {
+        answer = responseBytes(sample);
+        client.begin(
+            {"GET", "/x", {}, ""}, deadline::after(boot_clock::now(), 5s), byte_count(1024), [&](const outcome<http_response> &response) {
+                const bool isTold = response.has_error() && response.error().code == error_code::connection_lost;
+                accepted += isTold ? "" : sample.name + "\n";
+                loop.stop();
+            });
+        loop.run();
+    }
+    STRCMP_EQUAL("", accepted.c_str());
+    LONGS_EQUAL(samples.size(), server.connectionCount());
+}
--- a/tests/support/response_samples.h
+++ b/tests/support/response_samples.h
@@ -116,6 +116,8 @@
         withLine("NUL in a value", "X-Trace: a\0b"s),
         withLine("DEL at the end of a value", "X-Trace: a\x7f"),
         withLine("carriage return in a value", "X-Trace: a\rb"),
+        {"blank in a name of an interim response",
+         "HTTP/1.1 103 Early Hints\r\nX Trace: a\r\n\r\nHTTP/1.1 200 OK\r\n{fields}Content-Length: 8\r\n\r\ndata:1\n\n"},
         {"carriage return without a line feed at the end", "HTTP/1.1 200 OK\r\n{fields}Content-Length: 8\r\n\rXdata:1\n\n"},
     };
 }
@@ -159,6 +161,17 @@
     };
 }
 
+/// Refusals that state that the request was not executed, but are no valid responses, so that nothing of them may be believed.
+inline std::vector<response_sample> invalidRefusals()
+{
+    const std::string fields = "{fields}X-Not-Executed: 1\r\n";
+    return {
+        {"refusal with a status of 999", "HTTP/1.1 999 Full\r\n" + fields + "Content-Length: 0\r\n\r\n"},
+        {"refusal with a blank in a name", "HTTP/1.1 503 Full\r\n" + fields + "X Trace: a\r\nContent-Length: 0\r\n\r\n"},
+        {"refusal with an invalid chunk", "HTTP/1.1 503 Full\r\n" + fields + "Transfer-Encoding: chunked\r\n\r\n1\r\naXX0\r\n\r\n"},
+    };
+}
+
 /// Responses with a line among their trailers that is no field.
 inline std::vector<response_sample> invalidTrailers()
 {
--- a/tests/system/invalid_responses_test.cpp
+++ b/tests/system/invalid_responses_test.cpp
@@ -191,6 +191,12 @@
     checkFailures(invalidFraming());
 }
 
+// Nothing of an invalid response is believed: the request may have run, and must not be sent to a second endpoint.
+TEST(invalid_responses, thatClaimNotToHaveRun)
+{
+    checkFailures(invalidRefusals());
+}
+
 TEST(invalid_responses, toReservations)
 {
     checkGrantsNothing(&isReservation);
@@ -217,6 +223,34 @@
     STRCMP_EQUAL("", found.c_str());
 }
 
+// Guards against a response whose end is told by what has reached the caller: this one reads nothing until the endpoint has ended its
+// response, so that most of the body waits at the gateway.
+TEST(invalid_responses, thatEndInAResetBeforeTheCallerReads)
+{
+    prepare({});
+    constexpr std::size_t shortUploadBytes = 64 * 1024;
+    constexpr std::size_t events = 30'000;
+    const std::string body = repeatedText(sampleBody, events);
+    for (const bool isReset : {false, true}) {
+        scripted_connection *sender = nullptr;
+        site.setUploadHandler(shortUploadBytes, [&](scripted_connection &from, const http_request &request) {
+            from.write("HTTP/1.1 200 OK\r\nX-Server-Seal: seal\r\nX-Attempt-Id: " + std::string(request.headers.value("X-Attempt-Id"))
+                       + "\r\n\r\n" + body);
+            sender = &from;
+        });
+        raw_caller &caller = site.send("POST", "/text/x", "u", shortUploadBytes);
+        caller.setReading(false);
+        CHECK_TRUE(site.waitFor([&] { return sender != nullptr && sender->sentBytes() > body.size(); }));
+        isReset ? sender->reset() : sender->finishWriting();
+        caller.setReading(true);
+        CHECK_TRUE(site.waitFor([&] { return caller.isDone(); }));
+        CHECK_EQUAL(!isReset, isComplete(caller, statusOk));
+        CHECK(body.starts_with(caller.body()));
+        CHECK(isReset || caller.body().size() == body.size());
+        site.leave();
+    }
+}
+
 // Responses that ordinary servers may send must pass as they are.
 TEST(invalid_responses, areToldFromUnusualOnes)
 {
