Reuse no connection of the product's client with bytes left over

Bytes that a server sends after a response, in the same segment, were taken for the response to the next request on that connection: evhttp keeps them.

http_client now looks into the buffer of a connection before it keeps or reuses it, and closes one that has bytes left.

The test evhttpGivesSurplusBytesToTheNextRequest, which showed the fault as a reason to call endpoints through client_connection, said that the second request doesn't get its response; this is no longer so. isNotTheOneOfTheNextRequest takes its place and demands that it does, for a second response, a line break and a single byte after the first.

--- a/src/http/http_client.cpp
+++ b/src/http/http_client.cpp
@@ -111,6 +111,12 @@
     connection(const connection &) = delete;
     connection &operator=(const connection &) = delete;
 
+    // evhttp keeps bytes that arrived after a response, and would take them for the next one.
+    bool isReusable() const
+    {
+        return !isClosed && evbuffer_get_length(bufferevent_get_input(evhttp_connection_get_bufferevent(handle))) == 0;
+    }
+
     static void onClose(evhttp_connection * /*handle*/, void *self)
     {
         static_cast<connection *>(self)->isClosed = true;
@@ -372,7 +378,7 @@
     while (!m_idle.empty()) {
         std::unique_ptr<connection> candidate = std::move(m_idle.back());
         m_idle.pop_back();
-        if (!candidate->isClosed) {
+        if (candidate->isReusable()) {
             candidate->hasSent = false;
             return candidate;
         }
@@ -392,7 +398,7 @@
     if (ended->request != nullptr) {
         evhttp_cancel_request(ended->request);
     }
-    if (keepConnection && !ended->connectionInUse->isClosed && m_idle.size() < maxIdleConnections) {
+    if (keepConnection && ended->connectionInUse->isReusable() && m_idle.size() < maxIdleConnections) {
         m_idle.push_back(std::move(ended->connectionInUse));
     } else {
         discard(std::move(ended->connectionInUse));
--- a/tests/http/invalid_response_test.cpp
+++ b/tests/http/invalid_response_test.cpp
@@ -18,7 +18,7 @@
 
 constexpr auto callLimit = 5s;
 
-/// A server that answers every request with the same bytes, and a client with one call at a time.
+/// A server that answers every request with the same bytes, and clients with one call at a time.
 struct answered_call
 {
     event_loop loop;
@@ -33,6 +33,12 @@
     }
 
     http_call_result call(const std::string &bytes, bool endsAtClose, bool isStream)
+    {
+        http_client client(loop, server.address());
+        return call(client, bytes, endsAtClose, isStream);
+    }
+
+    http_call_result call(http_client &client, const std::string &bytes, bool endsAtClose, bool isStream)
     {
         server.setRequestHandler([bytes, endsAtClose](scripted_connection &from, const http_request &) {
             from.write(bytes);
@@ -40,7 +46,6 @@
                 from.finishWriting();
             }
         });
-        http_client client(loop, server.address());
         std::optional<http_call_result> result;
         http_call_handlers handlers;
         streamed.clear();
@@ -133,3 +138,16 @@
         }
     }
 }
+
+// Guards against bytes after a response that are taken for the response to the next request. evhttp keeps them.
+TEST(invalid_response, isNotTheOneOfTheNextRequest)
+{
+    const std::string next = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nnext";
+    const std::string surplus = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nextra";
+    for (const std::string &more : {surplus, std::string("\r\n"), std::string("x")}) {
+        http_client client(calls.loop, calls.server.address());
+        CHECK_TRUE(calls.call(client, next + more, false, false).has_value());
+        const http_call_result second = calls.call(client, next, false, false);
+        STRCMP_EQUAL("next", second ? second.value().body.c_str() : "failed");
+    }
+}
--- a/tests/http1/client_connection_test.cpp
+++ b/tests/http1/client_connection_test.cpp
@@ -1,6 +1,5 @@
 #include "http1/client_connection.h"
 
-#include "http/http_client.h"
 #include "runtime/timer.h"
 
 #include <optional>
@@ -125,29 +124,6 @@
     CHECK_FALSE(connection.isReusable(boot_clock::now()));
 }
 
-// Shows why endpoints are not called through evhttp: its client keeps surplus bytes and delivers them as the response to the next request.
-TEST(client_connection, evhttpGivesSurplusBytesToTheNextRequest)
-{
-    scripted_server server;
-    const std::string surplus = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nextra";
-    server.responses = {"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok" + surplus, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nnext"};
-    http_client client(server.loop, server.address);
-    std::vector<std::string> bodies;
-    const auto call = [&] {
-        http_call_handlers handlers;
-        handlers.onDone = [&](const http_call_result &result) {
-            bodies.push_back(result ? result.value().body : "failed");
-            server.loop.stop();
-        };
-        client.send({"GET", "/", {{"Host", "h"}}, ""}, std::move(handlers), deadline::after(boot_clock::now(), testTimeout));
-        server.loop.run();
-    };
-    call();
-    call();
-    STRCMP_EQUAL("ok", bodies[0].c_str());
-    CHECK(bodies[1] != "next");
-}
-
 // Guards against a late second response to another request that is taken for the response to this request.
 TEST(client_connection, skipsAResponseToAnotherRequest)
 {
