--- a/src/http/field_syntax.cpp
+++ b/src/http/field_syntax.cpp
@@ -56,7 +56,7 @@
     return consistsOf(textBytes, text);
 }
 
-bool isSameFieldName(std::string_view left, std::string_view right)
+bool isSameIgnoringCase(std::string_view left, std::string_view right)
 {
     return left.size() == right.size() && strncasecmp(left.data(), right.data(), left.size()) == 0;
 }
--- a/src/http/http_message.cpp
+++ b/src/http/http_message.cpp
@@ -20,18 +20,18 @@
 
 void http_headers::remove(std::string_view name)
 {
-    std::erase_if(m_fields, [name](const http_header &field) { return isSameFieldName(field.name, name); });
+    std::erase_if(m_fields, [name](const http_header &field) { return isSameIgnoringCase(field.name, name); });
 }
 
 bool http_headers::has(std::string_view name) const
 {
-    return std::any_of(m_fields.begin(), m_fields.end(), [name](const http_header &field) { return isSameFieldName(field.name, name); });
+    return std::any_of(m_fields.begin(), m_fields.end(), [name](const http_header &field) { return isSameIgnoringCase(field.name, name); });
 }
 
 std::string_view http_headers::value(std::string_view name) const
 {
     for (const http_header &field : m_fields) {
-        if (isSameFieldName(field.name, name)) {
+        if (isSameIgnoringCase(field.name, name)) {
             return field.value;
         }
     }
--- a/src/http/response_syntax.cpp
+++ b/src/http/response_syntax.cpp
@@ -190,9 +190,9 @@
         return;
     }
     const std::string_view value = withoutBlanks(line.substr(colon + 1));
-    if (m_part == part::field && isSameFieldName(name, "Content-Length")) {
+    if (m_part == part::field && isSameIgnoringCase(name, "Content-Length")) {
         setLength(value);
-    } else if (m_part == part::field && isSameFieldName(name, "Transfer-Encoding")) {
+    } else if (m_part == part::field && isSameIgnoringCase(name, "Transfer-Encoding")) {
         setCoding(value);
     }
 }
@@ -209,7 +209,7 @@
 // Requests do not say that another coding is accepted, so no other may be used.
 void response_syntax::setCoding(std::string_view value)
 {
-    if (m_isChunked || !isSameFieldName(value, "chunked")) {
+    if (m_isChunked || !isSameIgnoringCase(value, "chunked")) {
         m_part = part::broken;
     }
     m_isChunked = true;
--- a/src/http/response_syntax.h
+++ b/src/http/response_syntax.h
@@ -28,7 +28,7 @@
     bool isComplete() const;
     /// The body has no length and extends to the end of the connection.
     bool isBodyWithoutLength() const;
-    /// The response is an interim one (1xx), which another one follows.
+    /// The response is an interim one (1xx), which another one follows. To be called once it is complete.
     bool isInterim() const;
 
 private:
--- a/src/http1/message_writer.cpp
+++ b/src/http1/message_writer.cpp
@@ -58,7 +58,7 @@
         while (!entry.empty() && entry.back() == ' ') {
             entry.remove_suffix(1);
         }
-        if (isSameFieldName(entry, name)) {
+        if (isSameIgnoringCase(entry, name)) {
             return true;
         }
         list = comma == std::string_view::npos ? std::string_view() : list.substr(comma + 1);
@@ -136,7 +136,7 @@
 bool isHopByHop(std::string_view name)
 {
     for (const std::string_view hop : hopByHopNames) {
-        if (isSameFieldName(hop, name)) {
+        if (isSameIgnoringCase(hop, name)) {
             return true;
         }
     }
