Demand that uploads are run once, and that calls fail before their deadline

thatEndInAResetDuringAnUpload did not check that an endpoint had received the upload, nor that one that can't be repeated ran once; failsItsCall took a deadline that had passed for a failure.

--- a/tests/http/invalid_response_test.cpp
+++ b/tests/http/invalid_response_test.cpp
@@ -82,8 +82,10 @@
     {
         for (const bool isStream : {false, true}) {
             const http_call_result result = calls.call(responseBytes(sample), true, isStream);
-            if (result.has_value()) {
-                found += sample.name + ": " + std::to_string(result.value().status) + (isStream ? " as a stream\n" : "\n");
+            // It has to be told by the response, and not by the deadline of the call.
+            if (result.has_value() || result.error().cause.code == error_code::deadline_exceeded) {
+                const std::string got = result ? std::to_string(result.value().status) : result.error().cause.message;
+                found += sample.name + ": " + got + (isStream ? " as a stream\n" : "\n");
             }
         }
     }
--- a/tests/system/invalid_responses_test.cpp
+++ b/tests/system/invalid_responses_test.cpp
@@ -49,6 +49,7 @@
     std::vector<faulty_response> faults;
     /// What the test has found, a line each.
     std::string found;
+    int lastUpload = 0;
 
     void prepare(std::vector<response_sample> chosen)
     {
@@ -158,11 +159,14 @@
         });
         for (const request_kind &kind :
              std::array<request_kind, 3> {{{"POST", "/safe/x", true}, {"POST", "/unsafe/x"}, {"POST", "/text/x"}}}) {
-            const raw_caller &caller = site.send(kind.method, kind.target, "u", uploadBytes);
+            const std::string id = "u" + std::to_string(++lastUpload) + "-";
+            const raw_caller &caller = site.send(kind.method, kind.target, id, uploadBytes);
             CHECK_TRUE(site.waitFor([&] { return caller.isDone(); }));
             const std::string name = std::string(kind.target) + " after " + std::to_string(afterBytes) + " bytes and "
                 + std::to_string(pause.count()) + " ms, " + framing;
             expect(!isComplete(caller, statusOk), name, "looks complete: " + caller.body());
+            expect(site.hasRunWithIdStart(id), name, "reached no endpoint, got " + std::to_string(caller.status()));
+            expect(kind.isRepeatable || site.runCount(id) <= 1, name, "ran twice");
             expect(!statusPromisesNotRun(caller.status()), name, "has run and got " + std::to_string(caller.status()));
             site.leave();
         }
