Read a topic anew when its records could not be delivered

A configuration that was read while the dispatcher's mailbox was full never came into force at that instance, and an endpoint that had said that it leaves stayed in use, until the key was written again.

Cause: store_task logged that the message was dropped, and topic_follower counted the records as reported. The check of all newest records compares with what was read, so it does not find the loss either.

The mailbox takes 65536 messages; that it was ever full at the users' is not shown.

Change: the receiver of updates says whether it delivered them. If not, the follower reads all newest records again after 100 ms, until they have been delivered.

--- a/src/gateway/store_task.cpp
+++ b/src/gateway/store_task.cpp
@@ -148,7 +148,7 @@
             m_to.calls,
             topic,
             topic_relays {m_relayClient, m_relay, m_gate},
-            [this](dispatch_message update) { post(std::move(update)); },
+            [this](dispatch_message update) { return post(std::move(update)); },
             [this](bool isReachable) { recordContact(isReachable); },
             m_log,
             m_random));
@@ -324,11 +324,13 @@
     }
 }
 
-void store_task::post(dispatch_message message)
+bool store_task::post(dispatch_message message)
 {
-    if (m_to.dispatcher.post(std::move(message)) != post_result::delivered) {
+    const bool isDelivered = m_to.dispatcher.post(std::move(message)) == post_result::delivered;
+    if (!isDelivered) {
         m_log.write(log_line("store", "message_dropped").add("receiver", "dispatcher"));
     }
+    return isDelivered;
 }
 
 } // namespace burdockshelf
--- a/src/gateway/store_task.h
+++ b/src/gateway/store_task.h
@@ -75,7 +75,8 @@
     void chooseReader();
     void requestHolders();
     void recordContact(bool isReachable);
-    void post(dispatch_message message);
+    /// Returns whether the message was delivered to the dispatcher.
+    bool post(dispatch_message message);
 
     store_settings m_settings;
     const store_dialect &m_dialect;
--- a/src/gateway/topic_follower.cpp
+++ b/src/gateway/topic_follower.cpp
@@ -266,10 +266,14 @@
         listed[record.key] = isOlder ? known->second : newest_record {record.offset, false};
     }
     if (!isCheck || hasUnreportedChange(listed)) {
+        if (!m_onUpdate(topic_snapshot {m_settings.topic, std::exchange(m_page, {}), storeSilence(now)})) {
+            m_relays.relay.markNotReading(m_settings.topic);
+            readAnew();
+            return;
+        }
         m_newest = std::move(listed);
         m_position = m_pageEnd;
         m_relays.relay.recordSnapshot(m_settings.topic, m_position, now);
-        m_onUpdate(topic_snapshot {m_settings.topic, std::exchange(m_page, {}), storeSilence(now)});
     }
     recordUpToDate(now);
     scheduleNextCall(milliseconds::zero());
@@ -320,8 +324,13 @@
         return;
     }
     const instant now = boot_clock::now();
-    applyRecords(std::move(batch.value().records), now);
+    const bool isDelivered = applyRecords(std::move(batch.value().records), now);
     m_relays.relay.recordContact(m_settings.topic, now);
+    if (!isDelivered) {
+        recordSuccess();
+        readAnew();
+        return;
+    }
     const bool hasMore = m_position < batch.value().end;
     if (!hasMore) {
         recordSuccess();
@@ -330,10 +339,10 @@
     scheduleNextCall(hasMore ? milliseconds::zero() : pollTiming(now).pause);
 }
 
-void topic_follower::applyRecords(std::vector<store_record> &&records, instant now)
+bool topic_follower::applyRecords(std::vector<store_record> &&records, instant now)
 {
     if (records.empty()) {
-        return;
+        return true;
     }
     for (store_record &record : records) {
         record.offset = m_position;
@@ -341,7 +350,13 @@
         m_newest[record.key] = {record.offset, !record.value.has_value()};
     }
     m_relays.relay.recordUpdates(m_settings.topic, records);
-    m_onUpdate(topic_update {m_settings.topic, std::move(records), storeSilence(now)});
+    return m_onUpdate(topic_update {m_settings.topic, std::move(records), storeSilence(now)});
+}
+
+void topic_follower::readAnew()
+{
+    m_fullReadCause = full_read_cause::needed;
+    scheduleNextCall(undeliveredRetryDelay);
 }
 
 void topic_follower::handleRelayed(const instance_id &reader, const outcome<peer_records_response> &response)
@@ -380,7 +395,10 @@
     }
     m_onContact(true);
     recordSuccess();
-    applyRecords(std::move(records), now);
+    if (!applyRecords(std::move(records), now)) {
+        readAnew();
+        return;
+    }
     recordUpToDate(now - read.age);
     scheduleNextCall(m_settings.askPause);
 }
--- a/src/gateway/topic_follower.h
+++ b/src/gateway/topic_follower.h
@@ -65,7 +65,8 @@
 class topic_follower
 {
 public:
-    using update_handler = std::function<void(dispatch_message)>;
+    /// Passes records on to the dispatcher; returns false if they could not be delivered. The topic is then read anew after a pause.
+    using update_handler = std::function<bool(dispatch_message)>;
     /// Called with true after a valid response of the store, including that the requested records are no longer stored, and after records
     /// from another instance were accepted; with false after a call to the store that failed or whose response could not be decoded. Not
     /// called when a response of another instance is unusable or shows that the newest records have to be read at the store.
@@ -73,6 +74,8 @@
 
     /// Longest pause before a failed call is repeated.
     static constexpr std::chrono::milliseconds maxRetryDelay {400};
+    /// Pause before a topic is read anew whose records could not be delivered.
+    static constexpr std::chrono::milliseconds undeliveredRetryDelay {100};
 
     topic_follower(event_loop &loop,
                    const socket_address &store,
@@ -109,7 +112,10 @@
     bool mayHaveMissedChange(const peer_records_response &response, instant now) const;
     /// Returns why a response of another instance cannot be used, or an empty string if it can.
     std::string_view unusableReason(const outcome<peer_records_response> &response) const;
-    void applyRecords(std::vector<store_record> &&records, instant now);
+    /// Returns false if the records could not be delivered.
+    bool applyRecords(std::vector<store_record> &&records, instant now);
+    /// Reads all newest records after a pause, because records that were read could not be delivered.
+    void readAnew();
     /// True while other instances request records of any topic from this one.
     bool isRelaying(instant now) const;
     /// True when the topic is to be read at the store and not through another instance.
