Recompute cold limits when the plan or the instances change

A cold endpoint could get many times the requests that it bears: all that came, when its service was added by a plan read after its entry; the old rate, when a plan changed it; and the whole rate from each instance, when its entry was read before the reports of the other instances, as after a restart of all.

Cause: the limit was computed only when an entry arrived, from the plan and the instances known then, and stood until the entry was written again, one heartbeat later. With an unknown service the endpoint even counted as warm.

Evidence: gateway_test -g cold_endpoints fails 3 of 3 tests before.

Change: the table keeps what the entry says apart from the limit that follows from it, and recomputes the limits of cold endpoints when a plan comes into force and when the set of instances changes.

Result: the three tests pass; forwarding_test passes, 165 tests.

--- a/src/forwarding/endpoint_table.cpp
+++ b/src/forwarding/endpoint_table.cpp
@@ -53,7 +53,7 @@
             known = entry;
             endpoint.isListed = true;
             if (entry.coldRemaining > milliseconds::zero()) {
-                endpoint.coldUntil = deadline::after(now, entry.coldRemaining);
+                endpoint.registeredColdUntil = deadline::after(now, entry.coldRemaining);
                 setColdStartLimit(endpoint, service, now);
             }
             return isChanged;
@@ -65,7 +65,7 @@
     auto added = std::make_unique<endpoint_state>();
     added->entry = entry;
     if (entry.coldRemaining > milliseconds::zero()) {
-        added->coldUntil = deadline::after(now, entry.coldRemaining);
+        added->registeredColdUntil = deadline::after(now, entry.coldRemaining);
     }
     added->coldStartBucket = fractional_token_bucket(0.0, 1.0, now);
     setColdStartLimit(*added, service, now);
@@ -98,9 +98,22 @@
     }
 }
 
-void endpoint_table::setInstances(std::vector<instance_id> instances)
+void endpoint_table::setInstances(std::vector<instance_id> instances, instant now)
 {
+    if (instances == m_instances) {
+        return;
+    }
     m_instances = std::move(instances);
+    for (const auto &[id, endpoint] : m_endpoints) {
+        setColdStartShare(*endpoint, now);
+    }
+}
+
+void endpoint_table::setColdRates(const plan_index &plan, instant now)
+{
+    for (const auto &[id, endpoint] : m_endpoints) {
+        setColdStartLimit(*endpoint, plan.findService(endpoint->entry.service), now);
+    }
 }
 
 const endpoint_state *endpoint_table::choose(const service_id &service,
@@ -314,11 +327,17 @@
 
 void endpoint_table::setColdStartLimit(endpoint_state &endpoint, const traffic_service *service, instant now) const
 {
-    const double rate = service == nullptr ? 0.0 : service->coldRequestsPerSecond;
-    if (rate <= 0.0) {
-        endpoint.coldUntil = deadline();
+    endpoint.coldRate = service == nullptr ? 0.0 : service->coldRequestsPerSecond;
+    endpoint.coldUntil = endpoint.coldRate > 0.0 ? endpoint.registeredColdUntil : deadline();
+    setColdStartShare(endpoint, now);
+}
+
+void endpoint_table::setColdStartShare(endpoint_state &endpoint, instant now) const
+{
+    if (endpoint.coldUntil.hasPassed(now)) {
         return;
     }
+    const double rate = endpoint.coldRate;
     // Besides its part of the rate, each sharer may send one request immediately, so the number of sharers is limited by the tolerated
     // burst.
     const auto burst = static_cast<std::int64_t>(rate * (m_settings.cold.rateFactor - 1.0)) + m_settings.cold.fixedAllowance;
--- a/src/forwarding/endpoint_table.h
+++ b/src/forwarding/endpoint_table.h
@@ -49,7 +49,12 @@
 struct endpoint_state
 {
     endpoint_entry entry;
+    /// Until when the endpoint is cold according to its entry.
+    deadline registeredColdUntil;
+    /// Until when its requests are limited; has passed if the service sets no cold rate.
     deadline coldUntil;
+    /// Requests per second that the endpoint bears while cold, over all instances.
+    double coldRate = 0.0;
     /// This instance's share of the request rate that the endpoint bears while cold.
     fractional_token_bucket coldStartBucket;
     std::int64_t outstanding = 0;
@@ -135,7 +140,7 @@
     bool remove(const endpoint_id &endpoint);
     void setEvacuated(std::set<data_centre_id> dataCentres);
     /// The instances among which the cold rates are split, including this one.
-    void setInstances(std::vector<instance_id> instances);
+    void setInstances(std::vector<instance_id> instances, instant now);
 
     /// The best endpoint for an attempt of the given kind, leaving out the excluded ones; null when no endpoint may receive it.
     const endpoint_state *choose(const service_id &service,
@@ -191,6 +196,8 @@
     std::int64_t countSpilling() const;
     /// The latency targets of the services.
     void setTargets(const traffic_plan &plan);
+    /// The rates that the endpoints of the services bear while cold.
+    void setColdRates(const plan_index &plan, instant now);
     /// The endpoint has no capacity for a reservation at present.
     void noteFull(const endpoint_id &endpoint, instant now);
     /// The result of a prefill at the endpoint could not be fetched.
@@ -293,6 +300,8 @@
                        instant now);
     void noteSeen(const endpoint_state &endpoint);
     void setColdStartLimit(endpoint_state &endpoint, const traffic_service *service, instant now) const;
+    /// Sets this instance's share of the endpoint's cold rate.
+    void setColdStartShare(endpoint_state &endpoint, instant now) const;
     /// True when this instance is one of the count instances that share the endpoint's cold rate.
     bool isAmongSharers(const endpoint_id &endpoint, std::int64_t count) const;
 
--- a/src/gateway/fleet_state.cpp
+++ b/src/gateway/fleet_state.cpp
@@ -53,7 +53,7 @@
     if (m_instanceCount != before) {
         m_log.write(log_line("dispatch", "instances_changed").add("count", m_instanceCount).add("before", before));
     }
-    m_endpoints.setInstances(std::move(instances));
+    m_endpoints.setInstances(std::move(instances), now);
 }
 
 bool fleet_state::hasInitialState() const
@@ -146,6 +146,7 @@
     }
     m_plan = std::make_shared<const plan_index>(std::move(plan));
     m_endpoints.setTargets(m_plan->plan());
+    m_endpoints.setColdRates(*m_plan, now);
     m_log.write(log_line("dispatch", "plan_in_force")
                     .add("plan", m_plan->plan().version)
                     .add("before", known)
--- a/tests/forwarding/endpoint_pace_test.cpp
+++ b/tests/forwarding/endpoint_pace_test.cpp
@@ -39,7 +39,7 @@
         for (int i = 0; i < instanceCount; ++i) {
             instances.emplace_back("i" + std::to_string(i));
         }
-        endpoints.setInstances(instances);
+        endpoints.setInstances(instances, now);
     }
 
     void serve(const std::string &name, health_verdict verdict, const endpoint_load &load, boot_clock::duration time = 50ms)
@@ -334,7 +334,7 @@
         }
         for (std::size_t i = 0; i < count; ++i) {
             fleet[i].endpoints = endpoint_table({names[i], home, {1.5, 5}, true});
-            fleet[i].endpoints.setInstances(names);
+            fleet[i].endpoints.setInstances(names, now);
             fleet[i].endpoints.put(entryOf("p1", home), nullptr, now);
             fleet[i].serve("p1", health_verdict::good, usualLoad);
             fleet[i].endpoints.put(entryOf("p2", home), nullptr, now);
--- a/tests/forwarding/endpoint_table_test.cpp
+++ b/tests/forwarding/endpoint_table_test.cpp
@@ -108,7 +108,7 @@
             int taken = 0;
             for (const instance_id &self : names) {
                 endpoint_table table({self, data_centre_id("dc-a"), tolerance});
-                table.setInstances(names);
+                table.setInstances(names, fixture.now);
                 table.put(cold, &service, fixture.now);
                 for (auto after = 0ms; after < 1000ms; after += 10ms) {
                     taken += table.takeColdStartToken(cold.id, fixture.now + after) ? 1 : 0;
--- a/tests/forwarding/plan_fixture.h
+++ b/tests/forwarding/plan_fixture.h
@@ -53,7 +53,7 @@
         for (int i = 0; i < count; ++i) {
             names.emplace_back("i" + std::to_string(i));
         }
-        endpoints.setInstances(std::move(names));
+        endpoints.setInstances(std::move(names), now);
     }
 
     static traffic_service service(const std::string &name, bool isEngine)
--- a/tests/gateway/gateway_test.cpp
+++ b/tests/gateway/gateway_test.cpp
@@ -382,6 +382,96 @@
     LONGS_EQUAL(10, fleet.instanceCount());
 }
 
+namespace
+{
+
+/// An instance's view of a cold endpoint of the service "plain", and of nine other instances.
+struct cold_endpoint_fixture
+{
+    platform_adapter adapter;
+    instant now = boot_clock::now();
+    fleet_state fleet {{instance_id("me"), data_centre_id("z"), {1.0, 100}}, {}, adapter.dialects().records, {}};
+
+    void applyPlan(int version, const std::string &services)
+    {
+        const std::string plan = R"({"version":)" + std::to_string(version) + R"(,"routes":[],"services":)" + services + "}";
+        fleet.change(store_topic::operators, {{"config", plan, store_offset(version)}}, {now, {}});
+    }
+
+    void registerEndpoint()
+    {
+        const std::string entry =
+            R"({"service":"plain","address":"127.0.0.1:1","zone":"z","slots":8,"state":"ready","cold_left_ms":9000,"born":10})";
+        fleet.change(store_topic::endpoints, {{"p", entry, store_offset(1)}}, {now, {}});
+    }
+
+    void registerOtherInstances()
+    {
+        std::vector<store_record> others;
+        for (int i = 0; i < 9; ++i) {
+            const member_report report = {incarnation_id("x" + std::to_string(i)), 1};
+            others.push_back({"other-" + std::to_string(i), encodeMemberReport(report), store_offset(i)});
+        }
+        fleet.reset(store_topic::members, others, {now, {}});
+    }
+
+    /// Requests that this instance may send to the endpoint within a second.
+    int countRequests()
+    {
+        int taken = 0;
+        for (const instant end = now + 1s; now < end; now += 5ms) {
+            taken += fleet.endpoints().takeColdStartToken(endpoint_id("p"), now) ? 1 : 0;
+        }
+        return taken;
+    }
+};
+
+} // namespace
+
+// Guards against cold endpoints that get more than they bear until their entries are written again, because their limit was computed only
+// when an entry arrived (FAILBACK).
+TEST_GROUP(cold_endpoints)
+{
+    cold_endpoint_fixture fixture;
+};
+
+TEST(cold_endpoints, areLimitedWhenANewerPlanNamesTheirService)
+{
+    fixture.applyPlan(1, R"([{"name":"other"}])");
+    fixture.registerEndpoint();
+    fixture.applyPlan(4, R"([{"name":"plain","cold_per_s":10}])");
+    const int taken = fixture.countRequests();
+    CHECK(taken >= 9);
+    CHECK(taken <= 11);
+}
+
+TEST(cold_endpoints, followARateThatANewerPlanChanges)
+{
+    fixture.applyPlan(1, R"([{"name":"plain","cold_per_s":40}])");
+    fixture.registerEndpoint();
+    fixture.applyPlan(4, R"([{"name":"plain","cold_per_s":10}])");
+    const int taken = fixture.countRequests();
+    CHECK(taken >= 9);
+    CHECK(taken <= 11);
+    fixture.applyPlan(7, R"([{"name":"plain","cold_per_s":20}])");
+    CHECK(fixture.countRequests() >= 18);
+    fixture.applyPlan(9, R"([{"name":"plain"}])");
+    LONGS_EQUAL(200, fixture.countRequests());
+    fixture.applyPlan(10, R"([{"name":"plain","cold_per_s":10}])");
+    CHECK(fixture.countRequests() <= 11);
+}
+
+// The endpoints may be read before the reports of the other instances, for example after a restart of all instances.
+TEST(cold_endpoints, areSharedWithInstancesThatBecomeKnownLater)
+{
+    fixture.applyPlan(1, R"([{"name":"plain","cold_per_s":40}])");
+    fixture.registerEndpoint();
+    fixture.registerOtherInstances();
+    const int taken = fixture.countRequests();
+    CHECK(taken >= 3);
+    CHECK(taken <= 5);
+}
+
 TEST_GROUP(registration_grace_list)
 {
     const registration_grace_settings bounds = {3000ms, 2000ms};
