Repeat what follows from a plan until it is delivered

Quotas, the callers' limits and the limits of connections stayed those of an older plan while routes and keys followed the newer one, and shares of quotas those of another number of instances.

Cause: the dispatcher recorded a plan as published before it sent what follows from it, and a message to a full mailbox is dropped.

The mailboxes take 65536 messages; that one was ever full at the users' is not shown.

Change: the dispatcher keeps what is still to be delivered, for each receiver, and sends it with the next change of the topics or the report of each second. What was delivered is not sent again.

--- a/src/gateway/dispatch_outbox.cpp
+++ b/src/gateway/dispatch_outbox.cpp
@@ -12,9 +12,9 @@
 {
 }
 
-void dispatch_outbox::toCallers(caller_server_message message)
+bool dispatch_outbox::toCallers(caller_server_message message)
 {
-    noteUndelivered(m_to.callers.post(std::move(message)), "callers");
+    return noteUndelivered(m_to.callers.post(std::move(message)), "callers");
 }
 
 bool dispatch_outbox::toEndpoints(endpoint_client_message message)
@@ -22,9 +22,9 @@
     return noteUndelivered(m_to.endpoints.post(std::move(message)), "endpoints");
 }
 
-void dispatch_outbox::toStore(store_message message)
+bool dispatch_outbox::toStore(store_message message)
 {
-    noteUndelivered(m_to.store.post(std::move(message)), "store");
+    return noteUndelivered(m_to.store.post(std::move(message)), "store");
 }
 
 bool dispatch_outbox::toQuotas(quota_broker_message message)
--- a/src/gateway/dispatch_outbox.h
+++ b/src/gateway/dispatch_outbox.h
@@ -31,10 +31,12 @@
 public:
     dispatch_outbox(dispatch_addresses to, event_log log);
 
-    void toCallers(caller_server_message message);
+    /// False when the message was dropped.
+    bool toCallers(caller_server_message message);
     /// False when the message was dropped.
     bool toEndpoints(endpoint_client_message message);
-    void toStore(store_message message);
+    /// False when the message was dropped.
+    bool toStore(store_message message);
     /// False when the message was dropped.
     bool toQuotas(quota_broker_message message);
     void toStageControl(stage_control_message message);
--- a/src/gateway/dispatch_task.h
+++ b/src/gateway/dispatch_task.h
@@ -60,6 +60,16 @@
         admission_decision admission;
     };
 
+    /// What follows from the plan and the instance count and still has to be delivered to the other tasks.
+    struct unpublished_changes
+    {
+        bool callerLimits = false;
+        bool quotas = false;
+        bool quotaInstances = false;
+        bool storeInstances = false;
+        bool connectionLimits = false;
+    };
+
     void handle(dispatch_message &&message) override;
     void apply(request_arrived &&arrived);
     void apply(const flow_caller_disconnected &disconnected);
@@ -83,8 +93,11 @@
     void returnQuota(const quota_grant &grant);
     /// Notifies the other tasks of a new plan or a changed instance count, and updates the readiness.
     void publishChanges();
+    /// Sends what follows from the plan and the instance count and has not been delivered yet.
+    void publishPlan();
     void removeOverdueRegistrations();
-    void publishConnectionLimits();
+    /// Returns whether the limits were delivered, or the plan sets none.
+    bool publishConnectionLimits();
     void carryOut(active_flow &flow, flow_actions &&actions);
     void perform(active_flow &flow, start_attempt &&action);
     void perform(active_flow &flow, const cancel_flow_attempt &action);
@@ -140,8 +153,9 @@
     random_source m_random;
     request_log m_requests;
     fleet_state m_fleet;
-    plan_version m_publishedPlan;
-    std::int64_t m_publishedInstanceCount = 1;
+    plan_version m_knownPlan;
+    std::int64_t m_knownInstanceCount = 1;
+    unpublished_changes m_unpublished;
     service_retry_budget m_retryBudget;
     route_durations m_durations;
     capacity_sharing m_sharing;
--- a/tests/gateway/dispatch_fixture.h
+++ b/tests/gateway/dispatch_fixture.h
@@ -33,9 +33,7 @@
         : endpointsBox(std::make_shared<mailbox<endpoint_client_message>>(loop, endpointsCapacity))
         , quotasBox(std::make_shared<mailbox<quota_broker_message>>(loop, quotasCapacity))
     {
-        callersBox->attach([this](caller_server_message &&message) { toCallers.push_back(std::move(message)); });
-        endpointsBox->attach([this](endpoint_client_message &&message) { toEndpoints.push_back(std::move(message)); });
-        quotasBox->attach([this](quota_broker_message &&message) { toQuotas.push_back(std::move(message)); });
+        attachReceivers();
         dispatch_addresses to;
         to.callers = address(callersBox);
         to.endpoints = address(endpointsBox);
@@ -51,6 +49,13 @@
         run(std::chrono::milliseconds(20));
     }
 
+    void attachReceivers()
+    {
+        callersBox->attach([this](caller_server_message &&message) { toCallers.push_back(std::move(message)); });
+        endpointsBox->attach([this](endpoint_client_message &&message) { toEndpoints.push_back(std::move(message)); });
+        quotasBox->attach([this](quota_broker_message &&message) { toQuotas.push_back(std::move(message)); });
+    }
+
     static std::string configuration(int version)
     {
         return R"({"version":)" + std::to_string(version) + R"(,"routes":[
@@ -76,6 +81,11 @@
         loop.run();
     }
 
+    void setPlan(int version)
+    {
+        post(topic_update {store_topic::operators, {{"config", configuration(version), store_offset(version)}}});
+    }
+
     void arrive(std::int64_t flow)
     {
         http_request request;
--- a/tests/gateway/dispatch_test.cpp
+++ b/tests/gateway/dispatch_test.cpp
@@ -54,6 +54,38 @@
     CHECK_TRUE(refused->headers.has("Retry-After"));
 }
 
+// Guards against tasks that keep the quotas and limits of an older plan because their mailbox was full when the newer one came into force.
+TEST(dispatcher, repeatsWhatFollowsFromAPlanUntilItIsDelivered)
+{
+    dispatch_fixture fixture;
+    fixture.callersBox->detach();
+    fixture.endpointsBox->detach();
+    fixture.quotasBox->detach();
+    while (fixture.callersBox->post(limits_changed {}) == post_result::delivered) { }
+    while (fixture.endpointsBox->post(connection_limits {}) == post_result::delivered) { }
+    while (fixture.quotasBox->post(instance_count_changed {}) == post_result::delivered) { }
+    fixture.setPlan(7);
+    fixture.run(20ms);
+    fixture.attachReceivers();
+    fixture.run(20ms);
+    fixture.toCallers.clear();
+    fixture.toEndpoints.clear();
+    fixture.toQuotas.clear();
+    for (int round = 0; round < 20 && fixture.toQuotas.empty(); ++round) {
+        fixture.run(100ms);
+    }
+    LONGS_EQUAL(1, fixture.countOf<limits_changed>());
+    LONGS_EQUAL(1, fixture.toEndpoints.size());
+    CHECK(std::holds_alternative<connection_limits>(fixture.toEndpoints.front()));
+    LONGS_EQUAL(1, fixture.toQuotas.size());
+    LONGS_EQUAL(7, std::get<quotas_changed>(fixture.toQuotas.front()).plan->plan().version.value());
+    // What has been delivered is not sent again.
+    fixture.run(1200ms);
+    LONGS_EQUAL(1, fixture.countOf<limits_changed>());
+    LONGS_EQUAL(1, fixture.toEndpoints.size());
+    LONGS_EQUAL(1, fixture.toQuotas.size());
+}
+
 // Every request is answered exactly once, whether its quota is granted, refused or not answered, early or late.
 TEST(dispatcher, answersEveryRequestThatWaitsForItsQuota)
 {
