--- a/tests/standins/users_platform/standin_store.cpp
+++ b/tests/standins/users_platform/standin_store.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <utility>
 
 #include <nlohmann/json.hpp>
 
@@ -87,7 +88,7 @@
 void standin_store::handleSecondaryRequest(const std::shared_ptr<http_exchange> &exchange)
 {
     if (m_isSecondaryRefusing) {
-        exchange->respond(emptyResponse(503));
+        respond(*exchange, emptyResponse(503));
         return;
     }
     handleRequest(exchange);
@@ -108,6 +109,38 @@
     m_topics[topic].firstOffset = m_topics[topic].records.size();
 }
 
+void standin_store::restore(const std::map<std::string, std::size_t> &lostRecords)
+{
+    ++m_era;
+    for (const auto &[name, lost] : lostRecords) {
+        topic &named = m_topics[name];
+        named.records.resize(named.records.size() - std::min(lost, named.records.size()));
+        named.firstOffset = std::min(named.firstOffset, named.records.size());
+        named.newest.clear();
+        for (std::size_t at = 0; at < named.records.size(); ++at) {
+            if (named.records[at].value.empty()) {
+                named.newest.erase(named.records[at].key);
+            } else {
+                named.newest[named.records[at].key] = at;
+            }
+        }
+    }
+    for (pending_read &pending : m_pendingReads) {
+        if (pending.exchange) {
+            pending.timeout->stop();
+            std::exchange(pending.exchange, nullptr)->abort();
+        }
+    }
+}
+
+void standin_store::respond(http_exchange &exchange, http_response response) const
+{
+    if (m_era > 0) {
+        response.headers.add("Store-Era", std::to_string(m_era));
+    }
+    exchange.respond(response);
+}
+
 void standin_store::setAvailability(availability newAvailability)
 {
     m_availability = newAvailability;
@@ -126,7 +159,7 @@
         return;
     }
     if (m_availability == availability::refusing) {
-        exchange->respond(emptyResponse(503));
+        respond(*exchange, emptyResponse(503));
         return;
     }
     const std::string_view path = exchange->request().path();
@@ -143,7 +176,7 @@
     } else if (path == "/log-owners") {
         respondOwners(*exchange);
     } else {
-        exchange->respond(emptyResponse(404));
+        respond(*exchange, emptyResponse(404));
     }
 }
 
@@ -156,7 +189,7 @@
     }
     http_response response;
     response.body = nlohmann::json {{"items", items}, {"more", false}, {"end", named.records.size()}}.dump();
-    exchange.respond(response);
+    respond(exchange, response);
 }
 
 void standin_store::respondRead(const std::shared_ptr<http_exchange> &exchange)
@@ -179,8 +212,8 @@
 bool standin_store::tryRead(http_exchange &exchange, const std::string &topicName, std::size_t from, bool allowEmpty)
 {
     const topic &named = m_topics[topicName];
-    if (from < named.firstOffset) {
-        exchange.respond(emptyResponse(410));
+    if (from < named.firstOffset || from > named.records.size()) {
+        respond(exchange, emptyResponse(410));
         return true;
     }
     if (from >= named.records.size() && !allowEmpty) {
@@ -193,7 +226,7 @@
         const std::string content = static_cast<char>(stored.key.size()) + stored.key + stored.value;
         response.body += bigEndian(content.size(), 4) + content;
     }
-    exchange.respond(response);
+    respond(exchange, response);
     return true;
 }
 
@@ -206,7 +239,7 @@
     }
     http_response response;
     response.body = R"({"offset":0,"end":1})";
-    exchange.respond(response);
+    respond(exchange, response);
 }
 
 void standin_store::respondJoin(http_exchange &exchange)
@@ -228,14 +261,14 @@
             rows.push_back({part.first, part.second, 0});
         }
     }
-    exchange.respond(jsonResponse({{"generation", m_generation}, {"ttl_ms", call["ttl_ms"]}, {"parts", rows}}));
+    respond(exchange, jsonResponse({{"generation", m_generation}, {"ttl_ms", call["ttl_ms"]}, {"parts", rows}}));
 }
 
 void standin_store::respondLeave(http_exchange &exchange)
 {
     std::erase(m_members, nlohmann::json::parse(exchange.request().body)["member"]);
     reassignPartitions();
-    exchange.respond(jsonResponse(nlohmann::json::object()));
+    respond(exchange, jsonResponse(nlohmann::json::object()));
 }
 
 void standin_store::respondOwners(http_exchange &exchange) const
@@ -244,7 +277,7 @@
     for (const auto &[part, holder] : m_partitionOwners) {
         rows.push_back({part.first, part.second, holder, 0});
     }
-    exchange.respond(jsonResponse({{"parts", rows}}));
+    respond(exchange, jsonResponse({{"parts", rows}}));
 }
 
 void standin_store::reassignPartitions()
--- a/tests/standins/users_platform/standin_store.h
+++ b/tests/standins/users_platform/standin_store.h
@@ -14,7 +14,7 @@
 {
 
 /// Simulated store of the platform with keyed topics and one consumer group, on a port that the kernel chooses. Tests can make it refuse
-/// requests, leave them unanswered, or discard the history of a topic.
+/// requests, leave them unanswered, discard the history of a topic, or restore itself from an older copy.
 class standin_store
 {
 public:
@@ -37,6 +37,9 @@
     void drop(const std::string &topic, const std::string &key);
     /// Discards the records of the topic's log; the newest record of each key can still be read with /log-newest.
     void discardHistory(const std::string &topic);
+    /// Returns to a copy of itself that lacks the last records of the named topics, and closes the connections of pending reads. Their
+    /// offsets are given out again. From then on all responses bear an era, which is one higher after each call.
+    void restore(const std::map<std::string, std::size_t> &lostRecords);
     void setAvailability(availability newAvailability);
     std::size_t callCount() const;
     /// From now on, assigns all partitions of the group to the member whose name starts with memberPrefix.
@@ -72,6 +75,8 @@
     void respondJoin(http_exchange &exchange);
     void respondLeave(http_exchange &exchange);
     void respondOwners(http_exchange &exchange) const;
+    /// Sends a response, with the era if there is one.
+    void respond(http_exchange &exchange, http_response response) const;
     void reassignPartitions();
     void append(const std::string &topicName, record newRecord);
     bool tryRead(http_exchange &exchange, const std::string &topicName, std::size_t from, bool allowEmpty);
@@ -89,6 +94,8 @@
     /// Maps topic and partition to the name of the member that holds the partition.
     std::map<std::pair<std::string, int>, std::string> m_partitionOwners;
     int m_generation = 0;
+    /// Zero until the first restore.
+    int m_era = 0;
     std::string m_preferredMember;
     availability m_availability = availability::serving;
     std::size_t m_calls = 0;
