Show how old the topics of the store are at an instance

When requests were handled as an older version allows, the logs did not tell whether the instance had an old topic, and why: stale_answer_ignored and call_failed are single events, and a follower that waited for another instance wrote nothing (docs/incidents/configuration-not-in-force.md, hypotheses 1 to 3).

topic_age keeps for each topic when all records were last known and the latest obstacle. store_task reviews the ages four times a second: topic_overdue once when the age exceeds the bound (or the longest regular distance of two responses, where that is longer), with the cause and what is being waited for; topic_current when it is within the bound again; the gauge store_topic_age_seconds{topic}. Hypothesis 1 shows as the cause that the store's records end before those that were read, 2 as "store:" at one instance, 3 as doing=waiting_for_reader without a cause; a change that is missing while the age is small points to 4, 5 or 7.

No decision is changed.

--- a/src/gateway/gateway_tree.cpp
+++ b/src/gateway/gateway_tree.cpp
@@ -150,16 +150,19 @@
                           to.callerMemory = m_callerMemory;
                           return std::make_unique<dispatch_task>(m_loop, m_dispatchMailbox, dispatch, dialects, to, m_log, random_source());
                       }});
-    m_root->addChild(
-        {"store", [this, settings, &store = dialects.store] {
-             const store_settings at = {
-                 settings.storeAddress,
-                 settings.instance,
-                 {settings.maxConfigurationDelay, settings.silenceDetectionLimit, settings.maxDrainDelay},
-             };
-             const store_addresses to = {address(m_dispatchMailbox), address(m_groupMailbox), address(m_meshMailbox), storeCallCounter()};
-             return std::make_unique<store_task>(m_loop, m_storeMailbox, at, store, to, m_log, random_source());
-         }});
+    m_root->addChild({"store", [this, settings, &store = dialects.store] {
+                          const store_settings at = {
+                              settings.storeAddress,
+                              settings.instance,
+                              {settings.maxConfigurationDelay, settings.silenceDetectionLimit, settings.maxDrainDelay},
+                          };
+                          const store_addresses to = {address(m_dispatchMailbox),
+                                                      address(m_groupMailbox),
+                                                      address(m_meshMailbox),
+                                                      storeCallCounter(),
+                                                      makeSink<metric_batch>(address(m_monitorMailbox))};
+                          return std::make_unique<store_task>(m_loop, m_storeMailbox, at, store, to, m_log, random_source());
+                      }});
     m_root->addChild({"duty", [this, settings, &endpoints = dialects.endpoints] {
                           const stage_control_settings stageControl = {
                               settings.instance, settings.minHandoverInterval, settings.prefillPercent, settings.exposeShare.has_value()};
--- a/src/gateway/store_task.cpp
+++ b/src/gateway/store_task.cpp
@@ -52,6 +52,7 @@
 constexpr milliseconds firstHoldersRequestDelay {1000};
 constexpr std::int64_t holdersRequestsAtStart = 2;
 constexpr milliseconds holdersRequestInterval {5000};
+constexpr milliseconds topicAgesInterval {250};
 
 milliseconds longPollWait(milliseconds bound, milliseconds silence)
 {
@@ -82,6 +83,8 @@
     settings.responseTimeout = responseTimeout;
     settings.extendedTimeout = extendedTimeout(responseTimeout, silence);
     settings.rereadInterval = rereadInterval;
+    // Without new records, two responses of the store may be further apart than the bound.
+    settings.overdueAfter = std::max(bound, settings.own.wait + settings.own.pause + responseTimeout);
     return settings;
 }
 
@@ -139,6 +142,7 @@
     , m_relay(loop)
     , m_relayClient(m_to.mesh, makeSink<peer_response>(self()), m_log)
     , m_holdersTimer(loop, [this] { requestHolders(); })
+    , m_topicAgesTimer(loop, [this] { reviewTopicAges(); })
 {
     for (const topic_follower_settings &topic : topicFollowerSettings(m_settings.bounds)) {
         m_followers.push_back(std::make_unique<topic_follower>(
@@ -162,6 +166,7 @@
         follower->start();
     }
     m_holdersTimer.start(deadline::after(boot_clock::now(), firstHoldersRequestDelay));
+    reviewTopicAges();
     return success();
 }
 
@@ -311,6 +316,22 @@
     m_holdersTimer.start(deadline::after(boot_clock::now(), holdersRequestInterval));
 }
 
+void store_task::reviewTopicAges()
+{
+    const instant now = boot_clock::now();
+    metric_batch batch;
+    for (const auto &follower : m_followers) {
+        follower->logIfOverdue(now);
+        if (const auto age = follower->age(now)) {
+            batch.gauges.push_back(
+                {{"store_topic_age_seconds", {{"topic", std::string(follower->name())}}}, std::chrono::duration<double>(*age).count()});
+        }
+    }
+    // A figure that the metrics cannot take is replaced by the next one.
+    static_cast<void>(m_to.metrics.post(std::move(batch)));
+    m_topicAgesTimer.start(deadline::after(now, topicAgesInterval));
+}
+
 void store_task::recordContact(bool isReachable)
 {
     if (isReachable != m_isReachable) {
--- a/src/gateway/store_task.h
+++ b/src/gateway/store_task.h
@@ -39,6 +39,7 @@
     address<group_message> group;
     address<mesh_supervisor_message> mesh;
     store_call_counter calls;
+    sink<metric_batch> metrics;
 };
 
 /// Follows the topics of the platform's store that a gateway needs, and writes this instance's member report. Only a few instances, which
@@ -74,6 +75,8 @@
     /// Chooses the instances from which this one requests records.
     void chooseReader();
     void requestHolders();
+    /// Publishes how old the topics are, and logs those that are overdue.
+    void reviewTopicAges();
     void recordContact(bool isReachable);
     void post(dispatch_message message);
 
@@ -102,6 +105,7 @@
     std::int64_t m_holdersRequests = 0;
     timer m_holdersTimer;
     std::vector<std::unique_ptr<topic_follower>> m_followers;
+    timer m_topicAgesTimer;
     bool m_isReachable = false;
 };
 
--- a/src/gateway/topic_follower.cpp
+++ b/src/gateway/topic_follower.cpp
@@ -55,11 +55,13 @@
     , m_next(loop, [this] { startNextCall(); })
     , m_backoff(minRetryDelay, maxRetryDelay)
     , m_retry(settings.responseTimeout, settings.extendedTimeout)
+    , m_age(settings.overdueAfter)
 {
 }
 
 void topic_follower::start()
 {
+    m_age.begin(boot_clock::now());
     startNextCall();
 }
 
@@ -71,6 +73,35 @@
     }
 }
 
+void topic_follower::logIfOverdue(instant now)
+{
+    if (m_isPaused || !m_age.takeOverdue(now)) {
+        return;
+    }
+    std::string_view doing = "pausing";
+    if (m_isRequestPending) {
+        doing = "waiting_for_reader";
+    } else if (m_call.isBusy()) {
+        doing = "waiting_for_store";
+    }
+    m_log.write(log_line("store", "topic_overdue")
+                    .add("topic", name())
+                    .add("age_ms", m_age.age(now))
+                    .add("cause", m_age.obstacle().empty() ? "no response yet" : m_age.obstacle())
+                    .add("doing", doing)
+                    .add("position", m_position));
+}
+
+std::optional<boot_clock::duration> topic_follower::age(instant now) const
+{
+    return m_isPaused ? std::nullopt : std::optional(m_age.age(now));
+}
+
+std::string_view topic_follower::name() const
+{
+    return topicName(m_settings.topic);
+}
+
 void topic_follower::setPaused(bool isPaused)
 {
     if (isPaused == std::exchange(m_isPaused, isPaused)) {
@@ -80,6 +111,7 @@
         m_relays.relay.markNotReading(m_settings.topic);
         return;
     }
+    m_age.begin(boot_clock::now());
     m_fullReadCause = full_read_cause::needed;
     if (!m_call.isBusy() && !m_isRequestPending) {
         scheduleNextCall(milliseconds::zero());
@@ -225,12 +257,7 @@
         m_pageEnd = page.value().end;
     }
     if (m_pageEnd < m_position) {
-        m_log.write(log_line("store", "stale_answer_ignored")
-                        .add("topic", topicName(m_settings.topic))
-                        .add("end", m_pageEnd)
-                        .add("position", m_position));
-        recordSuccess();
-        scheduleNextCall(staleRetryDelay);
+        ignoreStaleAnswer(m_pageEnd);
         return;
     }
     for (store_record &record : page.value().records) {
@@ -269,7 +296,7 @@
         m_newest = std::move(listed);
         m_position = m_pageEnd;
         m_relays.relay.recordSnapshot(m_settings.topic, m_position, now);
-        m_onUpdate(topic_snapshot {m_settings.topic, std::exchange(m_page, {}), storeSilence(now)});
+        m_onUpdate(topic_snapshot {m_settings.topic, std::exchange(m_page, {}), m_age.silence(now)});
     }
     recordUpToDate(now);
     scheduleNextCall(milliseconds::zero());
@@ -299,7 +326,7 @@
     }
     auto batch = m_dialect.decodeBatch(response.value());
     if (!batch && batch.error().code == error_code::not_found) {
-        m_log.write(log_line("store", "history_gone").add("topic", topicName(m_settings.topic)).add("position", m_position));
+        m_log.write(log_line("store", "history_gone").add("topic", name()).add("position", m_position));
         recordStoreContact();
         m_fullReadCause = full_read_cause::needed;
         scheduleNextCall(milliseconds::zero());
@@ -311,12 +338,7 @@
     }
     recordStoreContact();
     if (batch.value().end < m_position) {
-        m_log.write(log_line("store", "stale_answer_ignored")
-                        .add("topic", topicName(m_settings.topic))
-                        .add("end", batch.value().end)
-                        .add("position", m_position));
-        recordSuccess();
-        scheduleNextCall(staleRetryDelay);
+        ignoreStaleAnswer(batch.value().end);
         return;
     }
     const instant now = boot_clock::now();
@@ -341,7 +363,7 @@
         m_newest[record.key] = {record.offset, !record.value.has_value()};
     }
     m_relays.relay.recordUpdates(m_settings.topic, records);
-    m_onUpdate(topic_update {m_settings.topic, std::move(records), storeSilence(now)});
+    m_onUpdate(topic_update {m_settings.topic, std::move(records), m_age.silence(now)});
 }
 
 void topic_follower::handleRelayed(const instance_id &reader, const outcome<peer_records_response> &response)
@@ -349,6 +371,7 @@
     const instant now = boot_clock::now();
     const std::string_view reason = unusableReason(response);
     if (!reason.empty()) {
+        m_age.noteObstacle("reader " + reader.value() + ": " + std::string(reason));
         m_relays.relayClient.block(reader, reason, now);
         // The bounds leave time for one reader that does not respond. After that the store itself is called, unless it has just failed.
         m_readsOnceAtStore = now - m_requestedAt > promptResponseTime && !m_retry.isFailing();
@@ -365,7 +388,7 @@
     m_readerResyncCount = read.resyncCount;
     if (read.isTruncated || hasReaderResynced || (isNewReader && mayHaveMissedChange(read, now))) {
         m_log.write(log_line("store", "newest_needed")
-                        .add("topic", topicName(m_settings.topic))
+                        .add("topic", name())
                         .add("gone", read.isTruncated)
                         .add("reset", hasReaderResynced)
                         .add("position", m_position)
@@ -414,23 +437,29 @@
     m_backoff.reset();
 }
 
-milliseconds topic_follower::storeSilence(instant now) const
+void topic_follower::recordUpToDate(instant at)
 {
-    return m_lastUpToDateAt ? std::chrono::floor<milliseconds>(now - *m_lastUpToDateAt) : milliseconds::zero();
+    if (const auto reached = m_age.noteUpToDate(at, boot_clock::now())) {
+        m_log.write(log_line("store", "topic_current").add("topic", name()).add("age_ms", *reached));
+    }
 }
 
-void topic_follower::recordUpToDate(instant at)
+void topic_follower::ignoreStaleAnswer(store_offset end)
 {
-    m_lastUpToDateAt = std::max(m_lastUpToDateAt.value_or(at), at);
+    m_log.write(log_line("store", "stale_answer_ignored").add("topic", name()).add("end", end).add("position", m_position));
+    m_age.noteObstacle("the store's records end before those that were read");
+    recordSuccess();
+    scheduleNextCall(staleRetryDelay);
 }
 
 void topic_follower::retryLater(std::string_view cause)
 {
     m_log.write(log_line("store", "call_failed")
-                    .add("topic", topicName(m_settings.topic))
+                    .add("topic", name())
                     .add("cause", cause)
                     .add("position", m_position)
                     .add("waited_ms", boot_clock::now() - m_callBegunAt));
+    m_age.noteObstacle("store: " + std::string(cause));
     m_readsOnceAtStore = false;
     m_retry.noteFailure();
     m_relays.gate.noteFailure(boot_clock::now(), m_random);
--- a/src/gateway/topic_follower.h
+++ b/src/gateway/topic_follower.h
@@ -5,6 +5,7 @@
 #include "gateway/store_call_counter.h"
 #include "gateway/store_gate.h"
 #include "gateway/store_retry.h"
+#include "gateway/topic_age.h"
 #include "gateway/topic_relay.h"
 #include "gateway/topic_relay_client.h"
 #include "logging/log_writer_task.h"
@@ -43,6 +44,8 @@
     std::chrono::milliseconds extendedTimeout {};
     /// Interval at which all newest records are read again, to detect changes for which the topic has no record.
     std::chrono::milliseconds rereadInterval {};
+    /// The topic is overdue when its records have not been up to date for longer than this. Unset for a topic without a bound.
+    std::optional<std::chrono::milliseconds> overdueAfter;
 };
 
 /// What the topics of an instance share: the source of records besides the store, the receivers of records, and the limit of calls to the
@@ -90,6 +93,12 @@
     void setPaused(bool isPaused);
     /// Cuts a pause between polls short if this instance reads at the store. Does not cut the backoff after a failure short.
     void readNow();
+    /// Writes a log line if the topic has become overdue.
+    void logIfOverdue(instant now);
+    /// Time since this instance last had all records of the topic; nullopt while the topic is not followed.
+    std::optional<boot_clock::duration> age(instant now) const;
+    /// The topic's name in log lines and metrics.
+    std::string_view name() const;
 
 private:
     void startNextCall();
@@ -119,10 +128,10 @@
     void recordStoreContact();
     /// All that was to be read has been read.
     void recordSuccess();
-    /// Time since this instance last had all records of the topic.
-    std::chrono::milliseconds storeSilence(instant now) const;
     /// Records that all records that the store had at a time are known.
     void recordUpToDate(instant at);
+    /// The store has answered with fewer records than have been read.
+    void ignoreStaleAnswer(store_offset end);
     void retryLater(std::string_view cause);
     void scheduleNextCall(std::chrono::milliseconds pause);
 
@@ -161,8 +170,7 @@
     store_retry m_retry;
     /// When the present or last call to the store began.
     instant m_callBegunAt;
-    /// When all records of the topic were last known.
-    std::optional<instant> m_lastUpToDateAt;
+    topic_age m_age;
     bool m_isRequestPending = false;
     bool m_isPaused = false;
     instant m_requestedAt;
