Tell the store's eras and the positions in them apart

An offset of the store means a record only until the store comes back from an older copy, and no part of the code could say so. store_position pairs the era with the offset and orders no two positions of different eras; decodeEra() reads the header Store-Era of any response; store_era_tracker decides what an era means for what was read before: the present one, a restore, or a late response. A response without the header is of the present era. A message of another instance without one is refused only after a restore that this process has seen itself.

--- a/src/gateway/dialects.h
+++ b/src/gateway/dialects.h
@@ -2,6 +2,7 @@
 
 #include "forwarding/endpoint_notices.h"
 #include "forwarding/forward_flow.h"
+#include "gateway/store_position.h"
 #include "http/http_message.h"
 
 #include <optional>
@@ -110,9 +111,6 @@
 
 constexpr std::size_t storeTopicCount = 5;
 
-/// Position of a record in a topic.
-using store_offset = quantity<struct store_offset_unit>;
-
 /// The newest value of a key; no value if the key was deleted.
 struct store_record
 {
@@ -173,6 +171,8 @@
     virtual http_request readHolders() const = 0;
     virtual outcome<std::vector<quota_partition_holder>> decodeHolders(const http_response &response) const = 0;
     virtual outcome<void> decodeWriteResult(const http_response &response) const = 0;
+    /// The era of any response of the store; nullopt if it states none, or none that can be read.
+    virtual std::optional<store_era> decodeEra(const http_response &response) const = 0;
 };
 
 /// An evacuation of a data centre, ordered by the operator.
--- a/tests/platform/platform_test.cpp
+++ b/tests/platform/platform_test.cpp
@@ -171,6 +171,23 @@
     LONGS_EQUAL(429, callers.refusal({refusal_cause::over_quota, 1s}, {}).status);
 }
 
+// Guards against a restore of the store that is not noticed, or seen in a header that has another content.
+TEST(platform, readsTheErasOfTheStore)
+{
+    const auto eraOf = [this](const char *name, const char *value) {
+        http_response response;
+        response.status = 410;
+        response.headers.add(name, value);
+        return adapter.dialects().store.decodeEra(response);
+    };
+    CHECK(eraOf("Store-Era", "17") == store_era(17));
+    CHECK(eraOf("store-era", "0") == store_era(0));
+    for (const char *value : {"", "-1", "1.5", "x", "1 2", "99999999999999999999"}) {
+        CHECK_FALSE(eraOf("Store-Era", value).has_value());
+    }
+    CHECK_FALSE(eraOf("Other", "17").has_value());
+}
+
 TEST(platform, decodesRecordsOfAKeyedTopic)
 {
     const store_dialect &store = adapter.dialects().store;
