Let requests and responses for records carry the store's era

An instance that reads through another one could not tell whether the records that it gets are from before a restore of the store. Both messages get an optional member, which older builds neither send nor read; without it the era is unknown. The senders do not set it yet.

--- a/src/policy/peer_message.h
+++ b/src/policy/peer_message.h
@@ -171,6 +171,9 @@
 /// Number of a topic of the platform's store.
 using relayed_topic = quantity<struct relayed_topic_tag>;
 
+/// Counts the restores of the platform's store from an older copy.
+using relayed_era = quantity<struct relayed_era_tag>;
+
 /// Requests the records of a topic from an offset on, from an instance that reads the topic at the store. The response is sent once there
 /// are such records, or after the wait.
 struct peer_records_request
@@ -178,6 +181,8 @@
     relayed_topic topic;
     log_offset from;
     std::chrono::milliseconds wait {};
+    /// The latest era that the sender knows, to which the offset belongs. Unset if it knows none; older builds omit it.
+    std::optional<relayed_era> era;
 };
 
 /// A record of a compacted topic, in which only the newest record of each key counts. No value means that the key was deleted.
@@ -202,6 +207,8 @@
     std::chrono::milliseconds sinceResync {};
     /// Time since the store last answered the reader.
     std::chrono::milliseconds age {};
+    /// The latest era that the reader knows, to which the records belong. Unset if it knows none; older builds omit it.
+    std::optional<relayed_era> era;
 };
 
 /// Tells the receiver of the endpoint crashes that the sender has seen, in the encoding in which the sender publishes them in the
--- a/src/wire/gateway_message_codec.cpp
+++ b/src/wire/gateway_message_codec.cpp
@@ -31,6 +31,20 @@
     return fromHex(encoded[0].get<std::string>());
 }
 
+// Older builds do not send the era.
+void writeEra(json &message, const std::optional<relayed_era> &era)
+{
+    if (era) {
+        message["o"] = json::array({era->value()});
+    }
+}
+
+std::optional<relayed_era> readEra(member_reader &body)
+{
+    const auto numbers = body.optionalNumbers<1>("o");
+    return numbers ? std::optional(relayed_era(numbers->front())) : std::nullopt;
+}
+
 } // namespace
 
 json write(const peer_pool_request &request, const record_codec_table & /*records*/)
@@ -95,7 +109,9 @@
 
 json write(const peer_records_request &request, const record_codec_table & /*records*/)
 {
-    return {{"t", request.topic.value()}, {"f", request.from.value()}, {"w", request.wait.count()}};
+    json message = {{"t", request.topic.value()}, {"f", request.from.value()}, {"w", request.wait.count()}};
+    writeEra(message, request.era);
+    return message;
 }
 
 void read(member_reader &body, peer_records_request &request, const record_codec_table & /*records*/)
@@ -103,6 +119,7 @@
     body.read("t", request.topic);
     body.read("f", request.from);
     body.read("w", request.wait);
+    request.era = readEra(body);
 }
 
 json write(const peer_records_response &response, const record_codec_table & /*records*/)
@@ -115,13 +132,15 @@
         }
         entries.push_back(std::move(entry));
     }
-    return {{"d", response.isReader},
-            {"g", response.isTruncated},
-            {"r", std::move(entries)},
-            {"e", response.end.value()},
-            {"s", response.resyncCount},
-            {"t", response.sinceResync.count()},
-            {"a", response.age.count()}};
+    json message = {{"d", response.isReader},
+                    {"g", response.isTruncated},
+                    {"r", std::move(entries)},
+                    {"e", response.end.value()},
+                    {"s", response.resyncCount},
+                    {"t", response.sinceResync.count()},
+                    {"a", response.age.count()}};
+    writeEra(message, response.era);
+    return message;
 }
 
 void read(member_reader &body, peer_records_response &response, const record_codec_table & /*records*/)
@@ -132,6 +151,7 @@
     body.read("s", response.resyncCount);
     body.read("t", response.sinceResync);
     body.read("a", response.age);
+    response.era = readEra(body);
     for (const json &entry : body.elements("r")) {
         const bool hasSize = entry.is_array() && !entry.empty() && entry.size() <= 2;
         const std::optional<std::string> key = hasSize ? decodeBytes(entry.front()) : std::nullopt;
--- a/tests/wire/peer_codec_test.cpp
+++ b/tests/wire/peer_codec_test.cpp
@@ -66,6 +66,8 @@
                                    anyCount(),
                                    1ms * anyCount(),
                                    1ms * anyCount()},
+            peer_records_request {relayed_topic(anyCount()), log_offset(anyCount()), 1ms * anyCount(), relayed_era(anyCount())},
+            peer_records_response {anyFlag(), anyFlag(), {}, log_offset(anyCount()), anyCount(), 1ms, 1ms, relayed_era(anyCount())},
             acknowledgement {anyFlag()}};
 }
 
@@ -111,6 +113,16 @@
     CHECK_TRUE(codec.decode("loan_answer", "{\"e\":1,\"t\":5,\"l\":1,\"d\":1,\"new\":1}").has_value());
 }
 
+// Guards against an instance of an older build whose messages about records are refused, or taken for those of a known era.
+TEST(peer_codecs, readRecordMessagesWithoutAnEra)
+{
+    const auto request = codec.decode("records_ask", R"({"t":0,"f":7,"w":500})");
+    CHECK_FALSE(std::get<peer_records_request>(request.value()).era.has_value());
+    const auto response = codec.decode("records_answer", R"({"d":true,"g":false,"r":[],"e":7,"s":1,"t":0,"a":0})");
+    CHECK_FALSE(std::get<peer_records_response>(response.value()).era.has_value());
+    CHECK_TRUE(codec.encode(std::get<peer_records_request>(request.value())).body.find("\"o\"") == std::string::npos);
+}
+
 // Guards against a message of a kind that only newer builds know being decoded as another kind.
 TEST(peer_codecs, rejectUnknownKindsAsUnsupported)
 {
