Read the store anew when it comes back from an older copy

What callers saw: after a restore of the store, requests ran with a withdrawn key and reached endpoints that leave, for as long as the store had fewer records than before; where it had passed the old offset, until the process ended.

Cause: a follower knew its position as an offset alone. It took responses of the restored store for late ones, or went on at an offset under which other records stood. The class of fault is an order by a number that is valid only within an incarnation of another system.

Change: positions have an era. store_task judges the era of every response that a follower gets, of the writes of its member report, and of requests and responses of other instances. When it rises, all calls in progress are dropped, each topic is read anew at the store at a random moment of 300 ms, the relay is no reader until then, and store_restored and a counter say so. Responses of an older era are ignored; those of a peer without one, too, once a restore was seen. The first newest records after a restore are marked, and fleet_state merges them: the plan does not go back, missing evacuations stay until a record of their key, rollout orders are not cleared, draining and recently removed processes are not brought back, and endpoints that the copy lacks get the grace period of an outage.

Why it works: the era rises with every restore and is in all responses, so the first call or peer that answers shows it, whatever the offsets are; nothing of an earlier reading is compared with or applied to a later one.

--- a/src/gateway/dispatch_task.cpp
+++ b/src/gateway/dispatch_task.cpp
@@ -265,7 +265,7 @@
 
 void dispatch_task::apply(const topic_snapshot &snapshot)
 {
-    m_fleet.reset(snapshot.topic, snapshot.records, {boot_clock::now(), snapshot.storeSilence});
+    m_fleet.reset(snapshot.topic, snapshot.records, {boot_clock::now(), snapshot.storeSilence, snapshot.isAfterRestore});
     removeOverdueRegistrations();
     publishChanges();
     reviewRollouts();
--- a/src/gateway/fleet_state.cpp
+++ b/src/gateway/fleet_state.cpp
@@ -9,6 +9,14 @@
 namespace burdockshelf
 {
 
+namespace
+{
+
+// What is written again after a restore of the store has been written by then.
+constexpr std::chrono::milliseconds rewriteTime {60000};
+
+} // namespace
+
 fleet_state::fleet_state(endpoint_table_settings endpoints,
                          registration_grace_settings bounds,
                          const record_dialect &records,
@@ -88,11 +96,16 @@
 
 void fleet_state::resetOperators(const std::vector<store_record> &records, const record_arrival &arrival)
 {
-    std::set<data_centre_id> evacuated;
+    if (arrival.isAfterRestore) {
+        m_keptEvacuations = m_endpoints.evacuated();
+    }
+    std::set<data_centre_id> evacuated = m_keptEvacuations;
     for (const store_record &record : records) {
         applyOperatorRecord(record, evacuated, arrival);
     }
-    clearUnlistedOrders(records);
+    if (!mayBeOlder(arrival)) {
+        clearUnlistedOrders(records);
+    }
     setEvacuated(std::move(evacuated));
 }
 
@@ -108,6 +121,7 @@
 void fleet_state::applyOperatorRecord(const store_record &record, std::set<data_centre_id> &evacuated, const record_arrival &arrival)
 {
     if (const auto dataCentre = m_records.evacuationOfKey(record.key)) {
+        m_keptEvacuations.erase(*dataCentre);
         if (record.value) {
             evacuated.insert(*dataCentre);
         } else {
@@ -170,8 +184,17 @@
     m_endpoints.setEvacuated(std::move(evacuated));
 }
 
+bool fleet_state::mayBeOlder(const record_arrival &arrival)
+{
+    if (arrival.isAfterRestore) {
+        m_restoredUntil = deadline::after(arrival.at, rewriteTime);
+    }
+    return !m_restoredUntil.hasPassed(arrival.at);
+}
+
 void fleet_state::resetEndpoints(const std::vector<store_record> &records, const record_arrival &arrival)
 {
+    const bool isOlder = mayBeOlder(arrival);
     std::set<endpoint_id> listed;
     for (const store_record &record : records) {
         if (record.value) {
@@ -188,27 +211,50 @@
     for (const endpoint_id &endpoint : gone) {
         handleMissingEntry(endpoint, "its entry is missing from the newest records", arrival);
     }
-    changeEndpoints(records, arrival);
+    for (const store_record &record : records) {
+        applyEndpoint(record, arrival, isOlder);
+    }
 }
 
 void fleet_state::changeEndpoints(const std::vector<store_record> &records, const record_arrival &arrival)
 {
     for (const store_record &record : records) {
-        if (!record.value) {
-            handleMissingEntry(endpoint_id(record.key), "its entry was deleted", arrival);
-            continue;
-        }
-        const auto decoded = m_records.decodeEndpoint(record.key, *record.value);
-        if (!decoded) {
-            logUnreadable(record, decoded.error());
-        } else if (m_plan) {
-            putEndpoint(decoded.value(), arrival.at);
-        } else {
-            m_entriesBeforePlan[decoded.value().id] = decoded.value();
-        }
+        applyEndpoint(record, arrival, false);
+    }
+}
+
+void fleet_state::applyEndpoint(const store_record &record, const record_arrival &arrival, bool mayBeOlder)
+{
+    if (!record.value) {
+        handleMissingEntry(endpoint_id(record.key), "its entry was deleted", arrival);
+        return;
+    }
+    auto decoded = m_records.decodeEndpoint(record.key, *record.value);
+    if (!decoded) {
+        logUnreadable(record, decoded.error());
+        return;
+    }
+    if (mayBeOlder && !correctOlderEntry(decoded.value(), arrival.at)) {
+        m_log.write(log_line("dispatch", "older_entry_ignored").add("endpoint", decoded.value().id));
+        return;
+    }
+    if (m_plan) {
+        putEndpoint(decoded.value(), arrival.at);
+    } else {
+        m_entriesBeforePlan[decoded.value().id] = decoded.value();
     }
 }
 
+bool fleet_state::correctOlderEntry(endpoint_entry &entry, instant now) const
+{
+    const endpoint_state *known = m_endpoints.find(entry.id);
+    if (known == nullptr) {
+        return !m_departed.includes({entry.id, entry.startTime}, now);
+    }
+    entry.isDraining = entry.isDraining || (known->entry.isDraining && known->entry.startTime == entry.startTime);
+    return true;
+}
+
 void fleet_state::changeMembers(const std::vector<store_record> &records, const record_arrival &arrival)
 {
     for (const store_record &record : records) {
@@ -295,7 +341,9 @@
 void fleet_state::handleMissingEntry(const endpoint_id &endpoint, std::string_view cause, const record_arrival &arrival)
 {
     const endpoint_state *known = m_endpoints.find(endpoint);
-    if (known == nullptr || known->entry.isDraining || !m_graceList.keep(endpoint, arrival.storeSilence, arrival.at)) {
+    // An entry that is missing after a restore was lost with other records, and is written again like one that expired in an outage.
+    const auto silence = arrival.isAfterRestore ? std::chrono::milliseconds::max() : arrival.storeSilence;
+    if (known == nullptr || known->entry.isDraining || !m_graceList.keep(endpoint, silence, arrival.at)) {
         removeEndpoint(endpoint, cause);
         return;
     }
@@ -314,6 +362,9 @@
 {
     m_entriesBeforePlan.erase(endpoint);
     m_graceList.forget(endpoint);
+    if (const endpoint_state *known = m_endpoints.find(endpoint)) {
+        m_departed.note({endpoint, known->entry.startTime}, boot_clock::now());
+    }
     if (m_endpoints.remove(endpoint)) {
         m_log.write(log_line("dispatch", "endpoint_gone").add("endpoint", endpoint).add("cause", cause));
     }
--- a/src/gateway/fleet_state.h
+++ b/src/gateway/fleet_state.h
@@ -3,6 +3,7 @@
 #include "forwarding/endpoint_table.h"
 #include "forwarding/member_view.h"
 #include "forwarding/prompt_quarantine.h"
+#include "gateway/departed_endpoints.h"
 #include "gateway/gateway_messages.h"
 #include "gateway/registration_grace_list.h"
 #include "logging/log_writer_task.h"
@@ -21,6 +22,8 @@
 {
     instant at;
     std::chrono::milliseconds storeSilence {};
+    /// The records are the first since the store came back from an older copy.
+    bool isAfterRestore = false;
 };
 
 /// This instance's view of the fleet according to the records of the platform's store: the plan in force, the endpoints and the other
@@ -30,7 +33,8 @@
 public:
     fleet_state(endpoint_table_settings endpoints, registration_grace_settings bounds, const record_dialect &records, event_log log);
 
-    /// Replaces what is known of a topic by its newest records.
+    /// Replaces what is known of a topic by its newest records. After a restore of the store these may be older than what is known, so the
+    /// plan in force, evacuations, orders and endpoints that leave are kept until they are written again.
     void reset(store_topic topic, const std::vector<store_record> &records, const record_arrival &arrival);
     void change(store_topic topic, const std::vector<store_record> &records, const record_arrival &arrival);
     /// Removes the endpoints whose entries expired during a store outage and were not renewed within the grace period. Returns when the
@@ -76,6 +80,11 @@
     void changeOperators(const std::vector<store_record> &records, const record_arrival &arrival);
     void resetEndpoints(const std::vector<store_record> &records, const record_arrival &arrival);
     void changeEndpoints(const std::vector<store_record> &records, const record_arrival &arrival);
+    void applyEndpoint(const store_record &record, const record_arrival &arrival, bool mayBeOlder);
+    /// Corrects an entry that may come from an older copy of the store by what is known; false if it is not to be used.
+    bool correctOlderEntry(endpoint_entry &entry, instant now) const;
+    /// True if newest records that arrive may lack or precede what is known, since the store was restored a short time ago.
+    bool mayBeOlder(const record_arrival &arrival);
     void resetCrashReports(const std::vector<store_record> &records, const record_arrival &arrival);
     void changeCrashReports(const std::vector<store_record> &records, const record_arrival &arrival);
     void applyCrashReport(const store_record &record, outcome<crash_report> &&report, instant now);
@@ -103,6 +112,11 @@
     std::shared_ptr<const plan_index> m_plan;
     endpoint_table m_endpoints;
     registration_grace_list m_graceList;
+    departed_endpoints m_departed;
+    /// Evacuations that the copy lacked from which the store was restored, until a record of their keys arrives.
+    std::set<data_centre_id> m_keptEvacuations;
+    /// Until then, newest records may be older than what is known.
+    deadline m_restoredUntil;
     /// Entries received before the first plan.
     std::map<endpoint_id, endpoint_entry> m_entriesBeforePlan;
     member_view m_members;
--- a/src/gateway/gateway_messages.h
+++ b/src/gateway/gateway_messages.h
@@ -165,14 +165,16 @@
 
 // From the store task to the dispatcher.
 
-/// The newest record of each key of a topic; replaces everything known of the topic. The records are read page by page, so they need not
-/// show the topic at a single moment; changes made during the read follow later.
+/// The newest record of each key of a topic; replaces everything known of the topic, except after a restore of the store. The records are
+/// read page by page, so they need not show the topic at a single moment; changes made during the read follow later.
 struct topic_snapshot
 {
     store_topic topic = store_topic::operators;
     std::vector<store_record> records;
     /// How long the store had not responded for this topic before.
     std::chrono::milliseconds storeSilence {};
+    /// The first snapshot since the store came back from an older copy, which may lack records that were known before.
+    bool isAfterRestore = false;
 };
 
 struct topic_update
--- a/src/gateway/store_task.cpp
+++ b/src/gateway/store_task.cpp
@@ -139,7 +139,7 @@
           m_to.calls,
           [this](const rollout_decision &decided) { post(rollout_status_written {decided}); },
           m_log)
-    , m_relay(loop)
+    , m_relay(loop, m_era)
     , m_relayClient(m_to.mesh, makeSink<peer_response>(self()), m_log)
     , m_holdersTimer(loop, [this] { requestHolders(); })
     , m_topicAgesTimer(loop, [this] { reviewTopicAges(); })
@@ -151,7 +151,14 @@
             m_dialect,
             m_to.calls,
             topic,
-            topic_relays {m_relayClient, m_relay, m_gate},
+            topic_relays {m_relayClient,
+                          m_relay,
+                          m_gate,
+                          m_era,
+                          [this](std::optional<store_era> seen) { return judgeStoreEra(seen); },
+                          [this](std::optional<store_era> seen) {
+                              return judgePeerEra(seen);
+                          }},
             [this](dispatch_message update) { post(std::move(update)); },
             [this](bool isReachable) { recordContact(isReachable); },
             m_log,
@@ -184,6 +191,9 @@
     const http_request request = m_dialect.write(store_topic::members, m_settings.instance.value(), state.value);
     m_to.calls.count(store_call::write);
     m_writer.begin(request, until, response_limits::acknowledgement, [this](const outcome<http_response> &response) {
+        if (response) {
+            judgeStoreEra(m_dialect.decodeEra(response.value()));
+        }
         const auto written = response ? m_dialect.decodeWriteResult(response.value()) : outcome<void>(response.error());
         if (!written) {
             m_log.write(log_line("store", "write_failed").add("topic", "members").add("cause", written.error().message));
@@ -285,6 +295,9 @@
 void store_task::apply(const peer_message_received &received)
 {
     if (const auto *request = std::get_if<peer_records_request>(&received.message)) {
+        if (request->era) {
+            judgePeerEra(store_era(request->era->value()));
+        }
         m_relay.handleRequest(*request, received.reply, boot_clock::now());
     } else if (const auto *crashes = std::get_if<peer_crash_report>(&received.message)) {
         post(topic_update {store_topic::crash_reports, {{received.from.instance.value(), crashes->report, {}}}, {}});
@@ -332,6 +345,39 @@
     m_topicAgesTimer.start(deadline::after(now, topicAgesInterval));
 }
 
+era_verdict store_task::judgeStoreEra(std::optional<store_era> seen)
+{
+    const std::optional<store_era> before = m_era.current();
+    return actOnEra(m_era.judgeStore(seen), before);
+}
+
+era_verdict store_task::judgePeerEra(std::optional<store_era> seen)
+{
+    const std::optional<store_era> before = m_era.current();
+    return actOnEra(m_era.judgePeer(seen), before);
+}
+
+era_verdict store_task::actOnEra(era_verdict verdict, std::optional<store_era> before)
+{
+    if (verdict != era_verdict::risen) {
+        return verdict;
+    }
+    log_line line("store", "store_restored");
+    line.add("era", m_era.current().value_or(store_era())).add("before", before ? std::to_string(before->value()) : "none");
+    for (const auto &follower : m_followers) {
+        line.add(follower->name(), follower->position().offset);
+    }
+    m_log.write(std::move(line));
+    metric_batch batch;
+    batch.counters.push_back({{"store_restores_total", {}}, 1});
+    static_cast<void>(m_to.metrics.post(std::move(batch)));
+    m_relay.beginEra();
+    for (const auto &follower : m_followers) {
+        follower->readAfterRestore();
+    }
+    return verdict;
+}
+
 void store_task::recordContact(bool isReachable)
 {
     if (isReachable != m_isReachable) {
--- a/src/gateway/store_task.h
+++ b/src/gateway/store_task.h
@@ -77,6 +77,10 @@
     void requestHolders();
     /// Publishes how old the topics are, and logs those that are overdue.
     void reviewTopicAges();
+    era_verdict judgeStoreEra(std::optional<store_era> seen);
+    era_verdict judgePeerEra(std::optional<store_era> seen);
+    /// Passes a verdict on, after beginning a new reading of all topics if the era has risen.
+    era_verdict actOnEra(era_verdict verdict, std::optional<store_era> before);
     void recordContact(bool isReachable);
     void post(dispatch_message message);
 
@@ -98,6 +102,7 @@
     /// When the dispatcher is next told that the store responds.
     deadline m_contactDue;
     store_gate m_gate;
+    store_era_tracker m_era;
     topic_relay m_relay;
     topic_relay_client m_relayClient;
     std::vector<quota_partition_holder> m_holders;
--- a/src/gateway/topic_follower.cpp
+++ b/src/gateway/topic_follower.cpp
@@ -23,6 +23,8 @@
 constexpr milliseconds relayActivePeriod {3000};
 // A reader that refuses or has old records says so within this time.
 constexpr milliseconds promptResponseTime {60};
+// All instances learn of a restore at nearly the same time.
+constexpr milliseconds restoreReadSpread {300};
 
 std::string_view topicName(store_topic topic)
 {
@@ -46,7 +48,7 @@
     : m_dialect(dialect)
     , m_calls(std::move(calls))
     , m_settings(settings)
-    , m_relays(links)
+    , m_relays(std::move(links))
     , m_onUpdate(std::move(onUpdate))
     , m_onContact(std::move(onContact))
     , m_log(std::move(log))
@@ -73,6 +75,22 @@
     }
 }
 
+void topic_follower::readAfterRestore()
+{
+    ++m_reading;
+    if (m_call.isBusy()) {
+        m_call.abandon();
+    }
+    m_isRequestPending = false;
+    m_isRestored = true;
+    m_fullReadCause = full_read_cause::needed;
+    m_readsOnceAtStore = false;
+    m_newest.clear();
+    m_position = {m_relays.era.current().value_or(store_era()), {}};
+    m_readerResyncCount.reset();
+    scheduleNextCall(milliseconds(m_random.below(restoreReadSpread.count())));
+}
+
 void topic_follower::logIfOverdue(instant now)
 {
     if (m_isPaused || !m_age.takeOverdue(now)) {
@@ -89,7 +107,7 @@
                     .add("age_ms", m_age.age(now))
                     .add("cause", m_age.obstacle().empty() ? "no response yet" : m_age.obstacle())
                     .add("doing", doing)
-                    .add("position", m_position));
+                    .add("position", m_position.offset));
 }
 
 std::optional<boot_clock::duration> topic_follower::age(instant now) const
@@ -102,6 +120,11 @@
     return topicName(m_settings.topic);
 }
 
+const store_position &topic_follower::position() const
+{
+    return m_position;
+}
+
 void topic_follower::setPaused(bool isPaused)
 {
     if (isPaused == std::exchange(m_isPaused, isPaused)) {
@@ -186,7 +209,7 @@
     const milliseconds wait = mayWait ? pollTiming(now).wait : milliseconds::zero();
     m_calls.count(store_call::read_updates);
     m_callBegunAt = now;
-    m_call.begin(m_dialect.readFrom(m_settings.topic, m_position, wait),
+    m_call.begin(m_dialect.readFrom(m_settings.topic, m_position.offset, wait),
                  deadline::after(now, wait + m_retry.readTimeout()),
                  response_limits::records,
                  [this](const outcome<http_response> &response) { handleBatch(response); });
@@ -198,7 +221,14 @@
     m_requestedAt = boot_clock::now();
     m_relays.relay.markNotReading(m_settings.topic);
     m_relays.relayClient.sendRequest(
-        m_settings.topic, m_position, m_requestedAt, [this](const instance_id &reader, const outcome<peer_records_response> &response) {
+        m_settings.topic,
+        m_position.offset,
+        m_relays.era.current(),
+        m_requestedAt,
+        [this, reading = m_reading](const instance_id &reader, const outcome<peer_records_response> &response) {
+            if (reading != m_reading) {
+                return;
+            }
             m_isRequestPending = false;
             handleRelayed(reader, response);
         });
@@ -222,8 +252,25 @@
     return isRelaying(now) ? m_settings.whileRelaying : m_settings.own;
 }
 
+bool topic_follower::isOfPresentEra(const outcome<http_response> &response)
+{
+    if (!response) {
+        return true;
+    }
+    const era_verdict verdict = m_relays.judgeStoreEra(m_dialect.decodeEra(response.value()));
+    if (verdict == era_verdict::outdated) {
+        m_log.write(log_line("store", "outdated_era_ignored").add("topic", name()));
+        m_age.noteObstacle("the store's response is of an era before a restore");
+        scheduleNextCall(staleRetryDelay);
+    }
+    return verdict == era_verdict::current;
+}
+
 void topic_follower::handleProbe(const outcome<http_response> &response)
 {
+    if (!isOfPresentEra(response)) {
+        return;
+    }
     const auto answer = response ? m_dialect.decodeNewest(response.value()) : outcome<store_page>(response.error());
     if (!answer) {
         retryLater(answer.error().message);
@@ -236,6 +283,9 @@
 
 void topic_follower::handlePage(const outcome<http_response> &response)
 {
+    if (!isOfPresentEra(response)) {
+        return;
+    }
     if (!response) {
         retryLater(response.error().message);
         return;
@@ -254,7 +304,7 @@
     if (m_page.empty() && m_afterKey.empty()) {
         // The pages do not show the topic at a single moment. Changes made while they are read have records at or after the end offset of
         // the first page, which is the offset of the next record to read.
-        m_pageEnd = page.value().end;
+        m_pageEnd = {m_relays.era.current().value_or(store_era()), page.value().end};
     }
     if (m_pageEnd < m_position) {
         ignoreStaleAnswer(m_pageEnd);
@@ -295,8 +345,8 @@
     if (!isCheck || hasUnreportedChange(listed)) {
         m_newest = std::move(listed);
         m_position = m_pageEnd;
-        m_relays.relay.recordSnapshot(m_settings.topic, m_position, now);
-        m_onUpdate(topic_snapshot {m_settings.topic, std::exchange(m_page, {}), m_age.silence(now)});
+        m_relays.relay.recordSnapshot(m_settings.topic, m_position.offset, now);
+        m_onUpdate(topic_snapshot {m_settings.topic, std::exchange(m_page, {}), m_age.silence(now), std::exchange(m_isRestored, false)});
     }
     recordUpToDate(now);
     scheduleNextCall(milliseconds::zero());
@@ -320,13 +370,16 @@
 
 void topic_follower::handleBatch(const outcome<http_response> &response)
 {
+    if (!isOfPresentEra(response)) {
+        return;
+    }
     if (!response) {
         retryLater(response.error().message);
         return;
     }
     auto batch = m_dialect.decodeBatch(response.value());
     if (!batch && batch.error().code == error_code::not_found) {
-        m_log.write(log_line("store", "history_gone").add("topic", name()).add("position", m_position));
+        m_log.write(log_line("store", "history_gone").add("topic", name()).add("position", m_position.offset));
         recordStoreContact();
         m_fullReadCause = full_read_cause::needed;
         scheduleNextCall(milliseconds::zero());
@@ -337,14 +390,15 @@
         return;
     }
     recordStoreContact();
-    if (batch.value().end < m_position) {
-        ignoreStaleAnswer(batch.value().end);
+    const store_position end {m_position.era, batch.value().end};
+    if (end < m_position) {
+        ignoreStaleAnswer(end);
         return;
     }
     const instant now = boot_clock::now();
     applyRecords(std::move(batch.value().records), now);
     m_relays.relay.recordContact(m_settings.topic, now);
-    const bool hasMore = m_position < batch.value().end;
+    const bool hasMore = m_position < end;
     if (!hasMore) {
         recordSuccess();
         recordUpToDate(now);
@@ -358,8 +412,8 @@
         return;
     }
     for (store_record &record : records) {
-        record.offset = m_position;
-        m_position += store_offset(1);
+        record.offset = m_position.offset;
+        m_position.offset += store_offset(1);
         m_newest[record.key] = {record.offset, !record.value.has_value()};
     }
     m_relays.relay.recordUpdates(m_settings.topic, records);
@@ -369,13 +423,20 @@
 void topic_follower::handleRelayed(const instance_id &reader, const outcome<peer_records_response> &response)
 {
     const instant now = boot_clock::now();
+    if (response) {
+        const std::optional<relayed_era> &era = response.value().era;
+        const era_verdict verdict = m_relays.judgePeerEra(era ? std::optional(store_era(era->value())) : std::nullopt);
+        if (verdict == era_verdict::risen) {
+            return;
+        }
+        if (verdict == era_verdict::outdated) {
+            avoidReader(reader, "the instance's records may be from before a restore of the store", now);
+            return;
+        }
+    }
     const std::string_view reason = unusableReason(response);
     if (!reason.empty()) {
-        m_age.noteObstacle("reader " + reader.value() + ": " + std::string(reason));
-        m_relays.relayClient.block(reader, reason, now);
-        // The bounds leave time for one reader that does not respond. After that the store itself is called, unless it has just failed.
-        m_readsOnceAtStore = now - m_requestedAt > promptResponseTime && !m_retry.isFailing();
-        startNextCall();
+        avoidReader(reader, reason, now);
         return;
     }
     const peer_records_response &read = response.value();
@@ -391,7 +452,7 @@
                         .add("topic", name())
                         .add("gone", read.isTruncated)
                         .add("reset", hasReaderResynced)
-                        .add("position", m_position)
+                        .add("position", m_position.offset)
                         .add("reader_end", read.end));
         m_fullReadCause = full_read_cause::needed;
         startNextCall();
@@ -408,6 +469,15 @@
     scheduleNextCall(m_settings.askPause);
 }
 
+void topic_follower::avoidReader(const instance_id &reader, std::string_view reason, instant now)
+{
+    m_age.noteObstacle("reader " + reader.value() + ": " + std::string(reason));
+    m_relays.relayClient.block(reader, reason, now);
+    // The bounds leave time for one reader that does not respond. After that the store itself is called, unless it has just failed.
+    m_readsOnceAtStore = now - m_requestedAt > promptResponseTime && !m_retry.isFailing();
+    startNextCall();
+}
+
 bool topic_follower::mayHaveMissedChange(const peer_records_response &response, instant now) const
 {
     return m_rereadAt.hasPassed(now) && now - response.sinceResync > m_completeAt;
@@ -444,9 +514,9 @@
     }
 }
 
-void topic_follower::ignoreStaleAnswer(store_offset end)
+void topic_follower::ignoreStaleAnswer(const store_position &end)
 {
-    m_log.write(log_line("store", "stale_answer_ignored").add("topic", name()).add("end", end).add("position", m_position));
+    m_log.write(log_line("store", "stale_answer_ignored").add("topic", name()).add("end", end.offset).add("position", m_position.offset));
     m_age.noteObstacle("the store's records end before those that were read");
     recordSuccess();
     scheduleNextCall(staleRetryDelay);
@@ -457,7 +527,7 @@
     m_log.write(log_line("store", "call_failed")
                     .add("topic", name())
                     .add("cause", cause)
-                    .add("position", m_position)
+                    .add("position", m_position.offset)
                     .add("waited_ms", boot_clock::now() - m_callBegunAt));
     m_age.noteObstacle("store: " + std::string(cause));
     m_readsOnceAtStore = false;
--- a/src/gateway/topic_follower.h
+++ b/src/gateway/topic_follower.h
@@ -3,6 +3,7 @@
 #include "gateway/gateway_messages.h"
 #include "gateway/serial_http_client.h"
 #include "gateway/store_call_counter.h"
+#include "gateway/store_era_tracker.h"
 #include "gateway/store_gate.h"
 #include "gateway/store_retry.h"
 #include "gateway/topic_age.h"
@@ -58,13 +59,19 @@
     topic_relay &relay;
     /// Shared by the topics of this instance.
     store_gate &gate;
+    const store_era_tracker &era;
+    /// Judges the eras of the store's responses and of other instances' messages. When the era has risen, the owner begins a new reading of
+    /// all topics before it returns.
+    std::function<era_verdict(std::optional<store_era>)> judgeStoreEra;
+    std::function<era_verdict(std::optional<store_era>)> judgePeerEra;
 };
 
 /// Follows one topic: reads the newest record of each key at the store, then the records that follow. These come from another instance that
 /// reads the topic at the store if there is a usable one, and no instance requests records from this one or the store does not respond to
 /// this one; else from the store. Ignores
-/// stale responses of the store, whose end is before the records already read. Of the pages with the newest records only the end of the
-/// first is compared, so a later page that is staler can lead to a report of a record older than one already reported. Owned by store_task.
+/// stale responses of the store, whose end is before the records already read in the same era. Of the pages with the newest records only
+/// the end of the first is compared, so a later page that is staler can lead to a report of a record older than one already reported. Owned
+/// by store_task.
 class topic_follower
 {
 public:
@@ -93,12 +100,17 @@
     void setPaused(bool isPaused);
     /// Cuts a pause between polls short if this instance reads at the store. Does not cut the backoff after a failure short.
     void readNow();
+    /// The store has been restored: drops what is in progress and reads everything anew at the store, at a random moment of a short period,
+    /// so that not all instances read at once.
+    void readAfterRestore();
     /// Writes a log line if the topic has become overdue.
     void logIfOverdue(instant now);
     /// Time since this instance last had all records of the topic; nullopt while the topic is not followed.
     std::optional<boot_clock::duration> age(instant now) const;
     /// The topic's name in log lines and metrics.
     std::string_view name() const;
+    /// The position of the next record to read.
+    const store_position &position() const;
 
 private:
     void startNextCall();
@@ -109,11 +121,15 @@
     void readNewest();
     void readUpdates();
     void requestFromReader();
+    /// False if the response is not to be used, because of its era; the next call has then been scheduled.
+    bool isOfPresentEra(const outcome<http_response> &response);
     void handleProbe(const outcome<http_response> &response);
     void handlePage(const outcome<http_response> &response);
     void finishPages();
     void handleBatch(const outcome<http_response> &response);
     void handleRelayed(const instance_id &reader, const outcome<peer_records_response> &response);
+    /// Stops requests to a reader for a while, and decides where the records are read instead.
+    void avoidReader(const instance_id &reader, std::string_view reason, instant now);
     /// True if the reader may have found a change without a record that this instance, which had another reader, does not know.
     bool mayHaveMissedChange(const peer_records_response &response, instant now) const;
     /// Returns why a response of another instance cannot be used, or an empty string if it can.
@@ -131,7 +147,7 @@
     /// Records that all records that the store had at a time are known.
     void recordUpToDate(instant at);
     /// The store has answered with fewer records than have been read.
-    void ignoreStaleAnswer(store_offset end);
+    void ignoreStaleAnswer(const store_position &end);
     void retryLater(std::string_view cause);
     void scheduleNextCall(std::chrono::milliseconds pause);
 
@@ -181,8 +197,12 @@
     std::optional<std::int64_t> m_readerResyncCount;
     std::vector<store_record> m_page;
     std::string m_afterKey;
-    store_offset m_pageEnd;
-    store_offset m_position;
+    store_position m_pageEnd;
+    store_position m_position;
+    /// Incremented by each restore; a response to a request of an earlier reading is ignored.
+    std::int64_t m_reading = 0;
+    /// The newest records have not been read since a restore.
+    bool m_isRestored = false;
     std::map<std::string, newest_record> m_newest;
     deadline m_rereadAt;
     instant m_pagesBegunAt;
--- a/src/gateway/topic_relay.cpp
+++ b/src/gateway/topic_relay.cpp
@@ -21,8 +21,9 @@
 
 } // namespace
 
-topic_relay::topic_relay(event_loop &loop)
-    : m_expiry(loop, [this] { respondToExpired(); })
+topic_relay::topic_relay(event_loop &loop, const store_era_tracker &era)
+    : m_era(era)
+    , m_expiry(loop, [this] { respondToExpired(); })
 {
 }
 
@@ -52,12 +53,24 @@
     m_topics.at(indexOf(topic)).isReadAtStore = false;
 }
 
+void topic_relay::beginEra()
+{
+    for (topic_state &state : m_topics) {
+        state.isReadAtStore = false;
+    }
+    const instant now = boot_clock::now();
+    for (const waiting_request &waiting : std::exchange(m_waiting, {})) {
+        respond(waiting.request, waiting.reply, now);
+    }
+}
+
 void topic_relay::handleRequest(const peer_records_request &request, sink<peer_message> reply, instant now)
 {
     m_lastRequestAt = now;
     const topic_state *state = find(request.topic);
     // The requesting instance may have records that were not read here yet.
-    const bool mayWait = state != nullptr && state->isReadAtStore && state->history.end().value() <= request.from.value();
+    const bool mayWait =
+        state != nullptr && state->isReadAtStore && !isOutdated(request) && state->history.end().value() <= request.from.value();
     if (!mayWait) {
         respond(request, reply, now);
         return;
@@ -80,10 +93,18 @@
     return isKnown ? &m_topics.at(static_cast<std::size_t>(topic.value())) : nullptr;
 }
 
+bool topic_relay::isOutdated(const peer_records_request &request) const
+{
+    return request.era && m_era.current() && store_era(request.era->value()) < *m_era.current();
+}
+
 void topic_relay::respond(const peer_records_request &request, const sink<peer_message> &reply, instant now)
 {
     const topic_state *state = find(request.topic);
     peer_records_response response;
+    if (const auto era = m_era.current()) {
+        response.era = relayed_era(era->value());
+    }
     if (state != nullptr && state->isReadAtStore) {
         response.isReader = true;
         response.resyncCount = state->resyncCount;
@@ -91,7 +112,10 @@
         response.end = log_offset(state->history.end().value());
         response.age = std::chrono::ceil<std::chrono::milliseconds>(now - state->lastContactAt);
         const bool isAhead = request.from > response.end;
-        const auto records = isAhead ? std::vector<store_record>() : state->history.from(store_offset(request.from.value()));
+        auto records = isAhead ? std::vector<store_record>() : state->history.from(store_offset(request.from.value()));
+        if (isOutdated(request)) {
+            records.reset();
+        }
         response.isTruncated = !records;
         for (const store_record &record : records.value_or(std::vector<store_record>())) {
             response.records.push_back({record.key, record.value});
--- a/src/gateway/topic_relay.h
+++ b/src/gateway/topic_relay.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "gateway/record_history.h"
+#include "gateway/store_era_tracker.h"
 #include "mesh/mesh_messages.h"
 #include "runtime/timer.h"
 
@@ -14,7 +15,8 @@
 class topic_relay
 {
 public:
-    explicit topic_relay(event_loop &loop);
+    /// The responses bear the tracker's era, which must outlive this object.
+    topic_relay(event_loop &loop, const store_era_tracker &era);
 
     /// This instance has read the newest record of each key, instead of the individual records up to the given offset. Clears the history,
     /// which continues at that offset, and increments resyncCount, so that the other instances read all newest records at the store.
@@ -29,6 +31,9 @@
     /// This instance no longer reads the topic at the store.
     void markNotReading(store_topic topic);
 
+    /// The store has been restored: no topic has been read in its present era. Responds to the waiting requests.
+    void beginEra();
+
     /// Replies immediately if there are records or the topic is not read here, otherwise once there are records or the request's wait, at
     /// most 1000 ms, has passed.
     void handleRequest(const peer_records_request &request, sink<peer_message> reply, instant now);
@@ -53,10 +58,13 @@
     };
 
     topic_state *find(relayed_topic topic);
+    /// True for an offset of an era before the present one, which means other records here.
+    bool isOutdated(const peer_records_request &request) const;
     void respond(const peer_records_request &request, const sink<peer_message> &reply, instant now);
     void respondToWaiting(store_topic topic, instant now);
     void respondToExpired();
 
+    const store_era_tracker &m_era;
     std::array<topic_state, storeTopicCount> m_topics;
     std::list<waiting_request> m_waiting;
     timer m_expiry;
--- a/src/gateway/topic_relay_client.cpp
+++ b/src/gateway/topic_relay_client.cpp
@@ -38,14 +38,17 @@
     return m_readers.current(now) != nullptr;
 }
 
-void topic_relay_client::sendRequest(store_topic topic, store_offset from, instant now, handler onAnswer)
+void topic_relay_client::sendRequest(store_topic topic, store_offset from, std::optional<store_era> era, instant now, handler onAnswer)
 {
     const std::uint64_t exchange = ++m_lastExchange;
     const instance_id reader = m_readers.current(now)->instance;
     m_pending.emplace(exchange, pending_request {reader, std::move(onAnswer)});
     peer_request send;
     send.exchange = exchange;
-    send.message = peer_records_request {relayed_topic(static_cast<std::int64_t>(topic)), log_offset(from.value()), maxRecordsWait};
+    send.message = peer_records_request {relayed_topic(static_cast<std::int64_t>(topic)),
+                                         log_offset(from.value()),
+                                         maxRecordsWait,
+                                         era ? std::optional(relayed_era(era->value())) : std::nullopt};
     send.until = deadline::after(now, peerRequestTimeout);
     send.reply = m_responses;
     if (m_mesh.post(peer_envelope {reader, std::move(send)}) != post_result::delivered) {
--- a/src/gateway/topic_relay_client.h
+++ b/src/gateway/topic_relay_client.h
@@ -28,8 +28,8 @@
     bool setReaders(std::vector<peer_instance> readers);
     /// True while there is a reader that is not blocked.
     bool isUsable(instant now) const;
-    /// Requests records from the first reader that is not blocked; there must be one.
-    void sendRequest(store_topic topic, store_offset from, instant now, handler onAnswer);
+    /// Requests records from the first reader that is not blocked; there must be one. The era is the latest one that this instance knows.
+    void sendRequest(store_topic topic, store_offset from, std::optional<store_era> era, instant now, handler onAnswer);
     void receive(const peer_response &response);
     /// Stops requests to a reader for a while, after a failed or unusable response.
     void block(const instance_id &reader, std::string_view cause, instant now);
--- a/tests/gateway/fleet_test.cpp
+++ b/tests/gateway/fleet_test.cpp
@@ -74,3 +74,52 @@
     site.store.put("keyed.op", "config", fleetConfig(5, "k2"));
     CHECK_TRUE(site.callUntil(1, 401));
 }
+
+// Guards against an instance that stays on the records of its reader from before a restore of the store, and against a reader that passes
+// them on. Two restores follow each other within a second.
+TEST(read_topics, areReadAnewByAllInstancesAfterARestore)
+{
+    gateway_fleet site;
+    site.store.assignPartitionsTo("one");
+    CHECK_TRUE(site.callUntil(1, 200));
+    site.waitForLog(1, "event=reader_chosen");
+    for (const int version : {5, 7, 9}) {
+        site.store.put("keyed.op", "config", fleetConfig(version, "k" + std::to_string(version)));
+    }
+    CHECK_TRUE(site.callUntil(1, 200, "k9"));
+    const instant restored = boot_clock::now();
+    site.store.restore({{"keyed.op", 2}, {"keyed.members", 10}});
+    site.store.put("keyed.op", "config", fleetConfig(9, "k9"));
+    CHECK_TRUE(site.callUntil(1, 200, "k9"));
+    site.store.restore({{"keyed.op", 2}});
+    site.store.put("keyed.op", "config", fleetConfig(9, "k9"));
+    site.store.put("keyed.op", "config", fleetConfig(11, "k11"));
+    CHECK_TRUE(site.callUntil(0, 200, "k11"));
+    CHECK_TRUE(site.callUntil(1, 200, "k11"));
+    CHECK(boot_clock::now() - restored < 2s);
+    LONGS_EQUAL(401, site.call(1, "k9"));
+    site.waitForLog(0, "event=store_restored era=2 before=1");
+    site.waitForLog(1, "event=store_restored era=2 before=1");
+}
+
+// Guards against an instance that the store turns away over a restore and that does not follow it once it is served again.
+TEST(read_topics, areReadAnewByAnInstanceThatTheStoreRefusedOverARestore)
+{
+    gateway_fleet site;
+    site.store.assignPartitionsTo("one");
+    CHECK_TRUE(site.callUntil(1, 200));
+    site.waitForLog(1, "event=reader_chosen");
+    for (const int version : {5, 7, 9}) {
+        site.store.put("keyed.op", "config", fleetConfig(version, "k" + std::to_string(version)));
+    }
+    CHECK_TRUE(site.callUntil(1, 200, "k9"));
+    site.store.setSecondaryRefusing(true);
+    site.store.restore({{"keyed.op", 3}});
+    site.store.put("keyed.op", "config", fleetConfig(11, "k11"));
+    site.waitForLog(1, "event=store_restored");
+    CHECK_TRUE(site.callUntil(0, 200, "k11"));
+    site.store.setSecondaryRefusing(false);
+    const instant served = boot_clock::now();
+    CHECK_TRUE(site.callUntil(1, 200, "k11"));
+    CHECK(boot_clock::now() - served < 2s);
+}
--- a/tests/gateway/topic_relay_test.cpp
+++ b/tests/gateway/topic_relay_test.cpp
@@ -20,18 +20,19 @@
 struct topic_relay_fixture
 {
     event_loop loop;
-    topic_relay relay {loop};
+    store_era_tracker era;
+    topic_relay relay {loop, era};
     instant now = boot_clock::now();
     std::vector<peer_records_response> responses;
 
-    void request(std::int64_t from, std::chrono::milliseconds wait)
+    void request(std::int64_t from, std::chrono::milliseconds wait, std::optional<relayed_era> requesterEra = {})
     {
         const sink<peer_message> reply([this](const peer_message &message) {
             responses.push_back(std::get<peer_records_response>(message));
             loop.stop();
             return post_result::delivered;
         });
-        relay.handleRequest({topicNumber, log_offset(from), wait}, reply, now);
+        relay.handleRequest({topicNumber, log_offset(from), wait, requesterEra}, reply, now);
     }
 };
 
@@ -128,6 +129,49 @@
     LONGS_EQUAL(900, fixture.responses.back().sinceResync.count());
 }
 
+// Guards against records that are passed on for an offset that meant other records before a restore of the store.
+TEST(topic_relay, givesNoRecordsForAnOffsetOfAnOlderEra)
+{
+    fixture.era.judgeStore(store_era(2));
+    fixture.relay.recordSnapshot(topic, store_offset(4), fixture.now);
+    fixture.relay.recordUpdates(topic, {record("a", "1")});
+    fixture.relay.recordContact(topic, fixture.now);
+    fixture.request(4, 500ms, relayed_era(2));
+    LONGS_EQUAL(1, fixture.responses.back().records.size());
+    CHECK(fixture.responses.back().era == relayed_era(2));
+    for (const std::int64_t from : {4, 5, 9}) {
+        fixture.request(from, 500ms, relayed_era(1));
+        CHECK_TRUE(fixture.responses.back().isTruncated);
+        CHECK_TRUE(fixture.responses.back().records.empty());
+        CHECK(fixture.responses.back().era == relayed_era(2));
+    }
+    LONGS_EQUAL(4, fixture.responses.size());
+}
+
+// Guards against requesters that wait for a reader which has to read the restored store first, and are not told of the restore.
+TEST(topic_relay, isNoReaderAfterARestoreUntilItHasReadTheTopic)
+{
+    fixture.era.judgeStore(store_era(2));
+    fixture.relay.recordSnapshot(topic, store_offset(4), fixture.now);
+    fixture.relay.recordContact(topic, fixture.now);
+    fixture.request(4, 500ms, relayed_era(2));
+    CHECK_TRUE(fixture.responses.empty());
+    fixture.era.judgeStore(store_era(3));
+    fixture.relay.beginEra();
+    LONGS_EQUAL(1, fixture.responses.size());
+    CHECK_FALSE(fixture.responses.back().isReader);
+    CHECK(fixture.responses.back().era == relayed_era(3));
+    fixture.request(1, 500ms, relayed_era(3));
+    CHECK_FALSE(fixture.responses.back().isReader);
+    fixture.relay.recordContact(topic, fixture.now);
+    fixture.relay.recordSnapshot(topic, store_offset(1), fixture.now);
+    fixture.request(1, 10ms, relayed_era(3));
+    fixture.loop.run();
+    LONGS_EQUAL(3, fixture.responses.size());
+    CHECK_TRUE(fixture.responses.back().isReader);
+    CHECK_FALSE(fixture.responses.back().isTruncated);
+}
+
 TEST(topic_relay, answersRequestsForUnknownTopics)
 {
     const sink<peer_message> reply([this](const peer_message &message) {
