--- a/src/gateway/store_task.h
+++ b/src/gateway/store_task.h
@@ -39,6 +39,7 @@
     address<group_message> group;
     address<mesh_supervisor_message> mesh;
     store_call_counter calls;
+    sink<metric_batch> metrics;
 };
 
 /// Follows the topics of the platform's store that a gateway needs, and writes this instance's member report. Only a few instances, which
@@ -74,6 +75,12 @@
     /// Chooses the instances from which this one requests records.
     void chooseReader();
     void requestHolders();
+    /// Publishes how old the topics are, and logs those that are overdue.
+    void reviewTopicAges();
+    era_verdict judgeStoreEra(std::optional<store_era> seen);
+    era_verdict judgePeerEra(std::optional<store_era> seen);
+    /// Passes a verdict on, after beginning a new reading of all topics if the era has risen.
+    era_verdict actOnEra(era_verdict verdict, std::optional<store_era> before);
     void recordContact(bool isReachable);
     /// Returns whether the message was delivered to the dispatcher.
     bool post(dispatch_message message);
@@ -96,6 +103,7 @@
     /// When the dispatcher is next told that the store responds.
     deadline m_contactDue;
     store_gate m_gate;
+    store_era_tracker m_era;
     topic_relay m_relay;
     topic_relay_client m_relayClient;
     std::vector<quota_partition_holder> m_holders;
@@ -103,6 +111,7 @@
     std::int64_t m_holdersRequests = 0;
     timer m_holdersTimer;
     std::vector<std::unique_ptr<topic_follower>> m_followers;
+    timer m_topicAgesTimer;
     bool m_isReachable = false;
 };
 
