Test resets during uploads for plain streams and uploads in chunks

They hold: system_test -g invalid_responses passes, 10 tests and 400 checks, without any change to the product.

--- a/tests/system/endless_site.cpp
+++ b/tests/system/endless_site.cpp
@@ -37,6 +37,7 @@
     return R"({"version":3,"routes":[
  {"name":"safe","host":"127.0.0.1","path_prefix":"/safe/","kind":"safe","timeout_ms":5000,"service":"plain","max_attempts":2},
  {"name":"unsafe","host":"127.0.0.1","path_prefix":"/unsafe/","kind":"unsafe","timeout_ms":5000,"service":"plain","max_attempts":1},
+ {"name":"events","host":"127.0.0.1","path_prefix":"/events/","kind":"streaming","timeout_ms":5000,"service":"plain","max_attempts":1},
  {"name":"text","host":"127.0.0.1","path_prefix":"/text/","kind":"streaming","timeout_ms":5000,"service":"engine","max_attempts":1}],
  "services":[{"name":"plain","max_conns":800},
   {"name":"engine","max_conns":800,"engine":{"slots":512,"kv_capacity":4000000,"switch_s":1.0}}],
@@ -199,12 +200,27 @@
 }
 
 raw_caller &endless_site::send(const std::string &method, const std::string &target, const std::string &idStart, std::size_t bodyBytes)
+{
+    return sendFramed(method, target, idStart, "Content-Length: " + std::to_string(bodyBytes) + "\r\n\r\n" + std::string(bodyBytes, 'x'));
+}
+
+raw_caller &endless_site::sendInChunks(const std::string &method, const std::string &target, const std::string &idStart, std::size_t chunks)
+{
+    const std::string chunk = "4000\r\n" + std::string(chunkBytes, 'x') + "\r\n";
+    std::string framed = "Transfer-Encoding: chunked\r\n\r\n";
+    for (std::size_t i = 0; i < chunks; ++i) {
+        framed += chunk;
+    }
+    return sendFramed(method, target, idStart, framed + "0\r\n\r\n");
+}
+
+raw_caller &
+endless_site::sendFramed(const std::string &method, const std::string &target, const std::string &idStart, const std::string &framedBody)
 {
     raw_caller &caller = m_requests.emplace_back(m_loop, m_callers);
     caller.send(method + " " + target + " HTTP/1.1\r\nHost: 127.0.0.1\r\nX-Attempt-Id: " + idStart + std::to_string(++m_lastRequest)
                 + "\r\nX-Deadline-Ms: 4000\r\nAuthorization: Bearer k1\r\n"
-                + (target.starts_with("/text/") ? "X-Token-Counts: 100,50\r\n" : "") + "Content-Length: " + std::to_string(bodyBytes)
-                + "\r\n\r\n" + std::string(bodyBytes, 'x'));
+                + (target.starts_with("/text/") ? "X-Token-Counts: 100,50\r\n" : "") + framedBody);
     return caller;
 }
 
--- a/tests/system/endless_site.h
+++ b/tests/system/endless_site.h
@@ -24,6 +24,8 @@
 class endless_site
 {
 public:
+    static constexpr std::size_t chunkBytes = 0x4000;
+
     /// Chooses what to send for a request; nothing for a sound response.
     using fault_choice = std::function<const faulty_response *(const http_request &)>;
 
@@ -41,6 +43,8 @@
     raw_caller &send(const std::string &method, const std::string &target, const std::string &idStart);
     /// The same with a body of that many bytes.
     raw_caller &send(const std::string &method, const std::string &target, const std::string &idStart, std::size_t bodyBytes);
+    /// The same with a body in chunks of chunkBytes.
+    raw_caller &sendInChunks(const std::string &method, const std::string &target, const std::string &idStart, std::size_t chunks);
     /// All callers close their connections.
     void leave();
     /// Runs the loop until the condition holds; false if that takes longer than any deadline in these tests.
@@ -62,6 +66,7 @@
     const socket_address &peerAddress() const;
 
 private:
+    raw_caller &sendFramed(const std::string &method, const std::string &target, const std::string &idStart, const std::string &framedBody);
     void publish(const scripted_endpoint &endpoint, const std::string &id, const std::string &service, const std::string &stage);
     void respond(scripted_connection &from, const http_request &request);
     void passOnToStore(scripted_connection &from, const http_request &request);
--- a/tests/system/invalid_responses_test.cpp
+++ b/tests/system/invalid_responses_test.cpp
@@ -33,7 +33,8 @@
     bool isRepeatable = false;
 };
 
-constexpr std::array<request_kind, 3> requestKinds = {{{"GET", "/safe/x", true}, {"POST", "/unsafe/x"}, {"POST", "/text/x"}}};
+constexpr std::array<request_kind, 4> requestKinds = {
+    {{"GET", "/safe/x", true}, {"POST", "/unsafe/x"}, {"POST", "/events/x"}, {"POST", "/text/x"}}};
 
 bool isComplete(const raw_caller &caller, int status)
 {
@@ -149,6 +150,13 @@
 
     // An endpoint answers an upload before it has read it, and then resets the connection.
     void resetUploads(std::size_t afterBytes, const std::string &framing, const std::string &body, std::chrono::milliseconds pause)
+    {
+        resetUploads(afterBytes, framing, body, pause, false);
+        resetUploads(afterBytes, framing, body, pause, true);
+    }
+
+    void resetUploads(
+        std::size_t afterBytes, const std::string &framing, const std::string &body, std::chrono::milliseconds pause, bool isChunked)
     {
         std::vector<std::unique_ptr<timer>> resets;
         site.setUploadHandler(afterBytes, [&](scripted_connection &from, const http_request &request) {
@@ -158,12 +166,13 @@
             resets.back()->start(deadline::after(boot_clock::now(), pause));
         });
         for (const request_kind &kind :
-             std::array<request_kind, 3> {{{"POST", "/safe/x", true}, {"POST", "/unsafe/x"}, {"POST", "/text/x"}}}) {
+             std::array<request_kind, 4> {{{"POST", "/safe/x", true}, {"POST", "/unsafe/x"}, {"POST", "/events/x"}, {"POST", "/text/x"}}}) {
             const std::string id = "u" + std::to_string(++lastUpload) + "-";
-            const raw_caller &caller = site.send(kind.method, kind.target, id, uploadBytes);
+            const raw_caller &caller = isChunked ? site.sendInChunks(kind.method, kind.target, id, uploadBytes / endless_site::chunkBytes)
+                                                 : site.send(kind.method, kind.target, id, uploadBytes);
             CHECK_TRUE(site.waitFor([&] { return caller.isDone(); }));
-            const std::string name = std::string(kind.target) + " after " + std::to_string(afterBytes) + " bytes and "
-                + std::to_string(pause.count()) + " ms, " + framing;
+            const std::string name = std::string(kind.target) + (isChunked ? " in chunks" : "") + " after " + std::to_string(afterBytes)
+                + " bytes and " + std::to_string(pause.count()) + " ms, " + framing;
             expect(!isComplete(caller, statusOk), name, "looks complete: " + caller.body());
             expect(site.hasRunWithIdStart(id), name, "reached no endpoint, got " + std::to_string(caller.status()));
             expect(kind.isRepeatable || site.runCount(id) <= 1, name, "ran twice");
@@ -264,7 +273,8 @@
         for (std::size_t i = 0; i < samples.size(); ++i) {
             // A stream has to have an event, and its end must be visible.
             const bool isForStreams = samples[i].status == statusOk && !samples[i].body.empty();
-            if (samples[i].endsAtClose || (!isForStreams && kind.target == std::string("/text/x"))) {
+            const bool isStream = kind.target == std::string("/text/x") || kind.target == std::string("/events/x");
+            if (samples[i].endsAtClose || (!isForStreams && isStream)) {
                 continue;
             }
             const faulty_response &fault = faults[i];
