Test that nothing is sent to endpoints that have left meanwhile

These tests look for a request that was decided before, and sent after the entry was read: a property over searches, reservations, prefills, retries and resumed streams while endpoints drain, vanish and return; a request that waits for its quota and one that is retried; and a connection that is established only when the kernel repeats its first packet.

All pass without any change to the product.

--- a/tests/forwarding/forward_flow_test.cpp
+++ b/tests/forwarding/forward_flow_test.cpp
@@ -1,6 +1,8 @@
 #include "forwarding/plan_fixture.h"
 
+#include <array>
 #include <map>
+#include <string>
 
 #include "support/property.h"
 
@@ -34,6 +36,7 @@
     int finalResponses = 0;
     bool wasRefusedAsNotExecuted = false;
     bool executedAfterRefusal = false;
+    bool wasSentToUnavailableEndpoint = false;
 
     explicit random_endpoints(const std::string &route)
         : flow(fixture.flow(route))
@@ -45,6 +48,7 @@
         for (const flow_action &action : actions) {
             if (const auto *sent = std::get_if<start_attempt>(&action)) {
                 open[sent->number] = sent->attemptKind;
+                wasSentToUnavailableEndpoint = wasSentToUnavailableEndpoint || !fixture.endpoints.mayReceive(sent->endpoint, fixture.now);
                 executedAfterRefusal = executedAfterRefusal || (wasRefusedAsNotExecuted && executes(sent->attemptKind));
             } else if (const auto *withdrawn = std::get_if<cancel_flow_attempt>(&action)) {
                 open.erase(withdrawn->number);
@@ -58,6 +62,22 @@
         }
     }
 
+    // An endpoint reports that it drains, or its entry is removed, or it is back.
+    void changeEndpoint(std::uint8_t choice)
+    {
+        static const std::array<std::string, 8> names = {"p1", "p2", "p3", "r1", "r2", "d1", "d2", "d3"};
+        const std::string &name = names.at(choice % names.size());
+        const std::optional<engine_stage> stage = name[0] == 'r' ? engine_stage::prefill : engine_stage::decode;
+        const bool isPlain = name[0] == 'p';
+        endpoint_entry entry = plan_fixture::entry(name, isPlain ? "plain" : "engine", isPlain ? std::nullopt : stage);
+        entry.isDraining = choice % 3 == 0;
+        if (choice % 3 == 1) {
+            fixture.endpoints.remove(entry.id);
+        } else {
+            fixture.endpoints.put(entry, fixture.plan->findService(entry.service), fixture.now);
+        }
+    }
+
     // One event, chosen by the number: the oldest open attempt ends in some way, or time passes.
     void step(std::uint8_t choice)
     {
@@ -123,6 +143,24 @@
     }
 }
 
+// Guards against requests that reach an endpoint after it was learnt that it leaves, on whatever way to it: a search for capacity, a
+// reservation or prefill made there before, a retry or a resumed stream (DRAIN).
+TEST(forward_flow, sendsNothingToEndpointsThatHaveLeft)
+{
+    for (const std::string route : {"safe", "unsafe", "stream", "resumed"}) {
+        CHECK_PROPERTY("no attempt at an endpoint that has left",
+                       [route](const std::vector<std::pair<std::uint8_t, std::uint8_t>> &choices) {
+                           random_endpoints simulation(route);
+                           simulation.take(simulation.flow.begin(simulation.fixture.context(), simulation.fixture.now));
+                           for (const auto &[change, end] : choices) {
+                               simulation.changeEndpoint(change);
+                               simulation.step(end);
+                           }
+                           RC_ASSERT(!simulation.wasSentToUnavailableEndpoint);
+                       });
+    }
+}
+
 TEST(forward_flow, limitsAttemptsToTheRoutesMaximum)
 {
     CHECK_PROPERTY("attempts", [](const std::vector<std::uint8_t> &choices) {
--- a/tests/gateway/dispatch_test.cpp
+++ b/tests/gateway/dispatch_test.cpp
@@ -1,6 +1,8 @@
 #include "gateway/dispatch_fixture.h"
 #include "support/peak_memory.h"
 
+#include <array>
+
 #include <CppUTest/TestHarness.h>
 
 using namespace burdockshelf;
@@ -111,6 +113,37 @@
     }
 }
 
+// Guards against requests that are sent to an endpoint after the dispatcher has learnt that it leaves, because they were admitted before or
+// are retried (DRAIN).
+TEST(dispatcher, sendsNothingToAnEndpointThatHasLeftMeanwhile)
+{
+    std::string draining = dispatch_fixture::endpointEntry();
+    draining.replace(draining.find("ready"), 5, "draining");
+    const std::array<topic_update, 3> departures = {
+        topic_update {store_topic::endpoints, {{"p", draining, store_offset(2)}}},
+        topic_update {store_topic::endpoints, {{"p", std::nullopt, store_offset(2)}}},
+        topic_update {store_topic::operators, {{"evacuate/z", "{}", store_offset(2)}}},
+    };
+    for (const topic_update &departure : departures) {
+        dispatch_fixture fixture;
+        // One request waits for its quota, and another one is retried after its endpoint has refused it.
+        fixture.arrive(1);
+        fixture.arrive(2);
+        fixture.run(20ms);
+        fixture.post(quota_response {flow_id(2), quota_granted {{workspace_id("w"), 200.0, std::nullopt}}});
+        fixture.run(20ms);
+        CHECK_TRUE(fixture.hasSentAttempt());
+        fixture.toEndpoints.clear();
+        fixture.post(departure);
+        fixture.post(quota_response {flow_id(1), quota_granted {{workspace_id("w"), 200.0, std::nullopt}}});
+        fixture.post(attempt_ended {flow_id(2), attempt_number(1), attempt_outcome::not_sent, {}, {}, false, "cannot connect"});
+        fixture.run(300ms);
+        CHECK_FALSE(fixture.hasSentAttempt());
+        CHECK(fixture.responseTo(1) != nullptr);
+        CHECK(fixture.responseTo(2) != nullptr);
+    }
+}
+
 // Failures that are not passed on, because the request is retried, were kept until the request had ended, outside of every bound.
 TEST(dispatcher, keepsNoFailuresThatAreRetried)
 {
--- a/tests/gateway/endpoint_notice_test.cpp
+++ b/tests/gateway/endpoint_notice_test.cpp
@@ -4,10 +4,14 @@
 #include "platform/platform.h"
 #include "standins/users_platform/standin_backend.h"
 
+#include <algorithm>
 #include <array>
+#include <string>
+#include <vector>
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
+#include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -47,6 +51,9 @@
         for (const int waiting : m_waiting) {
             ::close(waiting);
         }
+        for (const int accepted : m_accepted) {
+            ::close(accepted);
+        }
     }
 
     full_listener(const full_listener &) = delete;
@@ -57,9 +64,28 @@
         return m_address;
     }
 
+    /// Accepts every connection that has been established and returns the bytes that have arrived on them.
+    std::string acceptAll()
+    {
+        const pollfd established = {m_listener, POLLIN, 0};
+        for (pollfd next = established; ::poll(&next, 1, 0) > 0; next = established) {
+            m_accepted.push_back(::accept4(m_listener, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC));
+        }
+        std::array<char, 4096> bytes {};
+        for (const int socket : m_accepted) {
+            for (ssize_t read = 1; read > 0;) {
+                read = ::recv(socket, bytes.data(), bytes.size(), 0);
+                m_received.append(bytes.data(), static_cast<std::size_t>(std::max<ssize_t>(read, 0)));
+            }
+        }
+        return m_received;
+    }
+
 private:
     int m_listener = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
     std::array<int, 3> m_waiting {};
+    std::vector<int> m_accepted;
+    std::string m_received;
     socket_address m_address;
 };
 
@@ -175,6 +201,28 @@
     CHECK(fixture.runUntilEnded(1) == attempt_outcome::withheld);
 }
 
+// Guards against a request that reaches an endpoint long after it was chosen, when the endpoint may have left: the kernel repeats the first
+// packet of a connection after a second, and the connection may then be established (DRAIN).
+TEST(endpoint_client_notices, areNotNeededForRequestsWhoseConnectionIsLate)
+{
+    full_listener slow;
+    fixture.open(1, slow.address());
+    CHECK(fixture.runUntilEnded(1) == attempt_outcome::not_sent);
+    timer end(fixture.loop, [&] { fixture.loop.stop(); });
+    for (int round = 0; round < 30; ++round) {
+        STRCMP_EQUAL("", slow.acceptAll().c_str());
+        end.start(deadline::after(boot_clock::now(), 50ms));
+        fixture.loop.run();
+    }
+    // The listener does receive what is sent to it.
+    fixture.open(2, slow.address());
+    while (slow.acceptAll().empty() && fixture.ended.count(flow_id(2)) == 0) {
+        end.start(deadline::after(boot_clock::now(), 5ms));
+        fixture.loop.run();
+    }
+    CHECK(slow.acceptAll().find("X-Attempt-Id: a2") != std::string::npos);
+}
+
 // A stream may run for a long time after the head that says that the endpoint leaves.
 TEST(endpoint_client_notices, areReadFromTheHeadOfARunningStream)
 {
