Judge in the soak whether acknowledged changes are in force

The soak checked one withdrawn key after the last fault, and no endpoint that leaves by its entry.

Change: during the faults the operator changes the configuration every 1 to 3 s: keys of a second workspace are replaced, and a route moves between two services. Requests with present and earlier keys go to all gateways on that route. configuration_judge holds each refusal (401, 403, 404) and each run against the versions that may be in force, from the moment at which the stand-in store has stored them: the bound is 2 s, and 5 s more within 3 s after a fault of the store. It does not judge while the store fails, or a gateway that was stopped, killed, ended, started or had a faulty link to the store within 3 s before. A gateway that goes back behind a version that it has shown is a finding unless it was started anew. Endpoints drain by their entry or are dropped for up to 4.5 s; a request that reaches one more than 2 s after the entry was stored is a finding under the same condition, unless the endpoint's link was faulty within the last 3 s.

The soak prints how many runs and refusals were held against a version that binds.

--- a/tests/soak/fault_series.cpp
+++ b/tests/soak/fault_series.cpp
@@ -10,17 +10,20 @@
 using std::chrono::milliseconds;
 using namespace std::chrono_literals;
 
-fault_series::fault_series(event_loop &loop, soak_site &site, soak_judge &judge, notice_judge &notices, random_source &random)
+fault_series::fault_series(
+    event_loop &loop, soak_site &site, soak_judge &judge, notice_judge &notices, configuration_judge &configurations, random_source &random)
     : m_site(site)
     , m_judge(judge)
     , m_notices(notices)
+    , m_configurations(configurations)
     , m_random(random)
     , m_faultyEndpoints(loop, site.store(), judge, random)
 {
 }
 
-void fault_series::begin()
+void fault_series::begin(std::int64_t spacing)
 {
+    m_spacing = spacing;
     m_isInjecting = true;
 }
 
@@ -41,14 +44,14 @@
         act();
     }
     if (m_isInjecting && m_nextFault.hasPassed(now)) {
-        m_nextFault = deadline::after(now, randomTime(60, 500));
+        m_nextFault = deadline::after(now, m_spacing * randomTime(60, 500));
         injectFault();
     }
 }
 
 void fault_series::injectFault()
 {
-    static constexpr std::array<fault_action, 14> actions = {
+    static constexpr std::array<fault_action, 15> actions = {
         &fault_series::failEndpointLink,
         &fault_series::failEndpointLink,
         &fault_series::failStoreLink,
@@ -63,6 +66,7 @@
         &fault_series::putOddEntry,
         &fault_series::announceLeaving,
         &fault_series::pauseEndpoint,
+        &fault_series::drainEndpoint,
     };
     (this->*actions.at(m_random.below(actions.size())))();
 }
@@ -74,7 +78,9 @@
     m_site.endpoints()[index].link->setFault(fault, randomTime(5, 300));
     m_notices.noteLinkFault(m_site.endpoints()[index].id);
     m_judge.noteFault("link of " + m_site.endpoints()[index].id + ", kind " + std::to_string(static_cast<int>(fault)));
-    later(randomTime(100, 2000), [this, index] {
+    const milliseconds time = randomTime(100, 2000);
+    m_configurations.noteEndpointFault(m_site.endpoints()[index].id, boot_clock::now(), boot_clock::now() + time);
+    later(time, [this, index] {
         m_site.endpoints()[index].link->setFault(link_fault::none);
         m_notices.noteLinkFault(m_site.endpoints()[index].id);
     });
@@ -86,7 +92,9 @@
     const auto fault = static_cast<link_fault>(1 + m_random.below(4));
     m_site.gateways()[index].storeLink->setFault(fault, randomTime(5, 600));
     m_judge.noteFault("store link of " + m_site.gateways()[index].name + ", kind " + std::to_string(static_cast<int>(fault)));
-    later(randomTime(100, 3000), [this, index] { m_site.gateways()[index].storeLink->setFault(link_fault::none); });
+    const milliseconds time = randomTime(100, 3000);
+    noteGatewayFault(m_site.gateways()[index], time);
+    later(time, [this, index] { m_site.gateways()[index].storeLink->setFault(link_fault::none); });
 }
 
 void fault_series::stopGateway()
@@ -100,10 +108,12 @@
     target->state = gateway_state::stopped;
     target->disturbedSince = boot_clock::now();
     excuse(*target);
-    later(randomTime(50, 2500), [this, target] {
+    const milliseconds time = randomTime(50, 2500);
+    noteGatewayFault(*target, time);
+    later(time, [this, target] {
         target->process.signal(SIGCONT);
         target->state = gateway_state::running;
-        m_judge.noteDisturbed(static_cast<std::size_t>(target - m_site.gateways().data()), target->disturbedSince, boot_clock::now());
+        m_judge.noteDisturbed(indexOf(*target), target->disturbedSince, boot_clock::now());
         excuse(*target);
     });
 }
@@ -119,12 +129,15 @@
     target->state = gateway_state::ending;
     target->disturbedSince = boot_clock::now();
     excuse(*target);
-    later(randomTime(20, 800), [this, target] {
+    const milliseconds time = randomTime(20, 800);
+    noteGatewayFault(*target, time);
+    later(time, [this, target] {
+        m_configurations.noteRestart(indexOf(*target), boot_clock::now());
         const auto started = m_site.startGateway(*target);
         if (!started) {
             m_judge.fail("start", started.error().message);
         }
-        m_judge.noteDisturbed(static_cast<std::size_t>(target - m_site.gateways().data()), target->disturbedSince, boot_clock::now());
+        m_judge.noteDisturbed(indexOf(*target), target->disturbedSince, boot_clock::now());
         excuse(*target);
     });
 }
@@ -140,7 +153,9 @@
     target->state = gateway_state::ending;
     target->disturbedSince = boot_clock::now();
     excuse(*target);
-    later(soak_site::graceTime + 100ms, [this, target] {
+    const milliseconds time = soak_site::graceTime + 100ms;
+    noteGatewayFault(*target, time);
+    later(time, [this, target] {
         const auto ended = target->process.wait(0ms);
         if (!ended) {
             m_judge.fail("ends within its grace", target->name);
@@ -148,11 +163,12 @@
         } else if (ended.value() != 0) {
             m_judge.fail("ends with status 0", target->name + " ended with " + std::to_string(ended.value()));
         }
+        m_configurations.noteRestart(indexOf(*target), boot_clock::now());
         const auto started = m_site.startGateway(*target);
         if (!started) {
             m_judge.fail("start", started.error().message);
         }
-        m_judge.noteDisturbed(static_cast<std::size_t>(target - m_site.gateways().data()), target->disturbedSince, boot_clock::now());
+        m_judge.noteDisturbed(indexOf(*target), target->disturbedSince, boot_clock::now());
         excuse(*target);
     });
 }
@@ -162,7 +178,9 @@
     const auto availability = m_random.below(2) == 0 ? standin_store::availability::refusing : standin_store::availability::silent;
     m_site.store().setAvailability(availability);
     m_judge.noteFault("store, mood " + std::to_string(static_cast<int>(availability)));
-    later(randomTime(100, 2500), [this] { m_site.store().setAvailability(standin_store::availability::serving); });
+    const milliseconds time = randomTime(100, 2500);
+    m_configurations.noteStoreFault(boot_clock::now(), boot_clock::now() + time);
+    later(time, [this] { m_site.store().setAvailability(standin_store::availability::serving); });
 }
 
 void fault_series::discardHistory()
@@ -233,9 +251,45 @@
     later(randomTime(50, 2500), [backend = target.backend.get()] { backend->setPause(std::nullopt); });
 }
 
+void fault_series::drainEndpoint()
+{
+    const std::size_t index = m_random.below(m_site.endpoints().size());
+    soak_endpoint &target = m_site.endpoints()[index];
+    if (!std::exchange(target.isListed, false)) {
+        return;
+    }
+    const bool isAnnounced = m_random.below(2) == 0;
+    m_judge.noteFault(target.id + (isAnnounced ? " drains" : " is dropped for long"));
+    if (isAnnounced) {
+        m_site.publishEndpoint(target, "draining");
+    } else {
+        m_site.store().drop("keyed.servers", target.id);
+    }
+    m_configurations.noteLeaving(target.id, boot_clock::now());
+    later(randomTime(500, 4500), [this, index] {
+        soak_endpoint &restarted = m_site.endpoints()[index];
+        restarted.isListed = true;
+        restarted.backend->restart();
+        m_notices.noteRestart(restarted.id);
+        m_configurations.noteReturn(restarted.id);
+        m_site.publishEndpoint(restarted);
+    });
+}
+
 void fault_series::excuse(const soak_gateway &target)
 {
-    m_notices.noteDisturbed(static_cast<std::size_t>(&target - m_site.gateways().data()));
+    m_notices.noteDisturbed(indexOf(target));
+}
+
+std::size_t fault_series::indexOf(const soak_gateway &target)
+{
+    return static_cast<std::size_t>(&target - m_site.gateways().data());
+}
+
+void fault_series::noteGatewayFault(const soak_gateway &target, milliseconds time)
+{
+    const instant now = boot_clock::now();
+    m_configurations.noteGatewayFault(indexOf(target), now, now + time);
 }
 
 void fault_series::later(milliseconds time, std::function<void()> act)
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -26,6 +26,7 @@
     add("seed", po::value(&plan.seed)->default_value(plan.seed), "number that the faults follow");
     add("seconds", po::value(&seconds)->default_value(seconds), "how long faults are injected");
     add("gateways", po::value(&plan.gateways)->default_value(plan.gateways), "processes under test");
+    add("spacing", po::value(&plan.faultSpacing)->default_value(plan.faultSpacing), "factor of the time between faults");
     add("logs", po::value(&plan.logFolder), "folder for the logs of the processes");
     try {
         po::variables_map values;
@@ -49,7 +50,8 @@
         return exitFinding;
     }
     std::cout << "seed " << plan.seed << ": " << soak.requestCount() << " requests, " << soak.answeredCount() << " answered with 200, "
-              << soak.judge().faults().size() << " faults, " << soak.judge().findings().size() << " findings\n";
+              << soak.judgedCount() << " judged by their configuration, " << soak.judge().faults().size() << " faults, "
+              << soak.judge().findings().size() << " findings\n";
     for (const std::string &finding : soak.judge().findings()) {
         std::cout << "  " << finding << '\n';
     }
--- a/tests/soak/soak_judge.h
+++ b/tests/soak/soak_judge.h
@@ -15,6 +15,8 @@
     idempotent,
     non_idempotent,
     streaming,
+    /// Idempotent, on the route that moves between services, with a key that is replaced.
+    moved,
 };
 
 /// A request of the soak's callers with what became of it.
@@ -23,6 +25,7 @@
     std::string id;
     soak_kind kind = soak_kind::idempotent;
     std::size_t gateway = 0;
+    std::string key;
     instant sentAt;
     instant endedAt;
     bool isEnded = false;
--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -15,6 +15,13 @@
 
 constexpr milliseconds tickPause {2};
 constexpr milliseconds requestPause {6};
+constexpr milliseconds movedRequestPause {15};
+// The operator changes the configuration after a time between these, in milliseconds.
+constexpr std::int64_t leastChangePause = 1000;
+constexpr std::uint64_t changePauseSpread = 2001;
+constexpr std::uint64_t versionStepSpread = 9;
+// Requests use this many of the newest keys.
+constexpr std::size_t usedKeys = 4;
 // What callers tell the gateway, and how long they really wait for it.
 constexpr milliseconds callerTime {3000};
 constexpr milliseconds callerLimit {5000};
@@ -33,7 +40,7 @@
     , m_site(m_loop,
              m_plan,
              [this](const standin_backend &backend, const std::shared_ptr<http_exchange> &exchange) { answerPlain(backend, exchange); })
-    , m_faults(m_loop, m_site, m_judge, m_notices, m_random)
+    , m_faults(m_loop, m_site, m_judge, m_notices, m_configurations, m_random)
     , m_tick(m_loop, [this] { tick(); })
     , m_stop(m_loop, [this] { m_loop.stop(); })
 {
@@ -52,6 +59,7 @@
     const soak_request &request = found->second;
     m_notices.noteCall(endpoint.id, request.gateway, request.id, request.sentAt, now);
     const std::optional<std::string> &pause = endpoint.backend->pause();
+    m_configurations.noteCall(endpoint, request, !pause, now);
     if (pause && !endpoint.link->hasFault() && pause->find_first_not_of("0123456789.") == std::string::npos) {
         const std::chrono::duration<double> time(std::stod(*pause));
         m_notices.notePause(endpoint.id, request.gateway, deadline::after(now, std::chrono::duration_cast<milliseconds>(time)), now);
@@ -83,6 +91,11 @@
         std::count_if(m_requests.begin(), m_requests.end(), [](const auto &entry) { return entry.second.status == 200; }));
 }
 
+std::size_t soak_run::judgedCount() const
+{
+    return m_configurations.judgedCount();
+}
+
 outcome<void> soak_run::run()
 {
     BOOST_OUTCOME_TRYV(m_site.start(m_plan.gateways));
@@ -91,8 +104,10 @@
     }
     m_tick.start(deadline());
     BOOST_OUTCOME_TRYV(waitUntilServing());
+    m_configurations.noteConfiguration(m_site.configuration(), boot_clock::now());
+    m_movedKeys = m_site.configuration().movedKeys;
     m_isSending = true;
-    m_faults.begin();
+    m_faults.begin(m_plan.faultSpacing);
     runLoopFor(m_plan.faultTime);
     m_faults.end();
     runLoopFor(recoveryTime);
@@ -110,6 +125,9 @@
     for (const std::string &finding : m_notices.takeFindings()) {
         m_judge.fail("endpoints that leave or pause get no requests", finding);
     }
+    for (const std::string &finding : m_configurations.judge(m_requests)) {
+        m_judge.fail("what the store has acknowledged is in force", finding);
+    }
     return success();
 }
 
@@ -145,23 +163,52 @@
     }
 }
 
+void soak_run::sendMovedRequest()
+{
+    const std::size_t index = m_random.below(m_site.gateways().size());
+    const std::size_t age = m_random.below(std::min(usedKeys, m_movedKeys.size()));
+    if (m_site.gateways()[index].state != gateway_state::ending) {
+        sendTo(index, soak_kind::moved, m_movedKeys.at(m_movedKeys.size() - 1 - age), {});
+    }
+}
+
+void soak_run::changeConfiguration()
+{
+    soak_configuration next = m_site.configuration();
+    next.version += 1 + static_cast<std::int64_t>(m_random.below(versionStepSpread));
+    const std::uint64_t change = m_random.below(3);
+    if (change != 0) {
+        next.movedService = next.movedService == "plain" ? "plain2" : "plain";
+    }
+    if (change != 1) {
+        m_movedKeys.push_back("moved-" + std::to_string(next.version));
+        // The key before stays beside the new one at times.
+        next.movedKeys =
+            m_random.below(2) == 0 ? std::vector {m_movedKeys.back()} : std::vector {next.movedKeys.back(), m_movedKeys.back()};
+    }
+    m_site.publishConfiguration(next);
+    m_configurations.noteConfiguration(next, boot_clock::now());
+}
+
 void soak_run::sendTo(std::size_t index, soak_kind kind, const std::string &key, std::function<void(const soak_request &)> onEnd)
 {
-    static constexpr std::array<const char *, 3> paths = {"/safe/x", "/unsafe/x", "/text/x"};
+    static constexpr std::array<const char *, 4> paths = {"/safe/x", "/unsafe/x", "/text/x", "/moved/x"};
+    const bool isGet = kind == soak_kind::idempotent || kind == soak_kind::moved;
     soak_request fresh;
     fresh.id = "q" + std::to_string(++m_lastRequest);
     fresh.kind = kind;
     fresh.gateway = index;
+    fresh.key = key;
     fresh.sentAt = boot_clock::now();
     http_request request;
-    request.method = kind == soak_kind::idempotent ? "GET" : "POST";
+    request.method = isGet ? "GET" : "POST";
     request.target = paths.at(static_cast<std::size_t>(kind));
     request.headers = {
         {"X-Attempt-Id", fresh.id}, {"X-Deadline-Ms", std::to_string(callerTime.count())}, {"Authorization", "Bearer " + key}};
     if (kind == soak_kind::streaming) {
         request.headers.add("X-Token-Counts", "1000,50");
     }
-    request.body = kind == soak_kind::idempotent ? "" : "content";
+    request.body = isGet ? "" : "content";
     http_call_handlers handlers;
     handlers.onDone = [this, id = fresh.id, onEnd = std::move(onEnd)](http_call_result result) {
         soak_request &ended = m_requests[id];
@@ -207,6 +254,14 @@
         m_nextRequest = deadline::after(now, requestPause);
         sendRequest();
     }
+    if (m_isSending && m_nextMovedRequest.hasPassed(now)) {
+        m_nextMovedRequest = deadline::after(now, movedRequestPause);
+        sendMovedRequest();
+    }
+    if (m_isSending && m_nextChange.hasPassed(now)) {
+        m_nextChange = deadline::after(now, milliseconds(leastChangePause + static_cast<std::int64_t>(m_random.below(changePauseSpread))));
+        changeConfiguration();
+    }
     watchProcesses();
 }
 
--- a/tests/soak/soak_run.h
+++ b/tests/soak/soak_run.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "configuration_judge.h"
 #include "core/random_source.h"
 #include "fault_series.h"
 #include "notice_judge.h"
@@ -27,6 +28,8 @@
     const soak_judge &judge() const;
     std::size_t requestCount() const;
     std::size_t answeredCount() const;
+    /// Requests that were held against a configuration that had to be in force.
+    std::size_t judgedCount() const;
 
 private:
     struct pending_answer
@@ -38,6 +41,10 @@
 
     outcome<void> waitUntilServing();
     void sendRequest();
+    /// Sends a request on the route that moves, with a present or an earlier key.
+    void sendMovedRequest();
+    /// The operator replaces the keys of the route that moves, moves it, or both.
+    void changeConfiguration();
     void sendTo(std::size_t index, soak_kind kind, const std::string &key, std::function<void(const soak_request &)> onEnd);
     void noteCall(const soak_endpoint &endpoint, const http_request &call);
     void noteAnswer(const soak_request &ended);
@@ -53,6 +60,7 @@
     random_source m_random;
     soak_judge m_judge;
     notice_judge m_notices;
+    configuration_judge m_configurations;
     event_loop m_loop;
     soak_site m_site;
     fault_series m_faults;
@@ -61,6 +69,10 @@
     std::int64_t m_lastRequest = 0;
     bool m_isSending = false;
     deadline m_nextRequest;
+    deadline m_nextMovedRequest;
+    deadline m_nextChange;
+    /// Keys that the route that moves has had.
+    std::vector<std::string> m_movedKeys;
     timer m_tick;
     timer m_stop;
 };
--- a/tests/soak/soak_site.cpp
+++ b/tests/soak/soak_site.cpp
@@ -14,13 +14,15 @@
     , m_logFolder(plan.logFolder.empty() ? m_scratch.path("") : plan.logFolder)
     , m_store(loop)
 {
-    const std::array<std::array<const char *, 3>, 6> endpoints = {{
+    const std::array<std::array<const char *, 3>, 8> endpoints = {{
         {"p1", "plain", ""},
         {"p2", "plain", ""},
         {"p3", "plain", ""},
         {"r1", "engine", "prefill"},
         {"d1", "engine", "decode"},
         {"d2", "engine", "decode"},
+        {"s1", "plain2", ""},
+        {"s2", "plain2", ""},
     }};
     for (const auto &[id, service, stage] : endpoints) {
         soak_endpoint fresh {id, service, stage, std::make_unique<standin_backend>(m_loop, id), nullptr};
@@ -33,7 +35,7 @@
         publishEndpoint(fresh);
         m_endpoints.push_back(std::move(fresh));
     }
-    m_store.put("keyed.op", "config", configuration(1, true));
+    publishConfiguration({});
 }
 
 outcome<void> soak_site::start(std::size_t gateways)
@@ -83,7 +85,7 @@
         {"peerAddress", target.peers.toString()},
         {"configurationWithinMs", static_cast<double>(configurationTime.count()) + 0.5},
         {"silenceWithinMs", 3000.5},
-        {"drainWithinMs", static_cast<double>(configurationTime.count()) + 0.5},
+        {"drainWithinMs", static_cast<double>(drainTime.count()) + 0.5},
         {"quotaParts", 4.0},
         {"coldOver", 1.5},
         {"coldSlack", 5.25},
@@ -97,8 +99,14 @@
     };
 }
 
-std::string soak_site::configuration(int version, bool hasSecondKey) const
+const soak_configuration &soak_site::configuration() const
 {
+    return m_configuration;
+}
+
+void soak_site::publishConfiguration(soak_configuration next)
+{
+    m_configuration = std::move(next);
     const auto route = [](const char *name, const char *kind, const char *service, int attempts) {
         return nlohmann::json {{"name", name},
                                {"host", "127.0.0.1"},
@@ -108,29 +116,41 @@
                                {"service", service},
                                {"max_attempts", attempts}};
     };
-    const nlohmann::json keys = hasSecondKey ? nlohmann::json {"k1", "k2"} : nlohmann::json {"k1"};
-    return nlohmann::json {
-        {"version", version},
-        {"routes", {route("safe", "safe", "plain", 2), route("unsafe", "unsafe", "plain", 1), route("text", "streaming", "engine", 1)}},
+    const auto workspace = [](const char *name, const nlohmann::json &keys) {
+        return nlohmann::json {
+            {"name", name}, {"api_keys", keys}, {"unit", "tokens"}, {"plain_tokens", 200}, {"rate_per_s", 470000}, {"burst", 470000}};
+    };
+    const nlohmann::json keys = m_configuration.hasSecondKey ? nlohmann::json {"k1", "k2"} : nlohmann::json {"k1"};
+    const nlohmann::json value {
+        {"version", m_configuration.version},
+        {"routes",
+         {route("safe", "safe", "plain", 2),
+          route("unsafe", "unsafe", "plain", 1),
+          route("text", "streaming", "engine", 1),
+          route("moved", "safe", m_configuration.movedService.c_str(), 2)}},
         {"services",
          {{{"name", "plain"}, {"max_conns", 100}},
+          {{"name", "plain2"}, {"max_conns", 100}},
           {{"name", "engine"}, {"max_conns", 100}, {"engine", {{"slots", 8}, {"kv_capacity", 40000}}}}}},
-        {"tenants",
-         {{{"name", "w"}, {"api_keys", keys}, {"unit", "tokens"}, {"plain_tokens", 200}, {"rate_per_s", 470000}, {"burst", 470000}}}},
-    }
-        .dump();
+        {"tenants", {workspace("w", keys), workspace("v", m_configuration.movedKeys)}},
+    };
+    m_store.put("keyed.op", "config", value.dump());
 }
 
-void soak_site::publishEndpoint(const soak_endpoint &target)
+void soak_site::publishEndpoint(const soak_endpoint &target, const std::string &state)
 {
     nlohmann::json entry = nlohmann::json::parse(target.backend->entry(target.service, "z", target.stage));
     entry["address"] = target.link->address().toString();
+    entry["state"] = state;
     m_store.put("keyed.servers", target.id, entry.dump());
 }
 
 void soak_site::withdrawSecondKey()
 {
-    m_store.put("keyed.op", "config", configuration(2, false));
+    soak_configuration next = m_configuration;
+    ++next.version;
+    next.hasSecondKey = false;
+    publishConfiguration(std::move(next));
 }
 
 standin_store &soak_site::store()
--- a/tests/soak/soak_site.h
+++ b/tests/soak/soak_site.h
@@ -21,10 +21,22 @@
     std::uint64_t seed = 1;
     std::chrono::seconds faultTime {10};
     std::size_t gateways = 3;
+    /// Factor of the time between faults. With more time, more gateways count as undisturbed beside others that are not.
+    std::int64_t faultSpacing = 1;
     /// Empty for a folder that is removed at the end.
     std::string logFolder;
 };
 
+/// What of the operator's configuration changes during a soak.
+struct soak_configuration
+{
+    std::int64_t version = 1;
+    bool hasSecondKey = true;
+    /// The service and the keys of the route that moves.
+    std::string movedService = "plain";
+    std::vector<std::string> movedKeys = {"moved-0"};
+};
+
 /// An endpoint behind a link that can fail.
 struct soak_endpoint
 {
@@ -67,6 +79,8 @@
     static constexpr std::chrono::milliseconds graceTime {3000};
     /// Within this time a change of the operator is in force.
     static constexpr std::chrono::milliseconds configurationTime {2000};
+    /// Within this time nothing more is sent to an endpoint that leaves.
+    static constexpr std::chrono::milliseconds drainTime {2000};
 
     using plain_answer = std::function<void(const standin_backend &, const std::shared_ptr<http_exchange> &)>;
 
@@ -75,7 +89,9 @@
     outcome<void> start(std::size_t gateways);
     /// Starts a gateway's process, at first or again.
     outcome<void> startGateway(soak_gateway &target);
-    void publishEndpoint(const soak_endpoint &target);
+    void publishEndpoint(const soak_endpoint &target, const std::string &state = "ready");
+    const soak_configuration &configuration() const;
+    void publishConfiguration(soak_configuration next);
     /// Takes the key "k2" out of the configuration.
     void withdrawSecondKey();
 
@@ -85,13 +101,13 @@
 
 private:
     void writeSettings(soak_gateway &target);
-    std::string configuration(int version, bool hasSecondKey) const;
 
     event_loop &m_loop;
     scratch_folder m_scratch;
     port_block m_ports;
     std::string m_logFolder;
     standin_store m_store;
+    soak_configuration m_configuration;
     std::vector<soak_endpoint> m_endpoints;
     std::vector<soak_gateway> m_gateways;
 };
