Test the bounds of reading through another holder

A reader that the store turns away gets a change from another holder after its failed call, a request to a holder that does not respond, the end of the holder's own request, and the pause before it asks again. The test adds these up for the bounds of 2, 3 and 20 s, without the failed call itself, and the period between requests to a holder without records moves to the class, where the test can read it. Nothing else changes.

--- a/src/gateway/topic_relay_client.cpp
+++ b/src/gateway/topic_relay_client.cpp
@@ -11,8 +11,6 @@
 
 // The records are requested from another reader in the meantime, or read at the store when there is none.
 constexpr std::chrono::milliseconds readerBlockPeriod {1500};
-// Another holder begins to read a topic when it is asked for it. The bounds leave no time to wait as long as for a reader that has failed.
-constexpr std::chrono::milliseconds holderBlockPeriod {250};
 
 std::size_t indexOf(store_topic topic)
 {
--- a/src/gateway/topic_relay_client.h
+++ b/src/gateway/topic_relay_client.h
@@ -51,6 +51,9 @@
     static constexpr std::chrono::milliseconds maxRecordsWait {500};
     /// Timeout of a request, including the wait.
     static constexpr std::chrono::milliseconds peerRequestTimeout {620};
+    /// How long another holder that has no records of a topic is not asked for them. It begins to read the topic when it is asked, and the
+    /// bounds leave no time to wait as long as for a reader that has failed.
+    static constexpr std::chrono::milliseconds holderBlockPeriod {250};
 
 private:
     /// Null when there is none.
--- a/tests/gateway/gateway_test.cpp
+++ b/tests/gateway/gateway_test.cpp
@@ -459,6 +459,19 @@
     }
 }
 
+// Guards against a reader that the store turns away and that gets a change from another holder later than the bound and one failed call
+// allow. The holder waits for its own request to end before it reads at the store, and one other holder may not respond.
+TEST(store_topics, keepTheBoundsWhenReadingThroughAnotherHolder)
+{
+    for (const std::chrono::milliseconds bound : {2000ms, 3000ms, 20000ms}) {
+        for (const topic_follower_settings &topic : topicFollowerSettings({bound, 4000ms, bound})) {
+            const auto untilAsked = topic.whileRelaying.pause + topic_follower::maxRetryDelay + topic_relay_client::peerRequestTimeout;
+            const auto untilRead = topic_relay_client::maxRecordsWait + topic_relay_client::holderBlockPeriod;
+            CHECK(topic.topic == store_topic::members || untilAsked + untilRead < bound);
+        }
+    }
+}
+
 TEST_GROUP(endpoint_client) {};
 
 namespace
