Ask for old records without a wait while the store fails

Cause: an instance whose own records are old takes the whole wait of a request, 500 ms, to say so. In an outage of the store all instances are in this state, and since they ask the other holders, up to three such waits came between two calls of a topic to the store, so that the store's return was noticed later.

Change: while the store does not respond, the first request to other instances has no wait. Once one has been of use, the next requests wait for new records as usual, between two calls to the store, so that requests without a wait do not follow each other.

--- a/src/gateway/topic_follower.cpp
+++ b/src/gateway/topic_follower.cpp
@@ -175,11 +175,18 @@
     if (!m_retry.isFailing()) {
         m_relays.relay.markNotReading(m_settings.topic);
     }
-    m_relays.relayClient.sendRequest(
-        m_settings.topic, m_position, m_requestedAt, [this](const instance_id &reader, const outcome<peer_records_response> &response) {
-            m_isRequestPending = false;
-            handleRelayed(reader, response);
-        });
+    // An instance whose own records are old would take the whole wait to say so. In an outage of the store all instances are in this state,
+    // and the waits would delay the call that notices its return.
+    const bool mayWait = !m_retry.isFailing() || m_isReaderUsable;
+    const milliseconds wait = mayWait ? topic_relay_client::maxRecordsWait : milliseconds::zero();
+    m_relays.relayClient.sendRequest(m_settings.topic,
+                                     m_position,
+                                     wait,
+                                     m_requestedAt,
+                                     [this](const instance_id &reader, const outcome<peer_records_response> &response) {
+                                         m_isRequestPending = false;
+                                         handleRelayed(reader, response);
+                                     });
 }
 
 bool topic_follower::isRelaying(instant now) const
@@ -361,6 +368,7 @@
 {
     const instant now = boot_clock::now();
     const std::string_view reason = unusableReason(response);
+    m_isReaderUsable = reason.empty();
     if (!reason.empty()) {
         const bool isPrompt = now - m_requestedAt <= promptResponseTime;
         m_relays.relayClient.block(
--- a/src/gateway/topic_follower.h
+++ b/src/gateway/topic_follower.h
@@ -170,6 +170,8 @@
     instant m_requestedAt;
     /// The next call goes to the store although there is a reader.
     bool m_readsOnceAtStore = false;
+    /// The last response of another instance could be used.
+    bool m_isReaderUsable = false;
     /// The reader that responded last, and its resyncCount; unset until its first response.
     instance_id m_lastReader;
     std::optional<std::int64_t> m_readerResyncCount;
--- a/src/gateway/topic_relay_client.cpp
+++ b/src/gateway/topic_relay_client.cpp
@@ -58,14 +58,14 @@
     return reader != nullptr ? reader : m_otherHolders.at(indexOf(topic)).current(now);
 }
 
-void topic_relay_client::sendRequest(store_topic topic, store_offset from, instant now, handler onAnswer)
+void topic_relay_client::sendRequest(store_topic topic, store_offset from, std::chrono::milliseconds wait, instant now, handler onAnswer)
 {
     const std::uint64_t exchange = ++m_lastExchange;
     const instance_id reader = findReader(topic, now)->instance;
     m_pending.emplace(exchange, pending_request {reader, std::move(onAnswer)});
     peer_request send;
     send.exchange = exchange;
-    send.message = peer_records_request {relayed_topic(static_cast<std::int64_t>(topic)), log_offset(from.value()), maxRecordsWait};
+    send.message = peer_records_request {relayed_topic(static_cast<std::int64_t>(topic)), log_offset(from.value()), wait};
     send.until = deadline::after(now, peerRequestTimeout);
     send.reply = m_responses;
     if (m_mesh.post(peer_envelope {reader, std::move(send)}) != post_result::delivered) {
--- a/src/gateway/topic_relay_client.h
+++ b/src/gateway/topic_relay_client.h
@@ -40,8 +40,9 @@
     bool isUsable(instant now) const;
     /// True while there is a reader or another holder that is not blocked.
     bool isAnyUsable(store_topic topic, instant now) const;
-    /// Requests records from the first reader that is not blocked, or else from the first other holder that is not; there must be one.
-    void sendRequest(store_topic topic, store_offset from, instant now, handler onAnswer);
+    /// Requests records from the first reader that is not blocked, or else from the first other holder that is not; there must be one. The
+    /// reader may delay the response by the wait, at most maxRecordsWait, while it has no new records.
+    void sendRequest(store_topic topic, store_offset from, std::chrono::milliseconds wait, instant now, handler onAnswer);
     void receive(const peer_response &response);
     /// Stops requests to a reader for a while, after a failed or unusable response; requests to another holder for this topic only, as it
     /// reads only the topics that it is asked for.
--- a/tests/gateway/topic_relay_client_test.cpp
+++ b/tests/gateway/topic_relay_client_test.cpp
@@ -28,8 +28,9 @@
             return {};
         }
         std::string name;
-        client.sendRequest(
-            topic, store_offset(1), now, [&](const instance_id &reader, const outcome<peer_records_response> &) { name = reader.value(); });
+        client.sendRequest(topic, store_offset(1), 0ms, now, [&](const instance_id &reader, const outcome<peer_records_response> &) {
+            name = reader.value();
+        });
         client.receive({++m_exchange, {}, failure(error_code::deadline_exceeded, "no response")});
         return name;
     }
