--- a/src/gateway/topic_follower.cpp
+++ b/src/gateway/topic_follower.cpp
@@ -230,12 +230,15 @@
     if (!m_retry.isFailing()) {
         m_relays.relay.markNotReading(m_settings.topic);
     }
+    // An instance whose own records are old would take the whole wait to say so. In an outage of the store all instances are in this state,
+    // and the waits would delay the call that notices its return.
+    const bool mayWait = !m_retry.isFailing() || m_isReaderUsable;
+    records_query query = {m_settings.topic, m_position.offset, m_relays.era.current(), milliseconds::zero()};
+    if (mayWait) {
+        query.wait = topic_relay_client::maxRecordsWait;
+    }
     m_relays.relayClient.sendRequest(
-        m_settings.topic,
-        m_position.offset,
-        m_relays.era.current(),
-        m_requestedAt,
-        [this, reading = m_reading](const instance_id &reader, const outcome<peer_records_response> &response) {
+        query, m_requestedAt, [this, reading = m_reading](const instance_id &reader, const outcome<peer_records_response> &response) {
             if (reading != m_reading) {
                 return;
             }
@@ -464,6 +467,7 @@
         }
     }
     const std::string_view reason = unusableReason(response);
+    m_isReaderUsable = reason.empty();
     if (!reason.empty()) {
         avoidReader(reader, reason, now);
         return;
--- a/src/gateway/topic_relay_client.cpp
+++ b/src/gateway/topic_relay_client.cpp
@@ -11,8 +11,6 @@
 
 // The records are requested from another reader in the meantime, or read at the store when there is none.
 constexpr std::chrono::milliseconds readerBlockPeriod {1500};
-// Another holder begins to read a topic when it is asked for it. The bounds leave no time to wait as long as for a reader that has failed.
-constexpr std::chrono::milliseconds holderBlockPeriod {250};
 
 std::size_t indexOf(store_topic topic)
 {
@@ -60,17 +58,17 @@
     return reader != nullptr ? reader : m_otherHolders.at(indexOf(topic)).current(now);
 }
 
-void topic_relay_client::sendRequest(store_topic topic, store_offset from, std::optional<store_era> era, instant now, handler onAnswer)
+void topic_relay_client::sendRequest(const records_query &query, instant now, handler onAnswer)
 {
     const std::uint64_t exchange = ++m_lastExchange;
-    const instance_id reader = findReader(topic, now)->instance;
+    const instance_id reader = findReader(query.topic, now)->instance;
     m_pending.emplace(exchange, pending_request {reader, std::move(onAnswer)});
     peer_request send;
     send.exchange = exchange;
-    send.message = peer_records_request {relayed_topic(static_cast<std::int64_t>(topic)),
-                                         log_offset(from.value()),
-                                         maxRecordsWait,
-                                         era ? std::optional(relayed_era(era->value())) : std::nullopt};
+    send.message = peer_records_request {relayed_topic(static_cast<std::int64_t>(query.topic)),
+                                         log_offset(query.from.value()),
+                                         query.wait,
+                                         query.era ? std::optional(relayed_era(query.era->value())) : std::nullopt};
     send.until = deadline::after(now, peerRequestTimeout);
     send.reply = m_responses;
     if (m_mesh.post(peer_envelope {reader, std::move(send)}) != post_result::delivered) {
--- a/src/gateway/topic_relay_client.h
+++ b/src/gateway/topic_relay_client.h
@@ -22,6 +22,17 @@
     without_records,
 };
 
+/// The records of a topic that are requested from another instance.
+struct records_query
+{
+    store_topic topic = store_topic::operators;
+    store_offset from;
+    /// The latest era of the store that this instance knows.
+    std::optional<store_era> era;
+    /// How long the other instance may delay its response while it has no new records.
+    std::chrono::milliseconds wait {};
+};
+
 /// Requests records from other instances that read the topics at the store, so that only a few instances call the store. Owned by
 /// store_task.
 class topic_relay_client
@@ -41,8 +52,8 @@
     /// True while there is a reader or another holder that is not blocked.
     bool isAnyUsable(store_topic topic, instant now) const;
     /// Requests records from the first reader that is not blocked, or else from the first other holder that is not; there must be one. The
-    /// era is the latest one that this instance knows.
-    void sendRequest(store_topic topic, store_offset from, std::optional<store_era> era, instant now, handler onAnswer);
+    /// wait of the query is at most maxRecordsWait.
+    void sendRequest(const records_query &query, instant now, handler onAnswer);
     void receive(const peer_response &response);
     /// Stops requests to a reader for a while, after a failed or unusable response; requests to another holder for this topic only, as it
     /// reads only the topics that it is asked for.
@@ -52,6 +63,9 @@
     static constexpr std::chrono::milliseconds maxRecordsWait {500};
     /// Timeout of a request, including the wait.
     static constexpr std::chrono::milliseconds peerRequestTimeout {620};
+    /// How long another holder that has no records of a topic is not asked for them. It begins to read the topic when it is asked, and the
+    /// bounds leave no time to wait as long as for a reader that has failed.
+    static constexpr std::chrono::milliseconds holderBlockPeriod {250};
 
 private:
     /// Null when there is none.
