Continue a stream only at the software version that began it

Cause: a resumable stream that broke off, or whose endpoint was silent, went on at any endpoint of its service. Callers got the events of two software versions in one answer, with nothing to show it.

Change: the version is fixed when the first decode, or plain streaming call, is sent, before any event is passed on, and every further endpoint is chosen among those of that version. It is compared again when a reserved endpoint is used, because another process may have taken over its id. Without an endpoint of the version the stream breaks off at once, and a silent one goes on where it is. A prefill has no output of its own and is not limited. forward_flow takes the origin of a stream that the caller takes up from the admitted request; nothing sets it yet.

The fixture's endpoints state a version now, as the platform's entries do.

--- a/src/forwarding/endpoint_table.cpp
+++ b/src/forwarding/endpoint_table.cpp
@@ -110,7 +110,8 @@
                                              const traffic_service *profile,
                                              instant now,
                                              random_source &random,
-                                             rollout_side side)
+                                             rollout_side side,
+                                             const version_filter &versions)
 {
     const auto found = m_byService.find(service);
     if (found == m_byService.end()) {
@@ -125,7 +126,7 @@
         if (isExcluded || !matchesStage(candidate->entry, attemptKind) || !availabilityOf(*candidate, now).mayReceive()) {
             continue;
         }
-        if (!m_rollouts.isOnSide(candidate->entry, side)) {
+        if (!m_rollouts.isOnSide(candidate->entry, side) || !versions.accepts(candidate->entry.version)) {
             continue;
         }
         if (!candidate->coldUntil.hasPassed(now) && candidate->coldStartBucket.level(now) < 1.0) {
--- a/src/forwarding/endpoint_table.h
+++ b/src/forwarding/endpoint_table.h
@@ -15,6 +15,7 @@
 #include "forwarding/traffic_plan.h"
 #include "forwarding/usual_figures.h"
 #include "forwarding/utilisation_score.h"
+#include "forwarding/version_filter.h"
 
 #include <functional>
 #include <map>
@@ -137,7 +138,8 @@
     /// The instances among which the cold rates are split, including this one.
     void setInstances(std::vector<instance_id> instances);
 
-    /// The best endpoint for an attempt of the given kind, leaving out the excluded ones; null when no endpoint may receive it.
+    /// The best endpoint for an attempt of the given kind, leaving out the excluded ones and those of other versions than the accepted
+    /// ones; null when no endpoint may receive it.
     const endpoint_state *choose(const service_id &service,
                                  attempt_kind attemptKind,
                                  token_count tokens,
@@ -145,7 +147,8 @@
                                  const traffic_service *profile,
                                  instant now,
                                  random_source &random,
-                                 rollout_side side = rollout_side::trusted);
+                                 rollout_side side = rollout_side::trusted,
+                                 const version_filter &versions = {});
     const endpoint_state *find(const endpoint_id &endpoint) const;
     /// The endpoint that is registered at an address, leaving out the given one; null if there is none.
     const endpoint_state *findAt(const socket_address &address, const endpoint_id &except) const;
--- a/src/forwarding/forward_flow.cpp
+++ b/src/forwarding/forward_flow.cpp
@@ -29,6 +29,7 @@
 
 forward_flow::forward_flow(admitted_request request)
     : m_request(std::move(request))
+    , m_origin(m_request.origin)
     , m_deadline(allowedUntil(m_request.facts, *m_request.route, m_request.arrived))
 {
     m_events.setLastId(m_request.facts.resumeAfter);
@@ -37,7 +38,7 @@
 flow_actions forward_flow::begin(const flow_context &context, instant now)
 {
     return run(context, now, [this] {
-        m_service = chooseService(*m_request.route, m_context->random);
+        m_service = m_origin ? m_origin->service : chooseService(*m_request.route, m_context->random);
         m_profile = m_request.plan->findService(m_service);
         m_context->retryBudget.earn(m_service, m_now);
         chooseSide();
@@ -235,8 +236,12 @@
 
 bool forward_flow::mayRetry() const
 {
-    const traffic_route &route = *m_request.route;
-    return route.kind == request_kind::idempotent || (route.kind == request_kind::streaming && route.isResumable);
+    return m_request.route->kind == request_kind::idempotent || isResumableStream();
+}
+
+bool forward_flow::isResumableStream() const
+{
+    return m_request.route->kind == request_kind::streaming && m_request.route->isResumable;
 }
 
 bool forward_flow::hasAttemptsLeft() const
--- a/src/forwarding/forward_flow.h
+++ b/src/forwarding/forward_flow.h
@@ -10,6 +10,7 @@
 #include "forwarding/refusal_policy.h"
 #include "forwarding/search_policy.h"
 #include "forwarding/service_retry_budget.h"
+#include "forwarding/stream_origin.h"
 
 #include <functional>
 
@@ -39,6 +40,8 @@
     std::optional<quota_grant> grant;
     std::int64_t priority = 0;
     instant arrived;
+    /// Where the stream that the caller takes up began; unset for a new request.
+    std::optional<stream_origin> origin;
 };
 
 /// The earlier of the deadlines that the caller and the timeout of the route set.
@@ -155,11 +158,16 @@
     bool sendTo(const endpoint_state &chosen, attempt_kind attemptKind, std::optional<prompt_handle> source);
     void sendDecode(std::optional<prompt_handle> source);
     void sendPlain();
+    /// True when the decode may be sent to the endpoint that has reserved capacity for it.
+    bool isReservationUsable() const;
     /// False when no endpoint may receive the attempt.
     bool send(attempt_kind attemptKind, std::optional<prompt_handle> source);
     bool spendRetry();
     /// Decides whether the request is sent to a version that is not trusted yet.
     void chooseSide();
+    bool isResumableStream() const;
+    /// The versions that an attempt of this kind may be sent to: only that of the stream once an attempt that may begin it has been sent.
+    version_filter versionsFor(attempt_kind attemptKind) const;
     /// Chooses among the endpoints of the request's side; among those of the trusted versions if the other side has none.
     const endpoint_state *chooseEndpoint(attempt_kind attemptKind, const std::vector<endpoint_id> &excluded);
     /// What is left of the request goes to the trusted versions.
@@ -201,6 +209,8 @@
     admitted_request m_request;
     service_id m_service;
     const traffic_service *m_profile = nullptr;
+    /// Where the stream goes on; set when the first attempt that may begin it is sent, before any event of it is passed on.
+    std::optional<stream_origin> m_origin;
     deadline m_deadline;
     attempt_list m_attempts;
     /// Attempts that count towards the route's maxAttempts.
--- a/src/forwarding/forward_flow_ends.cpp
+++ b/src/forwarding/forward_flow_ends.cpp
@@ -292,7 +292,7 @@
 void forward_flow::replaceSilentDecode()
 {
     const flow_attempt *silent = m_attempts.find(*m_silentDecode);
-    const bool isReserved = m_reservation && m_context->endpoints.mayReceive(m_reservation->endpoint, m_now);
+    const bool isReserved = isReservationUsable();
     const bool isHeldBack = m_context->quarantine.find(m_request.facts.parts, m_now) != nullptr
         || m_context->quarantine.isSuspect(m_request.facts.parts, m_now);
     if (silent == nullptr || !isReserved || isHeldBack || !spendRetry()) {
--- a/src/forwarding/forward_flow_rollout.cpp
+++ b/src/forwarding/forward_flow_rollout.cpp
@@ -1,4 +1,5 @@
-// Which version of its service a request is sent to while an order to replace one by another is in force.
+// Which version of its service a request is sent to: a stream goes on at the version that began it, and an order to replace one version by
+// another limits the requests that the new one gets.
 
 #include "forwarding/forward_flow.h"
 
@@ -23,11 +24,27 @@
     m_exposureTaken = m_side == rollout_side::candidate ? attempts : 0;
 }
 
+version_filter forward_flow::versionsFor(attempt_kind attemptKind) const
+{
+    // A prefill has no output of its own.
+    if (attemptKind == attempt_kind::prefill || !isResumableStream() || !m_origin) {
+        return {};
+    }
+    return version_filter::only(m_origin->version);
+}
+
 const endpoint_state *forward_flow::chooseEndpoint(attempt_kind attemptKind, const std::vector<endpoint_id> &excluded)
 {
     const auto choose = [&] {
-        return m_context->endpoints.choose(
-            m_service, attemptKind, tokensFor(attemptKind), excluded, m_profile, m_now, m_context->random, m_side);
+        return m_context->endpoints.choose(m_service,
+                                           attemptKind,
+                                           tokensFor(attemptKind),
+                                           excluded,
+                                           m_profile,
+                                           m_now,
+                                           m_context->random,
+                                           m_side,
+                                           versionsFor(attemptKind));
     };
     const endpoint_state *chosen = choose();
     // A prompt for which capacity is reserved at the untrusted version is not processed by another version.
--- a/src/forwarding/forward_flow_search.cpp
+++ b/src/forwarding/forward_flow_search.cpp
@@ -104,6 +104,7 @@
         const std::optional<endpoint_id> offered = m_context->sharing.of(m_service).queue.takeOffer(m_request.flow);
         const endpoint_state *known = offered ? m_context->endpoints.find(*offered) : nullptr;
         if (known != nullptr && matchesStage(known->entry, attempt_kind::reserve)
+            && versionsFor(attempt_kind::reserve).accepts(known->entry.version)
             && m_context->endpoints.mayReceive(known->entry.id, m_now)) {
             return known;
         }
--- a/src/forwarding/forward_flow_sends.cpp
+++ b/src/forwarding/forward_flow_sends.cpp
@@ -95,10 +95,19 @@
     }
 }
 
+bool forward_flow::isReservationUsable() const
+{
+    if (!m_reservation || !m_context->endpoints.mayReceive(m_reservation->endpoint, m_now)) {
+        return false;
+    }
+    // Another process may have taken over the id of the endpoint since then.
+    return versionsFor(attempt_kind::decode).accepts(m_context->endpoints.find(m_reservation->endpoint)->entry.version);
+}
+
 bool forward_flow::send(attempt_kind attemptKind, std::optional<prompt_handle> source)
 {
     const endpoint_state *chosen = nullptr;
-    if (attemptKind == attempt_kind::decode && m_reservation && m_context->endpoints.mayReceive(m_reservation->endpoint, m_now)) {
+    if (attemptKind == attempt_kind::decode && isReservationUsable()) {
         chosen = m_context->endpoints.find(m_reservation->endpoint);
     } else {
         chosen = chooseEndpoint(attemptKind, m_attempts.tried());
@@ -109,7 +118,8 @@
 bool forward_flow::sendTo(const endpoint_state &chosen, attempt_kind attemptKind, std::optional<prompt_handle> source)
 {
     const bool isQuarantined = attemptKind != attempt_kind::reserve && m_context->quarantine.find(m_request.facts.parts, m_now) != nullptr;
-    if (isQuarantined || !m_context->endpoints.mayReceive(chosen.entry.id, m_now)) {
+    if (isQuarantined || !m_context->endpoints.mayReceive(chosen.entry.id, m_now)
+        || !versionsFor(attemptKind).accepts(chosen.entry.version)) {
         return false;
     }
     if (!takeExposure(chosen.entry, attemptKind)) {
@@ -155,6 +165,9 @@
     action.until = m_deadline;
     action.isStreamed = attemptKind == attempt_kind::decode
         || (attemptKind == attempt_kind::plain_call && m_request.route->kind == request_kind::streaming);
+    if (executesRequest(attemptKind) && isResumableStream() && !m_origin) {
+        m_origin = stream_origin {m_service, chosen.entry.version};
+    }
     m_context->endpoints.noteSent(attempt.endpoint, tokensFor(attemptKind), m_now);
     m_actions.emplace_back(std::move(action));
     return true;
--- a/tests/forwarding/plan_fixture.h
+++ b/tests/forwarding/plan_fixture.h
@@ -85,6 +85,7 @@
         endpoint_entry result;
         result.id = endpoint_id(name);
         result.service = service_id(service);
+        result.version = service_version("v1");
         result.address = {"127.0.0.1", 1000};
         result.dataCentre = data_centre_id("dc-a");
         result.slots = slot_count(8);
@@ -93,9 +94,10 @@
         return result;
     }
 
-    void put(const std::string &name, const std::string &service, std::optional<engine_stage> stage)
+    void put(const std::string &name, const std::string &service, std::optional<engine_stage> stage, const std::string &version = "v1")
     {
-        const endpoint_entry fresh = entry(name, service, stage);
+        endpoint_entry fresh = entry(name, service, stage);
+        fresh.version = service_version(version);
         endpoints.put(fresh, plan->findService(fresh.service), now);
     }
 
