Write to a topic of the store only at an expected end

Two instances that replace one record of a keyed topic at the same time would lose what one of them has added. The store takes the end of the topic as a condition; writeAt() states it, and decodeWriteEnd() tells a failed condition from a failed call. The stand-in of the store checks it and answers with true offsets, where it answered with constants. The topics versions and streams are not followed, so the number of followed topics has a name of its own.

Ruled out: producers' epochs, because they belong to one writer, and any instance may write these records.

--- a/src/gateway/dialects.h
+++ b/src/gateway/dialects.h
@@ -106,9 +106,14 @@
     /// Evidence of all instances about rollouts, and the decisions of the holder of stage control. Followed only while an order is in
     /// force.
     rollouts,
+    /// The versions of each service that may have begun streams. Read when something is asked or written; see version_task.
+    versions,
+    /// The open streams of each instance while versions are mixed; read when a stream is looked up.
+    streams,
 };
 
-constexpr std::size_t storeTopicCount = 5;
+/// The topics before store_topic::versions are followed.
+constexpr std::size_t followedTopicCount = 5;
 
 /// Position of a record in a topic.
 using store_offset = quantity<struct store_offset_unit>;
@@ -159,6 +164,8 @@
     virtual http_request probe(store_topic topic) const = 0;
     virtual http_request readFrom(store_topic topic, store_offset from, std::chrono::milliseconds wait) const = 0;
     virtual http_request write(store_topic topic, const std::string &key, std::string_view value) const = 0;
+    /// Writes only while the topic ends at the given offset; see decodeWriteEnd().
+    virtual http_request writeAt(store_topic topic, const std::string &key, std::string_view value, store_offset end) const = 0;
     /// Tells the operator how far the rollout of a service has come.
     virtual http_request writeRolloutStatus(const rollout_decision &decided) const = 0;
     virtual outcome<store_page> decodeNewest(const http_response &response) const = 0;
@@ -173,6 +180,9 @@
     virtual http_request readHolders() const = 0;
     virtual outcome<std::vector<quota_partition_holder>> decodeHolders(const http_response &response) const = 0;
     virtual outcome<void> decodeWriteResult(const http_response &response) const = 0;
+    /// The end of the topic after a write. error_code::conflict means that the topic did not end at the given offset, and nothing was
+    /// written.
+    virtual outcome<store_offset> decodeWriteEnd(const http_response &response) const = 0;
 };
 
 /// An evacuation of a data centre, ordered by the operator.
--- a/src/gateway/fleet_state.cpp
+++ b/src/gateway/fleet_state.cpp
@@ -26,7 +26,7 @@
 
 const fleet_state::topic_handler &fleet_state::handlerFor(store_topic topic)
 {
-    static constexpr std::array<topic_handler, storeTopicCount> handlers = {
+    static constexpr std::array<topic_handler, followedTopicCount> handlers = {
         topic_handler {&fleet_state::resetOperators, &fleet_state::changeOperators},
         topic_handler {&fleet_state::resetEndpoints, &fleet_state::changeEndpoints},
         topic_handler {&fleet_state::changeMembers, &fleet_state::changeMembers},
--- a/src/gateway/store_task.cpp
+++ b/src/gateway/store_task.cpp
@@ -101,7 +101,7 @@
 
 } // namespace
 
-std::array<topic_follower_settings, storeTopicCount> topicFollowerSettings(const store_latency_bounds &bounds)
+std::array<topic_follower_settings, followedTopicCount> topicFollowerSettings(const store_latency_bounds &bounds)
 {
     return {
         makeTopicSettings(store_topic::operators, bounds.configuration, bounds.silence, milliseconds(0)),
--- a/src/gateway/store_task.h
+++ b/src/gateway/store_task.h
@@ -23,7 +23,7 @@
 };
 
 /// Returns the follower settings that keep the bounds, in the order of store_topic.
-std::array<topic_follower_settings, storeTopicCount> topicFollowerSettings(const store_latency_bounds &bounds);
+std::array<topic_follower_settings, followedTopicCount> topicFollowerSettings(const store_latency_bounds &bounds);
 
 struct store_settings
 {
--- a/src/gateway/topic_follower.cpp
+++ b/src/gateway/topic_follower.cpp
@@ -26,7 +26,7 @@
 
 std::string_view topicName(store_topic topic)
 {
-    static constexpr std::array<std::string_view, storeTopicCount> names = {
+    static constexpr std::array<std::string_view, followedTopicCount> names = {
         "operators", "endpoints", "members", "crash_reports", "rollouts"};
     return names.at(static_cast<std::size_t>(topic));
 }
--- a/src/gateway/topic_relay.h
+++ b/src/gateway/topic_relay.h
@@ -57,7 +57,7 @@
     void respondToWaiting(store_topic topic, instant now);
     void respondToExpired();
 
-    std::array<topic_state, storeTopicCount> m_topics;
+    std::array<topic_state, followedTopicCount> m_topics;
     std::list<waiting_request> m_waiting;
     timer m_expiry;
     instant m_lastRequestAt;
--- a/tests/standins/users_platform/standin_store.cpp
+++ b/tests/standins/users_platform/standin_store.cpp
@@ -200,13 +200,20 @@
 void standin_store::respondAppend(http_exchange &exchange)
 {
     const std::string &body = exchange.request().body;
+    const std::string topicName = queryValue(exchange.request().query(), "topic");
+    const std::string expectedEnd = queryValue(exchange.request().query(), "at");
+    const std::size_t end = m_topics[topicName].records.size();
+    if (!expectedEnd.empty() && static_cast<std::size_t>(parseNumber(expectedEnd)) != end) {
+        http_response refused = jsonResponse({{"end", end}});
+        refused.status = 412;
+        exchange.respond(refused);
+        return;
+    }
     if (body.size() > 5) {
         const auto keyLength = static_cast<std::size_t>(static_cast<unsigned char>(body[4]));
-        append(queryValue(exchange.request().query(), "topic"), {body.substr(5, keyLength), body.substr(5 + keyLength)});
+        append(topicName, {body.substr(5, keyLength), body.substr(5 + keyLength)});
     }
-    http_response response;
-    response.body = R"({"offset":0,"end":1})";
-    exchange.respond(response);
+    exchange.respond(jsonResponse({{"offset", end}, {"end", m_topics[topicName].records.size()}}));
 }
 
 void standin_store::respondJoin(http_exchange &exchange)
