--- a/src/forwarding/endpoint_table.cpp
+++ b/src/forwarding/endpoint_table.cpp
@@ -58,9 +58,7 @@
             }
             return isChanged;
         }
-        m_rollouts.noteRemoved(known);
-        std::erase(m_byService[known.service], found->second.get());
-        m_endpoints.erase(found);
+        discard(found);
     }
     auto added = std::make_unique<endpoint_state>();
     added->entry = entry;
@@ -72,6 +70,7 @@
     beginPace(*added, pace_cause::started, now);
     m_rollouts.noteRegistered(entry, now);
     m_byService[entry.service].push_back(added.get());
+    ++m_versionCounts[{entry.service, entry.version}];
     m_endpoints[entry.id] = std::move(added);
     return true;
 }
@@ -82,9 +81,7 @@
     if (found == m_endpoints.end()) {
         return false;
     }
-    m_rollouts.noteRemoved(found->second->entry);
-    std::erase(m_byService[found->second->entry.service], found->second.get());
-    m_endpoints.erase(found);
+    discard(found);
     return true;
 }
 
@@ -167,6 +164,27 @@
     return found == m_endpoints.end() ? nullptr : found->second.get();
 }
 
+service_versions endpoint_table::versions() const
+{
+    service_versions found;
+    for (const auto &[key, count] : m_versionCounts) {
+        found[key.first].insert(key.second);
+    }
+    return found;
+}
+
+void endpoint_table::discard(std::map<endpoint_id, std::unique_ptr<endpoint_state>>::iterator found)
+{
+    const endpoint_entry &entry = found->second->entry;
+    m_rollouts.noteRemoved(entry);
+    std::erase(m_byService[entry.service], found->second.get());
+    const auto counted = m_versionCounts.find({entry.service, entry.version});
+    if (--counted->second == 0) {
+        m_versionCounts.erase(counted);
+    }
+    m_endpoints.erase(found);
+}
+
 std::size_t endpoint_table::size() const
 {
     return m_endpoints.size();
--- a/src/forwarding/endpoint_table.h
+++ b/src/forwarding/endpoint_table.h
@@ -16,6 +16,7 @@
 #include "forwarding/usual_figures.h"
 #include "forwarding/utilisation_score.h"
 #include "forwarding/version_filter.h"
+#include "forwarding/version_record.h"
 
 #include <functional>
 #include <map>
@@ -153,6 +154,8 @@
     /// The endpoint that is registered at an address, leaving out the given one; null if there is none.
     const endpoint_state *findAt(const socket_address &address, const endpoint_id &except) const;
     std::size_t size() const;
+    /// The versions of the registered endpoints.
+    service_versions versions() const;
     void forEach(const std::function<void(const endpoint_state &)> &visit) const;
     const std::set<data_centre_id> &evacuated() const;
 
@@ -244,6 +247,7 @@
     void notePrefillTime(endpoint_state &prefillEndpoint, token_count tokens, boot_clock::duration elapsed, instant now);
 
     endpoint_state *state(const endpoint_id &endpoint);
+    void discard(std::map<endpoint_id, std::unique_ptr<endpoint_state>>::iterator found);
     endpoint_availability availabilityOf(const endpoint_state &known, instant now) const;
     static void removeUnanswered(endpoint_state &endpoint, instant sentAt);
     usual_figures &usualOf(const endpoint_entry &entry);
@@ -302,6 +306,8 @@
     endpoint_table_settings m_settings;
     std::map<endpoint_id, std::unique_ptr<endpoint_state>> m_endpoints;
     std::map<service_id, service_endpoints> m_byService;
+    /// Number of endpoints of each version that has any.
+    std::map<std::pair<service_id, service_version>, std::int64_t> m_versionCounts;
     std::set<data_centre_id> m_evacuated;
     std::map<data_centre_id, reachability_state> m_reachability;
     /// Seconds that an idle prefill endpoint of each service needs per prompt token. A service has no entry, which counts as 0, before its
--- /dev/null
+++ b/src/forwarding/recorded_versions.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include "core/deadline.h"
+#include "forwarding/stream_origin.h"
+#include "forwarding/version_record.h"
+
+#include <chrono>
+#include <optional>
+#include <vector>
+
+namespace burdockshelf
+{
+
+/// Decides which records of versions an instance writes to the store. A version is recorded before any instance begins a stream at it, and
+/// stays recorded for as long as a stream that it began may be taken up. A record that is read after a caller has taken a stream up
+/// therefore contains the version of that stream. Does no I/O.
+class recorded_versions
+{
+public:
+    /// Longest time for which a caller may take up a stream after the last endpoint of its version.
+    static constexpr std::chrono::milliseconds retention {60000};
+    /// Instances remove a version at different times within this period, so that one does it and the others read of it.
+    static constexpr std::chrono::milliseconds retentionSpread {10000};
+
+    /// The spread is this instance's part of retentionSpread.
+    explicit recorded_versions(std::chrono::milliseconds spread);
+
+    /// The versions of the services' registered endpoints.
+    void setRegistered(const service_versions &registered, instant now);
+    /// All records of the store, which may lack versions that were acknowledged if the store came back from an older copy.
+    void setRecorded(const service_versions &recorded, instant now);
+    /// The store has acknowledged a record.
+    void noteWritten(const version_record &written);
+
+    /// The record to write next: with versions that are registered or were lost, or without those whose retention has ended.
+    std::optional<version_record> nextRecord(instant now) const;
+    /// When a record without a version becomes due; never if no version is being retained.
+    deadline nextRemoval() const;
+    /// The versions that are known to be recorded.
+    const service_versions &recorded() const;
+    /// True while more than one version of a service is recorded.
+    bool isMixed() const;
+    /// True while the store lacks a version that it had acknowledged and that no instance can have removed. Nothing may be concluded from
+    /// the records then.
+    bool hasLost() const;
+
+private:
+    deadline retainedUntil(const service_id &service, const service_version &version) const;
+
+    std::chrono::milliseconds m_spread;
+    service_versions m_registered;
+    service_versions m_recorded;
+    /// Versions that the store had acknowledged and lacks.
+    service_versions m_lost;
+    /// When the last endpoint of a recorded version was found to be missing.
+    std::map<std::pair<service_id, service_version>, instant> m_unregisteredSince;
+};
+
+/// The origin of a stream that may have begun at any of the services, if the records, read after the caller has taken it up, leave only
+/// one. An unknown version is none.
+std::optional<stream_origin> onlyOrigin(const std::vector<service_id> &services, const service_versions &recorded);
+
+} // namespace burdockshelf
