Take a stream up only at the version that began it

What callers saw: a stream that broke off and was taken up again went on at any version of the service, at the instance that began it, at another one, and after all instances had lost power. The text was joined from two versions, and nothing in the answer showed it.

Cause: no part of the code read which try a take-up names, and nothing was kept of a stream that had ended.

Change: the dispatcher keeps the origins of its streams. A take-up of a stream that this instance has not seen is looked up by the new version_task, which owns its connections to the store: the record of versions, read after the request has arrived, names the version if there is one; with several, the record of open streams does, which each instance writes while versions are mixed. What is not known is refused at once with 503; it has not run. A version begins streams only once the store has acknowledged its record.

Why it works: the store's answers are linearizable and every version was recorded before it began a stream, so a record that is read later cannot lack the version of a stream that exists, whoever was killed in between. An instance that cannot read it concludes nothing.

--- a/src/forwarding/flow_messages.cpp
+++ b/src/forwarding/flow_messages.cpp
@@ -7,7 +7,7 @@
 
 std::string_view refusalCauseName(refusal_cause cause)
 {
-    static constexpr std::array<std::string_view, 14> names = {
+    static constexpr std::array<std::string_view, 17> names = {
         "not_ready",
         "unknown_route",
         "unknown_key",
@@ -22,6 +22,9 @@
         "suspected",
         "endpoints_pausing",
         "endpoints_leaving",
+        "stream_unknown",
+        "stream_not_found",
+        "stream_version_gone",
     };
     return names.at(static_cast<std::size_t>(cause));
 }
--- a/src/forwarding/flow_messages.h
+++ b/src/forwarding/flow_messages.h
@@ -2,6 +2,7 @@
 
 #include "forwarding/endpoint_table.h"
 #include "forwarding/prompt_parts.h"
+#include "forwarding/stream_origin.h"
 #include "forwarding/traffic_plan.h"
 
 #include <cstdint>
@@ -39,8 +40,10 @@
     std::optional<token_count> expectedOutputTokens;
     /// The parts of the prompt; empty for requests that are not for a language model.
     prompt_parts parts;
-    /// The caller resumes a stream after the event with this id.
+    /// The caller takes a stream up after the event with this id.
     std::optional<std::int64_t> resumeAfter;
+    /// The caller's try that brought the first event of that stream; empty if it names none.
+    attempt_id resumedAttempt;
 };
 
 /// Location of a prefill's result (KV cache) until a decode endpoint fetches it.
@@ -84,6 +87,12 @@
     endpoints_pausing,
     /// No endpoint that could serve the request is left but those that have said that they leave.
     endpoints_leaving,
+    /// It is not known which version began the stream that the caller takes up.
+    stream_unknown,
+    /// It cannot be found out at present which version began the stream that the caller takes up.
+    stream_not_found,
+    /// No endpoint has the version that began the stream that the caller takes up, or its route no longer leads there.
+    stream_version_gone,
 };
 
 std::string_view refusalCauseName(refusal_cause cause);
@@ -203,6 +212,12 @@
     std::optional<search_facts> facts;
 };
 
+/// The stream may begin at this origin, or goes on there; nothing of it has been passed on before.
+struct fix_origin
+{
+    stream_origin origin;
+};
+
 /// Relays the head of an attempt's response; parts of the body follow.
 struct relay_response_head
 {
@@ -243,6 +258,7 @@
                                  release_handle,
                                  release_reservation,
                                  report_failed_reservations,
+                                 fix_origin,
                                  relay_response_head,
                                  relay_body_data,
                                  relay_response_end,
--- a/src/forwarding/forward_flow.cpp
+++ b/src/forwarding/forward_flow.cpp
@@ -41,6 +41,9 @@
         m_service = m_origin ? m_origin->service : chooseService(*m_request.route, m_context->random);
         m_profile = m_request.plan->findService(m_service);
         m_context->retryBudget.earn(m_service, m_now);
+        if (m_origin) {
+            m_actions.emplace_back(fix_origin {*m_origin});
+        }
         chooseSide();
         sendFirst();
     });
--- a/src/forwarding/forward_flow.h
+++ b/src/forwarding/forward_flow.h
@@ -11,6 +11,7 @@
 #include "forwarding/search_policy.h"
 #include "forwarding/service_retry_budget.h"
 #include "forwarding/stream_origin.h"
+#include "forwarding/version_record.h"
 
 #include <functional>
 
@@ -25,6 +26,8 @@
     prompt_quarantine &quarantine;
     random_source &random;
     capacity_sharing &sharing;
+    /// The versions that may begin streams which can be taken up; null where that is not limited.
+    const service_versions *recordedVersions = nullptr;
 };
 
 /// A request that was admitted under a plan.
@@ -166,7 +169,8 @@
     /// Decides whether the request is sent to a version that is not trusted yet.
     void chooseSide();
     bool isResumableStream() const;
-    /// The versions that an attempt of this kind may be sent to: only that of the stream once an attempt that may begin it has been sent.
+    /// The versions that an attempt of this kind may be sent to: only that of the stream once an attempt that may begin it has been sent,
+    /// and the recorded ones before.
     version_filter versionsFor(attempt_kind attemptKind) const;
     /// Chooses among the endpoints of the request's side; among those of the trusted versions if the other side has none.
     const endpoint_state *chooseEndpoint(attempt_kind attemptKind, const std::vector<endpoint_id> &excluded);
--- a/src/forwarding/forward_flow_rollout.cpp
+++ b/src/forwarding/forward_flow_rollout.cpp
@@ -27,10 +27,17 @@
 version_filter forward_flow::versionsFor(attempt_kind attemptKind) const
 {
     // A prefill has no output of its own.
-    if (attemptKind == attempt_kind::prefill || !isResumableStream() || !m_origin) {
+    if (attemptKind == attempt_kind::prefill || !isResumableStream()) {
         return {};
     }
-    return version_filter::only(m_origin->version);
+    if (m_origin) {
+        return version_filter::only(m_origin->version);
+    }
+    if (m_context->recordedVersions == nullptr) {
+        return {};
+    }
+    const auto recorded = m_context->recordedVersions->find(m_service);
+    return version_filter::oneOf(recorded == m_context->recordedVersions->end() ? std::set<service_version>() : recorded->second);
 }
 
 const endpoint_state *forward_flow::chooseEndpoint(attempt_kind attemptKind, const std::vector<endpoint_id> &excluded)
--- a/src/forwarding/forward_flow_sends.cpp
+++ b/src/forwarding/forward_flow_sends.cpp
@@ -167,6 +167,7 @@
         || (attemptKind == attempt_kind::plain_call && m_request.route->kind == request_kind::streaming);
     if (executesRequest(attemptKind) && isResumableStream() && !m_origin) {
         m_origin = stream_origin {m_service, chosen.entry.version};
+        m_actions.emplace_back(fix_origin {*m_origin});
     }
     m_context->endpoints.noteSent(attempt.endpoint, tokensFor(attemptKind), m_now);
     m_actions.emplace_back(std::move(action));
--- a/src/forwarding/refusal_policy.cpp
+++ b/src/forwarding/refusal_policy.cpp
@@ -79,6 +79,8 @@
         return {cause, noEndpointWait};
     case refusal_cause::overloaded:
         return {cause, facts.isCapacityExhausted ? waitForCapacity(facts, now) : overloadWait};
+    case refusal_cause::stream_not_found:
+        return {cause, noEndpointWait};
     case refusal_cause::expired:
         return {cause, overloadWait};
     case refusal_cause::not_ready:
@@ -94,6 +96,8 @@
     case refusal_cause::timed_out:
     case refusal_cause::endpoint_failed:
     case refusal_cause::suspected:
+    case refusal_cause::stream_unknown:
+    case refusal_cause::stream_version_gone:
         break;
     }
     return {cause, std::nullopt};
--- a/src/gateway/dispatch_actions.cpp
+++ b/src/gateway/dispatch_actions.cpp
@@ -85,6 +85,7 @@
 void dispatch_task::perform(active_flow &flow, const relay_response_end & /*action*/)
 {
     m_outbox.toCallers(caller_response_end {flow.id});
+    endStream(flow.flow.request().facts);
     recordOutcome(flow, "answered", flow.end.status);
 }
 
--- a/src/gateway/dispatch_outbox.cpp
+++ b/src/gateway/dispatch_outbox.cpp
@@ -37,6 +37,11 @@
     noteUndelivered(m_to.stageControl.post(std::move(message)), "duty");
 }
 
+bool dispatch_outbox::toVersions(version_message message)
+{
+    return noteUndelivered(m_to.versions.post(std::move(message)), "versions");
+}
+
 void dispatch_outbox::reportReadiness(readiness_report report)
 {
     noteUndelivered(m_to.readiness.post(std::move(report)), "monitor");
--- a/src/gateway/dispatch_outbox.h
+++ b/src/gateway/dispatch_outbox.h
@@ -19,6 +19,7 @@
     address<store_message> store;
     address<quota_broker_message> quotas;
     address<stage_control_message> stageControl;
+    address<version_message> versions;
     sink<readiness_report> readiness;
     sink<metric_batch> metrics;
     /// The account whose state is published as metrics; may be null in tests.
@@ -38,6 +39,8 @@
     /// False when the message was dropped.
     bool toQuotas(quota_broker_message message);
     void toStageControl(stage_control_message message);
+    /// False when the message was dropped.
+    bool toVersions(version_message message);
     void reportReadiness(readiness_report report);
 
     void count(std::string_view metric, std::string_view label, std::string_view value);
--- a/src/gateway/dispatch_task.cpp
+++ b/src/gateway/dispatch_task.cpp
@@ -52,6 +52,7 @@
               dialects.records,
               m_log)
     , m_retryBudget(m_settings.retryBudget)
+    , m_openStreamsTimer(loop, [this] { publishOpenStreams(); })
     , m_deadlines(
           loop, [this](flow_id due) { handleDeadline(due); }, m_log)
     , m_reportTimer(loop, [this] { reportState(); })
@@ -97,17 +98,29 @@
     if (m_isShuttingDown) {
         m_requests.writeAdmittedInShutdown(decided, m_shutdown.finishRequestsBy, boot_clock::now());
     }
+    const bool takesUpStream = decided.request->route->isResumable && facts.resumeAfter;
+    waiting_request request {std::move(arrived.request), std::move(arrived.memory), std::move(decided)};
+    if (takesUpStream) {
+        takeUp(arrived.flow, std::move(request));
+    } else {
+        charge(arrived.flow, std::move(request));
+    }
+}
+
+void dispatch_task::charge(flow_id flow, waiting_request &&request)
+{
+    admission_decision &decided = request.admission;
     if (decided.limited == nullptr) {
-        begin(arrived.flow, std::move(arrived.request), std::move(arrived.memory), std::move(*decided.request));
+        begin(flow, std::move(request.original), std::move(request.memory), std::move(*decided.request));
         return;
     }
-    if (!m_outbox.toQuotas(quota_request {arrived.flow, decided.limited->id, decided.cost})) {
-        refuseWithoutQuota(arrived.flow, decided);
+    if (!m_outbox.toQuotas(quota_request {flow, decided.limited->id, decided.cost})) {
+        refuseWithoutQuota(flow, decided);
         return;
     }
     const instant now = boot_clock::now();
-    m_deadlines.set(arrived.flow, std::min(deadline::after(now, quotaResponseTimeout), facts.callerDeadline));
-    m_awaitingQuota.emplace(arrived.flow, awaiting_quota {std::move(arrived.request), std::move(arrived.memory), std::move(decided)});
+    m_deadlines.set(flow, std::min(deadline::after(now, quotaResponseTimeout), decided.request->facts.callerDeadline));
+    m_awaitingQuota.emplace(flow, std::move(request));
 }
 
 void dispatch_task::refuseWithoutQuota(flow_id flow, admission_decision &decision)
@@ -129,7 +142,7 @@
         return;
     }
     m_deadlines.remove(quotaResponse.flow);
-    awaiting_quota &request = waiting.mapped();
+    waiting_request &request = waiting.mapped();
     if (granted != nullptr) {
         request.admission.request->grant = granted->grant;
         begin(quotaResponse.flow, std::move(request.original), std::move(request.memory), std::move(*request.admission.request));
@@ -159,11 +172,13 @@
 
 void dispatch_task::apply(const flow_caller_disconnected &disconnected)
 {
-    if (const auto waiting = m_awaitingQuota.extract(disconnected.flow)) {
-        m_deadlines.remove(disconnected.flow);
-        m_requests.writeDropped(waiting.mapped().admission.request->facts, "the caller disconnected before the quota was granted");
-        m_outbox.count("requests_total", "outcome", "dropped");
-        return;
+    for (auto *requests : {&m_awaitingQuota, &m_awaitingOrigin}) {
+        if (const auto waiting = requests->extract(disconnected.flow)) {
+            m_deadlines.remove(disconnected.flow);
+            m_requests.writeDropped(waiting.mapped().admission.request->facts, "the caller disconnected before the request began");
+            m_outbox.count("requests_total", "outcome", "dropped");
+            return;
+        }
     }
     if (active_flow *target = find(disconnected.flow)) {
         if (!target->flow.hasFinalResponse()) {
@@ -313,6 +328,7 @@
     m_fleet.logPaceChanges();
     const bool isPlanChanged = std::exchange(m_publishedPlan, m_fleet.planVersion()) != m_fleet.planVersion();
     const bool isCountChanged = std::exchange(m_publishedInstanceCount, m_fleet.instanceCount()) != m_fleet.instanceCount();
+    publishVersions();
     if (isPlanChanged) {
         m_outbox.toCallers(limits_changed {m_fleet.plan()->plan().limits});
         m_outbox.toQuotas(quotas_changed {m_fleet.plan()});
@@ -368,6 +384,10 @@
         refuseWithoutQuota(flow, waiting.mapped().admission);
         return;
     }
+    if (auto waiting = m_awaitingOrigin.extract(flow)) {
+        refuseTakeUp(flow, waiting.mapped().admission, refusal_cause::stream_not_found);
+        return;
+    }
     if (active_flow *target = find(flow)) {
         carryOut(*target, target->flow.onDeadline(context(), boot_clock::now()));
     }
@@ -390,6 +410,7 @@
     }
     publishEngines();
     reviewRollouts();
+    m_streams.removeExpired(now);
     m_outbox.setGauge("endpoints", static_cast<double>(m_fleet.endpoints().size()));
     m_outbox.setGauge("paced_endpoints", static_cast<double>(m_fleet.endpoints().pacedEndpoints()));
     const speed_counts speeds = m_fleet.endpoints().countBySpeed(now);
@@ -402,6 +423,7 @@
     m_outbox.setGauge("reservation_queue_length_first_priority", static_cast<double>(m_sharing.waiting(true)));
     m_outbox.setGauge("reservation_queue_length_later_priorities", static_cast<double>(m_sharing.waiting(false)));
     m_outbox.setGauge("requests_awaiting_quota", static_cast<double>(m_awaitingQuota.size()));
+    m_outbox.setGauge("requests_awaiting_origin", static_cast<double>(m_awaitingOrigin.size()));
     m_outbox.measureCallerMemory();
     m_outbox.sendMetrics();
 }
@@ -450,7 +472,7 @@
 
 flow_context dispatch_task::context()
 {
-    return {m_fleet.endpoints(), m_retryBudget, m_fleet.quarantine(), m_random, m_sharing};
+    return {m_fleet.endpoints(), m_retryBudget, m_fleet.quarantine(), m_random, m_sharing, &m_recordedVersions};
 }
 
 } // namespace burdockshelf
--- a/src/gateway/dispatch_task.h
+++ b/src/gateway/dispatch_task.h
@@ -52,8 +52,9 @@
 private:
     using active_flows = std::map<flow_id, std::unique_ptr<active_flow>>;
 
-    /// An admitted request that waits for its quota. Its deadline is in m_deadlines, as for requests in progress.
-    struct awaiting_quota
+    /// An admitted request that waits for its quota, or for the origin of the stream that it takes up. Its deadline is in m_deadlines, as
+    /// for requests in progress.
+    struct waiting_request
     {
         http_request original;
         memory_charge memory;
@@ -72,10 +73,20 @@
     void apply(const store_reachability &change);
     void apply(const store_contact &contact);
     void apply(const rollout_status_written &written);
+    void apply(versions_recorded &&recorded);
+    void apply(stream_found &&found);
     void apply(const assignment_confirmed &confirmed);
     void apply(const quota_response &quotaResponse);
     void apply(const shutdown_begun &begun);
 
+    /// Charges the request to the quota of its workspace, if it has one, and begins it.
+    void charge(flow_id flow, waiting_request &&request);
+    /// Finds the origin of the stream that the request takes up.
+    void takeUp(flow_id flow, waiting_request &&request);
+    /// Begins a request that takes a stream up, or refuses it if nothing is left of the origin.
+    void takeUpAt(flow_id flow, waiting_request &&request, const stream_origin &origin, std::string_view source);
+    /// Refuses a request whose stream cannot go on; it has not run.
+    void refuseTakeUp(flow_id flow, admission_decision &decision, refusal_cause cause);
     void begin(flow_id flow, http_request &&original, memory_charge &&memory, admitted_request &&admitted);
     void refuse(flow_id flow, const admission_decision &decision, const forward_facts &facts);
     /// Refuses an admitted request for which the quota broker gives no decision; it has not run.
@@ -91,6 +102,7 @@
     void perform(active_flow &flow, const release_handle &action);
     void perform(active_flow &flow, const release_reservation &action);
     void perform(active_flow &flow, const report_failed_reservations &action);
+    void perform(active_flow &flow, const fix_origin &action);
     void perform(active_flow &flow, const relay_response_head &action);
     void perform(active_flow &flow, relay_body_data &&action);
     void perform(active_flow &flow, const relay_response_end &action);
@@ -118,6 +130,11 @@
     void recordReservation(const active_flow &flow, const attempt_ended &ended, bool isGranted);
     /// Sends a call that releases something at an endpoint, unless the endpoint is pausing.
     void release(const endpoint_id &endpoint, const socket_address &heldAt, http_request call);
+    /// Tells version_task which versions the endpoints of services with resumable streams have.
+    void publishVersions();
+    /// Records the open streams while versions are mixed, so that other instances can find their origins.
+    void publishOpenStreams();
+    void endStream(const forward_facts &facts);
     void updateReadiness();
     /// Judges the rollouts, shares the evidence and, as the holder, decides.
     void reviewRollouts();
@@ -148,7 +165,15 @@
     std::int64_t m_memberReportSequence = 0;
     deadline m_memberReportDue;
     std::int64_t m_crashReportSequence = 0;
-    std::map<flow_id, awaiting_quota> m_awaitingQuota;
+    std::map<flow_id, waiting_request> m_awaitingQuota;
+    std::map<flow_id, waiting_request> m_awaitingOrigin;
+    stream_origins m_streams;
+    /// The versions that may begin streams.
+    service_versions m_recordedVersions;
+    service_versions m_publishedVersions;
+    timer m_openStreamsTimer;
+    /// State of m_streams when it was last recorded; unset when nothing is recorded.
+    std::optional<std::uint64_t> m_recordedStreams;
     active_flows m_flows;
     flow_deadlines m_deadlines;
     timer m_reportTimer;
--- a/src/gateway/gateway_messages.h
+++ b/src/gateway/gateway_messages.h
@@ -6,6 +6,7 @@
 #include "gateway/dialects.h"
 #include "gateway/quota_broker_messages.h"
 #include "gateway/response_limits.h"
+#include "gateway/version_messages.h"
 #include "http/http_message.h"
 
 #include <map>
@@ -215,6 +216,8 @@
                                       store_reachability,
                                       store_contact,
                                       rollout_status_written,
+                                      versions_recorded,
+                                      stream_found,
                                       assignment_confirmed,
                                       quota_response,
                                       shutdown_begun>;
--- a/src/gateway/gateway_tree.cpp
+++ b/src/gateway/gateway_tree.cpp
@@ -7,6 +7,7 @@
 #include "gateway/quota_broker_task.h"
 #include "gateway/stage_control_task.h"
 #include "gateway/store_task.h"
+#include "gateway/version_task.h"
 #include "mesh/mesh_supervisor.h"
 
 #include <cstdlib>
@@ -79,6 +80,7 @@
     , m_meshMailbox(makeMailbox<mesh_supervisor_message>(loop))
     , m_quotaMailbox(makeMailbox<quota_broker_message>(loop))
     , m_dispatchMailbox(makeMailbox<dispatch_message>(loop))
+    , m_versionMailbox(makeMailbox<version_message>(loop))
     , m_storeMailbox(makeMailbox<store_message>(loop))
     , m_stageControlMailbox(makeMailbox<stage_control_message>(loop))
     , m_groupMailbox(makeMailbox<group_message>(loop))
@@ -145,11 +147,17 @@
                           to.store = address(m_storeMailbox);
                           to.quotas = address(m_quotaMailbox);
                           to.stageControl = address(m_stageControlMailbox);
+                          to.versions = address(m_versionMailbox);
                           to.readiness = makeSink<readiness_report>(address(m_monitorMailbox));
                           to.metrics = makeSink<metric_batch>(address(m_monitorMailbox));
                           to.callerMemory = m_callerMemory;
                           return std::make_unique<dispatch_task>(m_loop, m_dispatchMailbox, dispatch, dialects, to, m_log, random_source());
                       }});
+    m_root->addChild({"versions", [this, settings, incarnation, &store = dialects.store] {
+                          const version_task_settings versions = {settings.storeAddress, incarnation};
+                          const version_addresses to = {address(m_dispatchMailbox), storeCallCounter()};
+                          return std::make_unique<version_task>(m_loop, m_versionMailbox, versions, store, to, m_log, random_source());
+                      }});
     m_root->addChild(
         {"store", [this, settings, &store = dialects.store] {
              const store_settings at = {
--- a/src/gateway/gateway_tree.h
+++ b/src/gateway/gateway_tree.h
@@ -17,9 +17,9 @@
 {
 
 /// The supervisor tree of a gateway, the router process of an instance on the users' platform. Children in start order: log, monitor,
-/// endpoints, mesh, quotas, dispatcher, store, duty (the child with this name is the stage control task), group (membership of the group to
-/// whose members the store assigns stage control and quota partitions), callers. They shut down in reverse order, so that accepted requests
-/// are completed first.
+/// endpoints, mesh, quotas, dispatcher, versions (the records of software versions), store, duty (the child with this name is the stage
+/// control task), group (membership of the group to whose members the store assigns stage control and quota partitions), callers. They shut
+/// down in reverse order, so that accepted requests are completed first.
 class gateway_tree
 {
 public:
@@ -51,6 +51,7 @@
     std::shared_ptr<mailbox<mesh_supervisor_message>> m_meshMailbox;
     std::shared_ptr<mailbox<quota_broker_message>> m_quotaMailbox;
     std::shared_ptr<mailbox<dispatch_message>> m_dispatchMailbox;
+    std::shared_ptr<mailbox<version_message>> m_versionMailbox;
     std::shared_ptr<mailbox<store_message>> m_storeMailbox;
     std::shared_ptr<mailbox<stage_control_message>> m_stageControlMailbox;
     std::shared_ptr<mailbox<group_message>> m_groupMailbox;
--- a/src/gateway/request_log.cpp
+++ b/src/gateway/request_log.cpp
@@ -113,6 +113,19 @@
                    .add("leased_rate", static_cast<std::int64_t>(refused.leasedRate)));
 }
 
+void request_log::writeTakenUp(const forward_facts &facts, const stream_origin &origin, std::string_view source)
+{
+    if (mayWrite(false)) {
+        m_to.write(log_line("dispatch", "stream_taken_up")
+                       .add("request", facts.id)
+                       .add("resumes", facts.resumedAttempt)
+                       .add("after_event", facts.resumeAfter.value_or(0))
+                       .add("service", origin.service)
+                       .add("version", origin.version)
+                       .add("source", source));
+    }
+}
+
 void request_log::writeSent(const admitted_request &request, const start_attempt &sent, const endpoint_state *endpoint, instant now)
 {
     // A reservation is logged with the attempt that uses it, or with the round of reservation attempts that failed.
--- /dev/null
+++ b/src/gateway/version_task.h
@@ -0,0 +1,105 @@
+#pragma once
+
+#include "core/random_source.h"
+#include "forwarding/recorded_versions.h"
+#include "gateway/dialects.h"
+#include "gateway/gateway_messages.h"
+#include "gateway/serial_http_client.h"
+#include "gateway/store_call_counter.h"
+#include "gateway/version_messages.h"
+#include "logging/log_writer_task.h"
+#include "runtime/backoff.h"
+#include "runtime/task.h"
+#include "runtime/timer.h"
+
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace burdockshelf
+{
+
+struct version_task_settings
+{
+    socket_address store;
+    /// The key under which this process records its open streams.
+    incarnation_id incarnation;
+};
+
+/// Tasks to which version_task sends messages.
+struct version_addresses
+{
+    address<dispatch_message> dispatcher;
+    store_call_counter calls;
+};
+
+/// Keeps the records of versions and of open streams in the platform's store, and finds the origins of streams there that this instance has
+/// not seen. Reads only when something is asked or has to be written; see recorded_versions.
+class version_task : public task<version_message>
+{
+public:
+    version_task(event_loop &loop,
+                 std::shared_ptr<mailbox<version_message>> box,
+                 version_task_settings settings,
+                 const store_dialect &dialect,
+                 version_addresses to,
+                 event_log log,
+                 random_source random);
+
+    outcome<void> start() override;
+
+private:
+    void handle(version_message &&message) override;
+    void apply(versions_registered &&registered);
+    void apply(open_streams &&open);
+    void apply(stream_lookup &&lookup);
+
+    /// Makes the next call that is needed, unless one is running.
+    void proceed();
+    void readVersions();
+    void handleVersionsPage(const outcome<http_response> &response);
+    void finishVersions();
+    void writeRecord(const version_record &record);
+    void handleWritten(const version_record &record, const outcome<http_response> &response);
+    void readStreams();
+    void handleStreamsPage(const outcome<http_response> &response);
+    /// Answers the lookups for which the records of versions are enough; the others need the open streams.
+    void answerFromVersions();
+    void answerFromStreams();
+    void answer(const stream_lookup &lookup, const std::optional<stream_origin> &origin, bool isCertain);
+    /// A read or write has failed: the lookups that waited for it are answered, and the work is tried again later.
+    void retryLater(std::string_view call, std::string_view cause);
+    void publishRecorded();
+    void writeStreams();
+    void post(dispatch_message message);
+
+    version_task_settings m_settings;
+    const store_dialect &m_dialect;
+    version_addresses m_to;
+    event_log m_log;
+    random_source m_random;
+    serial_http_client m_call;
+    serial_http_client m_streamWriter;
+    timer m_next;
+    backoff m_backoff;
+    recorded_versions m_versions;
+    /// The last call has failed, and the next one is being waited for.
+    bool m_isFailing = false;
+    /// The records have to be read before anything is written.
+    bool m_mustRead = true;
+    /// End of the topic of versions when it was last read; a write is valid only while the topic ends there.
+    store_offset m_end;
+    service_versions m_published;
+    std::string m_afterKey;
+    service_versions m_page;
+    std::vector<open_stream> m_streamsRead;
+    /// Lookups that wait for the next read of the records, for the present one, and for the open streams.
+    std::vector<stream_lookup> m_waiting;
+    std::vector<stream_lookup> m_covered;
+    std::vector<stream_lookup> m_needStreams;
+    /// The open streams to be written; unset when the store has them.
+    std::optional<std::vector<open_stream>> m_unwrittenStreams;
+    bool m_hasStreamRecord = false;
+};
+
+} // namespace burdockshelf
--- a/tests/platform/platform_test.cpp
+++ b/tests/platform/platform_test.cpp
@@ -158,6 +158,15 @@
 }
 
 // Statuses 429 and 503 guarantee that the request was not run, so a request that may have run must never be refused with them.
+TEST(platform, decodesTheTryThatATakeUpNames)
+{
+    http_request request;
+    request.headers = {{"X-Attempt-Id", "b"}, {"Resumes", "a"}, {"Last-Event-Id", "7"}};
+    const forward_facts facts = adapter.dialects().callers.decodeRequestFacts(request, instant(1000s));
+    STRCMP_EQUAL("a", facts.resumedAttempt.value().c_str());
+    LONGS_EQUAL(7, facts.resumeAfter.value_or(0));
+}
+
 TEST(platform, reportsNotRunOnlyForRequestsThatWereNotRun)
 {
     const caller_dialect &callers = adapter.dialects().callers;
@@ -187,6 +196,20 @@
 }
 
 // A response without the endpoint's proof of origin must not be taken for a success.
+// Guards against a conditional write that is taken for done although another instance has written meanwhile.
+TEST(platform, writesOnlyAtTheExpectedEnd)
+{
+    const store_dialect &store = adapter.dialects().store;
+    const http_request written = store.writeAt(store_topic::versions, "engine", "value", store_offset(12));
+    STRCMP_EQUAL("/log-append?topic=keyed.versions&part=0&at=12", written.target.c_str());
+    LONGS_EQUAL(13, store.decodeWriteEnd({200, {}, R"({"offset":12,"end":13})"}).value().value());
+    CHECK(store.decodeWriteEnd({412, {}, R"({"end":14})"}).error().code == error_code::conflict);
+    CHECK(store.decodeWriteEnd({503, {}, ""}).error().code == error_code::unavailable);
+    for (const char *body : {"", "{}", R"({"end":-1})", R"({"end":"13"})", R"({"end":1.5})", "[]"}) {
+        CHECK(store.decodeWriteEnd({200, {}, body}).error().code == error_code::invalid_message);
+    }
+}
+
 TEST(platform, decodesResponseHeads)
 {
     const endpoint_dialect &endpoints = adapter.dialects().endpoints;
