Write records of versions at different times at each instance

Hundreds of instances that find a version at the same time would each make a conditional write, and all but one would fail and read again, close to the store's limit of 400 writes a second at 295 instances. Each waits for a random time of up to 100 ms now and reads again before it writes. The first read begins with the task, so that recorded versions are known when the first stream arrives.

--- a/src/gateway/version_task.cpp
+++ b/src/gateway/version_task.cpp
@@ -17,13 +17,15 @@
 constexpr milliseconds callTimeout {500};
 constexpr milliseconds minRetryDelay {40};
 constexpr milliseconds maxRetryDelay {400};
+// Instances that find a version at the same time write at different times, after reading again whether one of them has written it. Without
+// the delay, hundreds of instances would each make a write that fails.
+constexpr milliseconds maxWriteDelay {100};
 // A lost write is repeated with the streams of the next one.
 constexpr milliseconds streamWriteTimeout {800};
 
-milliseconds drawSpread(random_source &random)
+milliseconds drawTime(milliseconds most, random_source &random)
 {
-    const auto most = static_cast<double>(recorded_versions::retentionSpread.count());
-    return milliseconds(static_cast<std::int64_t>(most * random.uniform()));
+    return milliseconds(static_cast<std::int64_t>(static_cast<double>(most.count()) * random.uniform()));
 }
 
 } // namespace
@@ -45,12 +47,13 @@
     , m_streamWriter(loop, m_settings.store)
     , m_next(loop, [this] { proceed(); })
     , m_backoff(minRetryDelay, maxRetryDelay)
-    , m_versions(drawSpread(m_random))
+    , m_versions(drawTime(recorded_versions::retentionSpread, m_random))
 {
 }
 
 outcome<void> version_task::start()
 {
+    proceed();
     return success();
 }
 
@@ -88,7 +91,15 @@
     }
     const instant now = boot_clock::now();
     const auto record = m_versions.nextRecord(now);
-    if (m_mustRead || !m_waiting.empty()) {
+    if (!record) {
+        m_writeAt.reset();
+    } else if (!m_writeAt) {
+        m_writeAt = deadline::after(now, drawTime(maxWriteDelay, m_random));
+        m_mustRead = true;
+    }
+    if (m_waiting.empty() && m_writeAt && !m_writeAt->hasPassed(now)) {
+        m_next.start(*m_writeAt);
+    } else if (m_mustRead || !m_waiting.empty()) {
         // The records have to be read after a caller has taken its stream up, so a read that is running does not count for it.
         m_covered.insert(m_covered.end(), m_waiting.begin(), m_waiting.end());
         m_waiting.clear();
--- a/src/gateway/version_task.h
+++ b/src/gateway/version_task.h
@@ -85,6 +85,8 @@
     recorded_versions m_versions;
     /// The last call has failed, and the next one is being waited for.
     bool m_isFailing = false;
+    /// When a record is written that has become due; unset while none is due.
+    std::optional<deadline> m_writeAt;
     /// The records have to be read before anything is written.
     bool m_mustRead = true;
     /// End of the topic of versions when it was last read; a write is valid only while the topic ends there.
--- a/tests/gateway/stream_versions_test.cpp
+++ b/tests/gateway/stream_versions_test.cpp
@@ -102,7 +102,7 @@
     /// Begins a stream that breaks off, and returns its id.
     std::string begin(std::size_t gateway)
     {
-        const std::string id = "s" + std::to_string(++lastRequest);
+        std::string id = "s" + std::to_string(++lastRequest);
         send(gateway, id, {});
         return id;
     }
@@ -112,7 +112,7 @@
     {
         while (!fleet.isTimedOut) {
             const std::size_t before = countRuns(engine);
-            const std::string id = begin(gateway);
+            std::string id = begin(gateway);
             if (countRuns(engine) > before) {
                 return id;
             }
