--- a/src/gateway/dispatch_streams.cpp
+++ b/src/gateway/dispatch_streams.cpp
@@ -146,9 +146,9 @@
             }
         }
     }
-    if (registered != m_publishedVersions) {
-        m_publishedVersions = registered;
-        m_outbox.toVersions(versions_registered {std::move(registered)});
+    // A message that is dropped is sent with the next change or report.
+    if (registered != m_publishedVersions && m_outbox.toVersions(versions_registered {registered})) {
+        m_publishedVersions = std::move(registered);
     }
 }
 
--- a/src/gateway/store_task.cpp
+++ b/src/gateway/store_task.cpp
@@ -148,7 +148,7 @@
             m_to.calls,
             topic,
             topic_relays {m_relayClient, m_relay, m_gate},
-            [this](dispatch_message update) { post(std::move(update)); },
+            [this](dispatch_message update) { return post(std::move(update)); },
             [this](bool isReachable) { recordContact(isReachable); },
             m_log,
             m_random));
@@ -296,7 +296,9 @@
 void store_task::chooseReader()
 {
     const std::int64_t readers = (m_instanceCount + instancesPerReader - 1) / instancesPerReader;
-    m_relayClient.setReaders(chooseReaders(m_settings.instance, readers, m_holders));
+    std::vector<peer_instance> chosen = chooseReaders(m_settings.instance, readers, m_holders);
+    const std::vector<peer_instance> others = chooseOtherHolders(m_settings.instance, chosen, m_holders);
+    m_relayClient.setReaders(std::move(chosen), others);
 }
 
 void store_task::requestHolders()
@@ -324,11 +326,13 @@
     }
 }
 
-void store_task::post(dispatch_message message)
+bool store_task::post(dispatch_message message)
 {
-    if (m_to.dispatcher.post(std::move(message)) != post_result::delivered) {
+    const bool isDelivered = m_to.dispatcher.post(std::move(message)) == post_result::delivered;
+    if (!isDelivered) {
         m_log.write(log_line("store", "message_dropped").add("receiver", "dispatcher"));
     }
+    return isDelivered;
 }
 
 } // namespace burdockshelf
