--- a/src/forwarding/endpoint_table.h
+++ b/src/forwarding/endpoint_table.h
@@ -15,6 +15,8 @@
 #include "forwarding/traffic_plan.h"
 #include "forwarding/usual_figures.h"
 #include "forwarding/utilisation_score.h"
+#include "forwarding/version_filter.h"
+#include "forwarding/version_record.h"
 
 #include <functional>
 #include <map>
@@ -142,7 +144,8 @@
     /// The instances among which the cold rates are split, including this one.
     void setInstances(std::vector<instance_id> instances, instant now);
 
-    /// The best endpoint for an attempt of the given kind, leaving out the excluded ones; null when no endpoint may receive it.
+    /// The best endpoint for an attempt of the given kind, leaving out the excluded ones and those of other versions than the accepted
+    /// ones; null when no endpoint may receive it.
     const endpoint_state *choose(const service_id &service,
                                  attempt_kind attemptKind,
                                  token_count tokens,
@@ -150,11 +153,14 @@
                                  const traffic_service *profile,
                                  instant now,
                                  random_source &random,
-                                 rollout_side side = rollout_side::trusted);
+                                 rollout_side side = rollout_side::trusted,
+                                 const version_filter &versions = {});
     const endpoint_state *find(const endpoint_id &endpoint) const;
     /// The endpoint that is registered at an address, leaving out the given one; null if there is none.
     const endpoint_state *findAt(const socket_address &address, const endpoint_id &except) const;
     std::size_t size() const;
+    /// The versions of the registered endpoints.
+    service_versions versions() const;
     void forEach(const std::function<void(const endpoint_state &)> &visit) const;
     const std::set<data_centre_id> &evacuated() const;
 
@@ -248,6 +254,7 @@
     void notePrefillTime(endpoint_state &prefillEndpoint, token_count tokens, boot_clock::duration elapsed, instant now);
 
     endpoint_state *state(const endpoint_id &endpoint);
+    void discard(std::map<endpoint_id, std::unique_ptr<endpoint_state>>::iterator found);
     endpoint_availability availabilityOf(const endpoint_state &known, instant now) const;
     static void removeUnanswered(endpoint_state &endpoint, instant sentAt);
     usual_figures &usualOf(const endpoint_entry &entry);
@@ -308,6 +315,8 @@
     endpoint_table_settings m_settings;
     std::map<endpoint_id, std::unique_ptr<endpoint_state>> m_endpoints;
     std::map<service_id, service_endpoints> m_byService;
+    /// Number of endpoints of each version that has any.
+    std::map<std::pair<service_id, service_version>, std::int64_t> m_versionCounts;
     std::set<data_centre_id> m_evacuated;
     std::map<data_centre_id, reachability_state> m_reachability;
     /// Seconds that an idle prefill endpoint of each service needs per prompt token. A service has no entry, which counts as 0, before its
--- a/src/gateway/topic_relay.h
+++ b/src/gateway/topic_relay.h
@@ -65,7 +65,7 @@
     void respondToExpired();
 
     const store_era_tracker &m_era;
-    std::array<topic_state, storeTopicCount> m_topics;
+    std::array<topic_state, followedTopicCount> m_topics;
     std::list<waiting_request> m_waiting;
     timer m_expiry;
     instant m_lastRequestAt;
--- a/src/gateway/topic_relay_client.h
+++ b/src/gateway/topic_relay_client.h
@@ -75,7 +75,7 @@
     sink<peer_response> m_responses;
     event_log m_log;
     relay_readers m_readers;
-    std::array<relay_readers, storeTopicCount> m_otherHolders;
+    std::array<relay_readers, followedTopicCount> m_otherHolders;
     /// The requests in progress.
     struct pending_request
     {
--- a/tests/gateway/undelivered_records_test.cpp
+++ b/tests/gateway/undelivered_records_test.cpp
@@ -141,7 +141,7 @@
     fixture.stopDispatcher();
     const instant begun = boot_clock::now();
     fixture.runUntil([&] { return fixture.droppedCount >= 20; });
-    const auto topics = static_cast<std::int64_t>(storeTopicCount);
+    const auto topics = static_cast<std::int64_t>(followedTopicCount);
     // Each topic is read at most once in a pause, and the first time at once.
     const auto pauses = (boot_clock::now() - begun) / topic_follower::undeliveredRetryDelay + 2;
     CHECK(static_cast<std::int64_t>(fixture.store.callCount()) <= topics * pauses);
