Make the test of kept evacuations fail without the rule

In a trial in which fleet_state kept no evacuation that the copy lacks, store_restore.evacuationIsKeptUntilARecordOfItsKeyArrives still passed: the instance prefers its own data centre, so it sent nothing to the evacuated one in any case. The endpoints are now in two other data centres, and the test first sees requests at the one that is evacuated later.

--- a/tests/gateway/store_restore_test.cpp
+++ b/tests/gateway/store_restore_test.cpp
@@ -135,18 +135,20 @@
 // Guards against requests to a data centre whose evacuation is missing from the copy, and against an evacuation that cannot be ended.
 TEST(store_restore, evacuationIsKeptUntilARecordOfItsKeyArrives)
 {
+    // Both endpoints are outside the instance's own data centre, which it would prefer.
+    site.store.put("keyed.servers", "p", site.plain.entry("plain", "x"));
     site.store.put("keyed.servers", "q", other.entry("plain", "y"));
-    site.store.put("keyed.op", "evacuate/y", "{}");
     site.startServing();
+    CHECK(callsToOther(1000ms) > 0);
+    site.store.put("keyed.op", "evacuate/y", "{}");
+    callsToOther(configurationBound);
     site.store.restore({{"keyed.op", 1}});
     LONGS_EQUAL(0, callsToOther(configurationBound));
     site.store.put("keyed.op", "evacuate/y", "{}");
     LONGS_EQUAL(0, callsToOther(configurationBound));
     site.store.drop("keyed.op", "evacuate/y");
     callsToOther(configurationBound);
-    site.store.put("keyed.servers", "p", drainingEntry(site.plain, "z"));
-    callsToOther(drainBound);
-    CHECK(callsToOther(200ms) > 0);
+    CHECK(callsToOther(1000ms) > 0);
 }
 
 // Guards against requests that reach an endpoint long after the restored store has acknowledged that it leaves.
