--- a/tests/gateway/topic_relay_client_test.cpp
+++ b/tests/gateway/topic_relay_client_test.cpp
@@ -29,8 +29,7 @@
         }
         std::string name;
         const records_query query = {topic, store_offset(1), std::nullopt, 0ms};
-        client.sendRequest(
-            query, now, [&](const instance_id &reader, const outcome<peer_records_response> &) { name = reader.value(); });
+        client.sendRequest(query, now, [&](const instance_id &reader, const outcome<peer_records_response> &) { name = reader.value(); });
         client.receive({++m_exchange, {}, failure(error_code::deadline_exceeded, "no response")});
         return name;
     }
