--- a/src/forwarding/forward_flow_rollout.cpp
+++ b/src/forwarding/forward_flow_rollout.cpp
@@ -27,13 +27,13 @@
 version_filter forward_flow::versionsFor(attempt_kind attemptKind) const
 {
     // A prefill has no output of its own.
-    if (attemptKind == attempt_kind::prefill || !isResumableStream()) {
+    if (attemptKind == attempt_kind::prefill) {
         return {};
     }
     if (m_origin) {
         return version_filter::only(m_origin->version);
     }
-    if (m_context->recordedVersions == nullptr) {
+    if (!isResumableStream() || m_context->recordedVersions == nullptr) {
         return {};
     }
     const auto recorded = m_context->recordedVersions->find(m_service);
--- a/src/forwarding/recorded_versions.cpp
+++ b/src/forwarding/recorded_versions.cpp
@@ -10,6 +10,9 @@
 namespace
 {
 
+// Less than the time after which an instance that noticed the absence somewhat earlier may have removed the version.
+constexpr std::chrono::milliseconds maxAbsence {recorded_versions::retention / 2};
+
 bool contains(const service_versions &all, const service_id &service, const service_version &version)
 {
     const auto found = all.find(service);
@@ -26,30 +29,35 @@
 void recorded_versions::setRegistered(const service_versions &registered, instant now)
 {
     m_registered = registered;
+    std::erase_if(m_unregisteredSince, [&](const auto &entry) {
+        const auto &[service, version] = entry.first;
+        const bool isBack = contains(m_registered, service, version);
+        if (isBack && now - entry.second >= maxAbsence) {
+            m_recorded[service].erase(version);
+        }
+        return isBack || !contains(m_recorded, service, version);
+    });
     for (const auto &[service, versions] : m_recorded) {
         for (const service_version &version : versions) {
-            if (contains(m_registered, service, version)) {
-                m_unregisteredSince.erase({service, version});
-            } else {
+            if (!contains(m_registered, service, version)) {
                 m_unregisteredSince.try_emplace({service, version}, now);
             }
         }
     }
 }
 
-void recorded_versions::setRecorded(const service_versions &recorded, instant now)
+void recorded_versions::setRecorded(const service_versions &recorded, bool isAfterRestore, instant now)
 {
-    for (const auto &[service, versions] : m_recorded) {
-        for (const service_version &version : versions) {
-            // Another instance may have removed it somewhat earlier than this one would.
-            const bool isRemovable = retainedUntil(service, version).hasPassed(now + retentionSpread);
-            if (!contains(recorded, service, version) && !isRemovable) {
-                m_lost[service].insert(version);
-            }
+    if (isAfterRestore) {
+        for (const auto &[service, versions] : m_recorded) {
+            m_lost[service].insert(versions.begin(), versions.end());
         }
     }
+    for (auto &[service, versions] : m_lost) {
+        std::erase_if(versions, [&, &name = service](const service_version &version) { return contains(recorded, name, version); });
+    }
+    std::erase_if(m_lost, [](const auto &entry) { return entry.second.empty(); });
     m_recorded = recorded;
-    std::erase_if(m_unregisteredSince, [this](const auto &entry) { return !contains(m_recorded, entry.first.first, entry.first.second); });
     setRegistered(service_versions(m_registered), now);
 }
 
@@ -102,6 +110,17 @@
     return std::any_of(m_recorded.begin(), m_recorded.end(), [](const auto &entry) { return entry.second.size() > 1; });
 }
 
+service_versions recorded_versions::possible() const
+{
+    service_versions all = m_recorded;
+    for (const service_versions *more : {&m_registered, &m_lost}) {
+        for (const auto &[service, versions] : *more) {
+            all[service].insert(versions.begin(), versions.end());
+        }
+    }
+    return all;
+}
+
 bool recorded_versions::hasLost() const
 {
     return !m_lost.empty();
--- a/src/forwarding/recorded_versions.h
+++ b/src/forwarding/recorded_versions.h
@@ -25,10 +25,12 @@
     /// The spread is this instance's part of retentionSpread.
     explicit recorded_versions(std::chrono::milliseconds spread);
 
-    /// The versions of the services' registered endpoints.
+    /// The versions of the services' registered endpoints. A version that returns after a while may not begin streams until the records
+    /// have been read again, because another instance may have removed it.
     void setRegistered(const service_versions &registered, instant now);
-    /// All records of the store, which may lack versions that were acknowledged if the store came back from an older copy.
-    void setRecorded(const service_versions &recorded, instant now);
+    /// All records of the store. After a restore from an older copy they may lack versions that the store had acknowledged; otherwise
+    /// another instance has removed those.
+    void setRecorded(const service_versions &recorded, bool isAfterRestore, instant now);
     /// The store has acknowledged a record.
     void noteWritten(const version_record &written);
 
@@ -40,9 +42,10 @@
     const service_versions &recorded() const;
     /// True while more than one version of a service is recorded.
     bool isMixed() const;
-    /// True while the store lacks a version that it had acknowledged and that no instance can have removed. Nothing may be concluded from
-    /// the records then.
+    /// True while the store lacks a version that it had acknowledged before a restore. Nothing may be concluded from the records then.
     bool hasLost() const;
+    /// The recorded versions and those that will be: a registered version may have begun streams of which a restored store knows nothing.
+    service_versions possible() const;
 
 private:
     deadline retainedUntil(const service_id &service, const service_version &version) const;
--- a/src/forwarding/stream_origins.cpp
+++ b/src/forwarding/stream_origins.cpp
@@ -7,7 +7,7 @@
 
 void stream_origins::begin(const attempt_id &attempt, const stream_origin &origin, deadline callerDeadline, instant now)
 {
-    if (attempt.isEmpty() || find(attempt, now)) {
+    if (attempt.isEmpty() || attempt.value().size() > maxIdBytes || find(attempt, now)) {
         return;
     }
     end(attempt);
--- a/src/forwarding/stream_origins.h
+++ b/src/forwarding/stream_origins.h
@@ -25,7 +25,9 @@
 public:
     /// Streams whose callers state a later deadline, or none, are forgotten after this time.
     static constexpr std::chrono::milliseconds maxAge {60000};
-    /// Beyond this many, the oldest ones are forgotten. An entry takes some 200 bytes.
+    /// Streams whose callers use longer ids are not kept.
+    static constexpr std::size_t maxIdBytes = 64;
+    /// Beyond this many, the oldest ones are forgotten. An entry takes some 300 bytes.
     static constexpr std::size_t maxStreams = 65536;
 
     /// Records a stream before any event of it is passed on. The first origin of a try stays.
--- a/src/gateway/dispatch_actions.cpp
+++ b/src/gateway/dispatch_actions.cpp
@@ -101,6 +101,9 @@
 void dispatch_task::perform(active_flow &flow, const refuse_request &action)
 {
     const admitted_request &request = flow.flow.request();
+    if (action.isNotExecuted) {
+        m_streams.end(request.facts.id);
+    }
     if (action.isNotExecuted && request.grant) {
         returnQuota(*request.grant);
     }
--- a/src/gateway/dispatch_streams.cpp
+++ b/src/gateway/dispatch_streams.cpp
@@ -18,8 +18,8 @@
 constexpr milliseconds minOpenStreamsInterval {250};
 // Bounds the writes of all instances together to a hundred a second.
 constexpr milliseconds openStreamsIntervalPerInstance {10};
-// A record of so many streams takes a quarter of a megabyte, which is the most that the store accepts.
-constexpr std::size_t maxRecordedStreams = 6000;
+// With ids of the greatest length, a record of so many streams takes a quarter of a megabyte, which is the most that the store accepts.
+constexpr std::size_t maxRecordedStreams = 3500;
 
 milliseconds openStreamsInterval(std::int64_t instances)
 {
@@ -157,8 +157,8 @@
     const bool isAnyMixed =
         std::any_of(m_recordedVersions.begin(), m_recordedVersions.end(), [](const auto &entry) { return entry.second.size() > 1; });
     if (!isAnyMixed) {
-        if (std::exchange(m_recordedStreams, std::nullopt)) {
-            m_outbox.toVersions(open_streams {});
+        if (m_recordedStreams && m_outbox.toVersions(open_streams {})) {
+            m_recordedStreams.reset();
         }
         return;
     }
@@ -167,10 +167,11 @@
     if (m_recordedStreams == m_streams.changeCount()) {
         return;
     }
-    m_recordedStreams = m_streams.changeCount();
     std::vector<open_stream> open = m_streams.newest(maxRecordedStreams, now);
     std::erase_if(open, [this](const open_stream &stream) { return !isMixed(m_recordedVersions, stream.origin.service); });
-    m_outbox.toVersions(open_streams {std::move(open)});
+    if (m_outbox.toVersions(open_streams {std::move(open)})) {
+        m_recordedStreams = m_streams.changeCount();
+    }
 }
 
 } // namespace burdockshelf
--- a/src/gateway/dispatch_task.cpp
+++ b/src/gateway/dispatch_task.cpp
@@ -98,7 +98,7 @@
     if (m_isShuttingDown) {
         m_requests.writeAdmittedInShutdown(decided, m_shutdown.finishRequestsBy, boot_clock::now());
     }
-    const bool takesUpStream = decided.request->route->isResumable && facts.resumeAfter;
+    const bool takesUpStream = decided.request->route->kind == request_kind::streaming && facts.resumeAfter;
     waiting_request request {std::move(arrived.request), std::move(arrived.memory), std::move(decided)};
     if (takesUpStream) {
         takeUp(arrived.flow, std::move(request));
--- a/src/gateway/gateway_tree.cpp
+++ b/src/gateway/gateway_tree.cpp
@@ -167,6 +167,7 @@
                           const store_addresses to = {address(m_dispatchMailbox),
                                                       address(m_groupMailbox),
                                                       address(m_meshMailbox),
+                                                      address(m_versionMailbox),
                                                       storeCallCounter(),
                                                       makeSink<metric_batch>(address(m_monitorMailbox))};
                           return std::make_unique<store_task>(m_loop, m_storeMailbox, at, store, to, m_log, random_source());
--- a/src/gateway/store_task.cpp
+++ b/src/gateway/store_task.cpp
@@ -373,6 +373,9 @@
     metric_batch batch;
     batch.counters.push_back({{"store_restores_total", {}}, 1});
     static_cast<void>(m_to.metrics.post(std::move(batch)));
+    if (m_to.versions.post(store_restored {}) != post_result::delivered) {
+        m_log.write(log_line("store", "message_dropped").add("receiver", "versions"));
+    }
     m_relay.beginEra();
     for (const auto &follower : m_followers) {
         follower->readAfterRestore();
--- a/src/gateway/store_task.h
+++ b/src/gateway/store_task.h
@@ -38,6 +38,7 @@
     address<dispatch_message> dispatcher;
     address<group_message> group;
     address<mesh_supervisor_message> mesh;
+    address<version_message> versions;
     store_call_counter calls;
     sink<metric_batch> metrics;
 };
--- a/src/gateway/version_messages.h
+++ b/src/gateway/version_messages.h
@@ -35,7 +35,12 @@
     std::vector<service_id> services;
 };
 
-using version_message = std::variant<versions_registered, open_streams, stream_lookup>;
+/// The store has come back from an older copy, which may lack records that it had acknowledged.
+struct store_restored
+{
+};
+
+using version_message = std::variant<versions_registered, open_streams, stream_lookup, store_restored>;
 
 // From version_task to the dispatcher.
 
--- a/src/gateway/version_task.cpp
+++ b/src/gateway/version_task.cpp
@@ -20,8 +20,8 @@
 // Instances that find a version at the same time write at different times, after reading again whether one of them has written it. Without
 // the delay, hundreds of instances would each make a write that fails.
 constexpr milliseconds maxWriteDelay {100};
-// A lost write is repeated with the streams of the next one.
 constexpr milliseconds streamWriteTimeout {800};
+constexpr milliseconds streamRetryDelay {250};
 
 milliseconds drawTime(milliseconds most, random_source &random)
 {
@@ -46,6 +46,7 @@
     , m_call(loop, m_settings.store)
     , m_streamWriter(loop, m_settings.store)
     , m_next(loop, [this] { proceed(); })
+    , m_streamRetry(loop, [this] { writeStreams(); })
     , m_backoff(minRetryDelay, maxRetryDelay)
     , m_versions(drawTime(recorded_versions::retentionSpread, m_random))
 {
@@ -65,6 +66,7 @@
 void version_task::apply(versions_registered &&registered)
 {
     m_versions.setRegistered(registered.versions, boot_clock::now());
+    publishRecorded();
     proceed();
 }
 
@@ -84,6 +86,13 @@
     proceed();
 }
 
+void version_task::apply(const store_restored & /*restored*/)
+{
+    m_isRestored = true;
+    m_mustRead = true;
+    proceed();
+}
+
 void version_task::proceed()
 {
     if (m_call.isBusy()) {
@@ -93,26 +102,44 @@
     const auto record = m_versions.nextRecord(now);
     if (!record) {
         m_writeAt.reset();
+        m_backoff.reset();
     } else if (!m_writeAt) {
         m_writeAt = deadline::after(now, drawTime(maxWriteDelay, m_random));
         m_mustRead = true;
     }
-    if (m_waiting.empty() && m_writeAt && !m_writeAt->hasPassed(now)) {
-        m_next.start(*m_writeAt);
-    } else if (m_mustRead || !m_waiting.empty()) {
-        // The records have to be read after a caller has taken its stream up, so a read that is running does not count for it.
-        m_covered.insert(m_covered.end(), m_waiting.begin(), m_waiting.end());
-        m_waiting.clear();
-        m_afterKey.clear();
-        m_page.clear();
-        readVersions();
-    } else if (record) {
+    const bool isWriteDue = record && m_writeAt->hasPassed(now);
+    if (isWriteDue && !m_mustRead) {
         writeRecord(*record);
+    } else if (!m_waiting.empty() || (m_mustRead && (!record || isWriteDue))) {
+        beginRead();
+    } else if (record) {
+        m_next.start(*m_writeAt);
     } else {
         m_next.start(m_versions.nextRemoval());
     }
 }
 
+void version_task::beginRead()
+{
+    // The records have to be read after a caller has taken its stream up, so a read that is running does not count for it.
+    m_covered.insert(m_covered.end(), m_waiting.begin(), m_waiting.end());
+    m_waiting.clear();
+    m_afterKey.clear();
+    m_page.clear();
+    readVersions();
+}
+
+bool version_task::noteEra(const outcome<http_response> &response)
+{
+    const std::optional<store_era> era = response ? m_dialect.decodeEra(response.value()) : std::nullopt;
+    if (!era || era == m_era) {
+        return false;
+    }
+    m_era = era;
+    m_isRestored = true;
+    return true;
+}
+
 void version_task::readVersions()
 {
     m_to.calls.count(store_call::read_newest);
@@ -124,12 +151,17 @@
 
 void version_task::handleVersionsPage(const outcome<http_response> &response)
 {
+    const bool isFirstPage = m_afterKey.empty();
+    if (noteEra(response) && !isFirstPage) {
+        beginRead();
+        return;
+    }
     const auto page = response ? m_dialect.decodeNewest(response.value()) : outcome<store_page>(response.error());
     if (!page) {
         retryLater("read_versions", page.error().message);
         return;
     }
-    if (m_afterKey.empty()) {
+    if (isFirstPage) {
         m_end = page.value().end;
     }
     for (const store_record &record : page.value().records) {
@@ -154,21 +186,24 @@
 {
     m_mustRead = false;
     m_isFailing = false;
-    m_backoff.reset();
-    m_versions.setRecorded(m_page, boot_clock::now());
+    m_versions.setRecorded(m_page, std::exchange(m_isRestored, false), boot_clock::now());
     publishRecorded();
     if (m_versions.hasLost()) {
         m_log.write(log_line("versions", "records_lost").add("end", m_end));
-    } else {
+    }
+    continueAfterVersions();
+}
+
+void version_task::continueAfterVersions()
+{
+    if (!m_versions.hasLost()) {
         answerFromVersions();
     }
-    if (!m_needStreams.empty()) {
-        m_afterKey.clear();
-        m_streamsRead.clear();
-        readStreams();
-        return;
+    if (m_needStreams.empty()) {
+        proceed();
+    } else {
+        beginStreams();
     }
-    proceed();
 }
 
 void version_task::writeRecord(const version_record &record)
@@ -182,11 +217,12 @@
 
 void version_task::handleWritten(const version_record &record, const outcome<http_response> &response)
 {
+    const bool isRestored = noteEra(response);
     const auto end = response ? m_dialect.decodeWriteEnd(response.value()) : outcome<store_offset>(response.error());
-    if (!end) {
+    if (!end || isRestored) {
         m_mustRead = true;
-        if (end.error().code == error_code::conflict) {
-            // Another instance has written meanwhile.
+        if (isRestored || end.error().code == error_code::conflict) {
+            // Another instance has written meanwhile, or the end was that of an earlier era.
             proceed();
         } else {
             // The write may have been done.
@@ -195,6 +231,7 @@
         return;
     }
     m_end = end.value();
+    const bool wasMixed = m_versions.isMixed();
     m_versions.noteWritten(record);
     log_line line("versions", "versions_recorded");
     line.add("service", record.service);
@@ -203,16 +240,20 @@
     }
     m_log.write(std::move(line));
     publishRecorded();
-    if (!m_versions.hasLost()) {
-        answerFromVersions();
-    }
-    if (!m_needStreams.empty()) {
-        m_afterKey.clear();
-        m_streamsRead.clear();
-        readStreams();
+    if (wasMixed && !m_versions.isMixed()) {
+        m_isDropping = true;
+        beginStreams();
         return;
     }
-    proceed();
+    continueAfterVersions();
+}
+
+void version_task::beginStreams()
+{
+    m_afterKey.clear();
+    m_streamsRead.clear();
+    m_obsoleteKeys.clear();
+    readStreams();
 }
 
 void version_task::readStreams()
@@ -234,8 +275,11 @@
     for (const store_record &record : page.value().records) {
         m_afterKey = record.key;
         const auto streams = decodeOpenStreams(record.value.value_or(std::string()));
+        m_obsoleteKeys.push_back(record.key);
         if (streams) {
-            m_streamsRead.insert(m_streamsRead.end(), streams.value().begin(), streams.value().end());
+            for (const open_stream &stream : streams.value()) {
+                m_streamsRead.emplace(stream.attempt, stream.origin);
+            }
         } else {
             m_log.write(log_line("versions", "record_unreadable").add("key", record.key).add("cause", streams.error().message));
         }
@@ -245,13 +289,16 @@
         return;
     }
     answerFromStreams();
+    if (std::exchange(m_isDropping, false) && !m_versions.isMixed()) {
+        dropStreamRecords();
+    }
     proceed();
 }
 
 void version_task::answerFromVersions()
 {
     for (stream_lookup &lookup : std::exchange(m_covered, {})) {
-        const auto origin = onlyOrigin(lookup.services, m_versions.recorded());
+        const auto origin = onlyOrigin(lookup.services, m_versions.possible());
         if (origin) {
             answer(lookup, origin, true);
         } else if (lookup.stream.isEmpty()) {
@@ -265,10 +312,9 @@
 void version_task::answerFromStreams()
 {
     for (const stream_lookup &lookup : std::exchange(m_needStreams, {})) {
-        const auto found = std::find_if(
-            m_streamsRead.begin(), m_streamsRead.end(), [&](const open_stream &stream) { return stream.attempt == lookup.stream; });
-        const bool isKnown = found != m_streamsRead.end() && !found->origin.version.isEmpty();
-        answer(lookup, isKnown ? std::optional(found->origin) : std::nullopt, true);
+        const auto found = m_streamsRead.find(lookup.stream);
+        const bool isKnown = found != m_streamsRead.end() && !found->second.version.isEmpty();
+        answer(lookup, isKnown ? std::optional(found->second) : std::nullopt, true);
     }
     m_streamsRead.clear();
 }
@@ -295,8 +341,10 @@
     if (m_versions.recorded() == m_published) {
         return;
     }
-    m_published = m_versions.recorded();
-    post(versions_recorded {m_published});
+    // A message that is dropped is sent again with the next read or write, or change of the registered versions.
+    if (post(versions_recorded {m_versions.recorded()})) {
+        m_published = m_versions.recorded();
+    }
 }
 
 void version_task::writeStreams()
@@ -304,29 +352,49 @@
     if (m_streamWriter.isBusy() || !m_unwrittenStreams || (m_unwrittenStreams->empty() && !m_hasStreamRecord)) {
         return;
     }
-    const std::vector<open_stream> streams = *std::exchange(m_unwrittenStreams, std::nullopt);
+    std::vector<open_stream> streams = *std::exchange(m_unwrittenStreams, std::nullopt);
     // A record without a value is dropped by the store.
     const std::string value = streams.empty() ? std::string() : encodeOpenStreams(streams);
-    m_hasStreamRecord = !streams.empty();
+    m_hasStreamRecord = true;
     m_to.calls.count(store_call::write);
     m_streamWriter.begin(
         m_dialect.write(store_topic::streams, m_settings.incarnation.value(), value),
         deadline::after(boot_clock::now(), streamWriteTimeout),
         response_limits::acknowledgement,
-        [this](const outcome<http_response> &response) {
+        [this, streams = std::move(streams)](const outcome<http_response> &response) {
             const auto written = response ? m_dialect.decodeWriteResult(response.value()) : outcome<void>(response.error());
             if (!written) {
                 m_log.write(log_line("versions", "call_failed").add("call", "write_streams").add("cause", written.error().message));
+                m_unwrittenStreams = m_unwrittenStreams ? std::move(m_unwrittenStreams) : std::optional(streams);
+                m_streamRetry.start(deadline::after(boot_clock::now(), streamRetryDelay));
+                return;
             }
+            m_hasStreamRecord = !streams.empty();
             writeStreams();
         });
 }
 
-void version_task::post(dispatch_message message)
+void version_task::dropStreamRecords()
+{
+    if (m_obsoleteKeys.empty() || m_streamWriter.isBusy()) {
+        return;
+    }
+    const std::string key = std::move(m_obsoleteKeys.back());
+    m_obsoleteKeys.pop_back();
+    m_to.calls.count(store_call::write);
+    m_streamWriter.begin(m_dialect.write(store_topic::streams, key, {}),
+                         deadline::after(boot_clock::now(), streamWriteTimeout),
+                         response_limits::acknowledgement,
+                         [this](const outcome<http_response> & /*response*/) { dropStreamRecords(); });
+}
+
+bool version_task::post(dispatch_message message)
 {
-    if (m_to.dispatcher.post(std::move(message)) != post_result::delivered) {
+    const bool isDelivered = m_to.dispatcher.post(std::move(message)) == post_result::delivered;
+    if (!isDelivered) {
         m_log.write(log_line("versions", "message_dropped").add("receiver", "dispatcher"));
     }
+    return isDelivered;
 }
 
 } // namespace burdockshelf
--- a/src/gateway/version_task.h
+++ b/src/gateway/version_task.h
@@ -12,6 +12,7 @@
 #include "runtime/task.h"
 #include "runtime/timer.h"
 
+#include <map>
 #include <optional>
 #include <string>
 #include <vector>
@@ -53,14 +54,22 @@
     void apply(versions_registered &&registered);
     void apply(open_streams &&open);
     void apply(stream_lookup &&lookup);
+    void apply(const store_restored &restored);
 
     /// Makes the next call that is needed, unless one is running.
     void proceed();
+    /// Reads the records for the lookups that have arrived.
+    void beginRead();
     void readVersions();
+    /// Notes the era of a response. Returns true if the store has been restored since the last read began.
+    bool noteEra(const outcome<http_response> &response);
     void handleVersionsPage(const outcome<http_response> &response);
     void finishVersions();
+    /// After a read or write of the records: answers lookups, reads the open streams that others need, or goes on.
+    void continueAfterVersions();
     void writeRecord(const version_record &record);
     void handleWritten(const version_record &record, const outcome<http_response> &response);
+    void beginStreams();
     void readStreams();
     void handleStreamsPage(const outcome<http_response> &response);
     /// Answers the lookups for which the records of versions are enough; the others need the open streams.
@@ -71,7 +80,11 @@
     void retryLater(std::string_view call, std::string_view cause);
     void publishRecorded();
     void writeStreams();
-    void post(dispatch_message message);
+    /// Drops the records of open streams that were read, one after the other. No version is mixed any more, so that they are obsolete; the
+    /// processes that wrote them may have ended.
+    void dropStreamRecords();
+    /// Returns whether the message was delivered.
+    bool post(dispatch_message message);
 
     version_task_settings m_settings;
     const store_dialect &m_dialect;
@@ -81,6 +94,7 @@
     serial_http_client m_call;
     serial_http_client m_streamWriter;
     timer m_next;
+    timer m_streamRetry;
     backoff m_backoff;
     recorded_versions m_versions;
     /// The last call has failed, and the next one is being waited for.
@@ -89,12 +103,19 @@
     std::optional<deadline> m_writeAt;
     /// The records have to be read before anything is written.
     bool m_mustRead = true;
+    /// The era of the store's last response; unset before the first one that states it.
+    std::optional<store_era> m_era;
+    /// The records have not been read since the store was restored.
+    bool m_isRestored = false;
     /// End of the topic of versions when it was last read; a write is valid only while the topic ends there.
     store_offset m_end;
     service_versions m_published;
     std::string m_afterKey;
     service_versions m_page;
-    std::vector<open_stream> m_streamsRead;
+    std::map<attempt_id, stream_origin> m_streamsRead;
+    /// Keys of the records of open streams that are to be dropped.
+    std::vector<std::string> m_obsoleteKeys;
+    bool m_isDropping = false;
     /// Lookups that wait for the next read of the records, for the present one, and for the open streams.
     std::vector<stream_lookup> m_waiting;
     std::vector<stream_lookup> m_covered;
--- a/tests/forwarding/recorded_versions_test.cpp
+++ b/tests/forwarding/recorded_versions_test.cpp
@@ -19,13 +19,13 @@
     return {{engine, versions}};
 }
 
-/// Instances that write and read the record of one service, which may be killed at any time, and the streams that they begin.
+/// Instances that write and read the record of one service and see the same endpoints, and the streams that they begin. Instances may be
+/// killed at any time.
 struct recording_fleet
 {
     struct instance
     {
-        recorded_versions versions {0ms};
-        std::set<service_version> registered;
+        recorded_versions versions;
         /// The number of writes when the records were last read.
         int readAt = -1;
     };
@@ -37,15 +37,23 @@
     };
 
     instant now {1000s};
-    std::vector<instance> instances = std::vector<instance>(3);
+    std::set<service_version> registered;
+    std::vector<instance> instances;
     service_versions stored;
     int writes = 0;
     std::vector<stream> streams;
 
+    recording_fleet()
+    {
+        for (const auto spread : {0ms, 5000ms, 10000ms}) {
+            instances.push_back({recorded_versions(spread)});
+        }
+    }
+
     void read(instance &reader)
     {
         reader.readAt = writes;
-        reader.versions.setRecorded(stored, now);
+        reader.versions.setRecorded(stored, false, now);
     }
 
     void write(instance &writer, bool isAnswerLost)
@@ -69,7 +77,7 @@
     void begin(const instance &at, const service_version &version)
     {
         const auto recorded = at.versions.recorded().find(engine);
-        if (at.registered.count(version) > 0 && recorded != at.versions.recorded().end() && recorded->second.count(version) > 0) {
+        if (registered.count(version) > 0 && recorded != at.versions.recorded().end() && recorded->second.count(version) > 0) {
             streams.push_back({version, now});
         }
     }
@@ -78,7 +86,7 @@
     bool areOriginsRight(instance &at)
     {
         read(at);
-        const auto origin = at.versions.hasLost() ? std::nullopt : onlyOrigin({engine}, at.versions.recorded());
+        const auto origin = at.versions.hasLost() ? std::nullopt : onlyOrigin({engine}, at.versions.possible());
         for (const stream &each : streams) {
             if (now - each.begun < recorded_versions::retention && origin && origin->version != each.version) {
                 return false;
@@ -95,10 +103,12 @@
         switch (choice % 8) {
         case 0:
         case 1:
-            if (!chosen.registered.insert(version).second) {
-                chosen.registered.erase(version);
+            if (!registered.insert(version).second) {
+                registered.erase(version);
+            }
+            for (instance &each : instances) {
+                each.versions.setRegistered(versionsOf(registered), now);
             }
-            chosen.versions.setRegistered(versionsOf(chosen.registered), now);
             break;
         case 2:
         case 3:
@@ -112,7 +122,8 @@
             now += choice > 128 ? 70s : 5s;
             break;
         default:
-            chosen = {};
+            chosen = {recorded_versions(0ms)};
+            chosen.versions.setRegistered(versionsOf(registered), now);
         }
     }
 };
@@ -175,13 +186,46 @@
     versions.setRegistered(versionsOf({service_version("v1"), service_version("v2")}), now);
     versions.noteWritten(*versions.nextRecord(now));
     versions.setRegistered(versionsOf({service_version("v2")}), now);
-    versions.setRecorded(versionsOf({service_version("v2")}), now);
+    versions.setRecorded(versionsOf({service_version("v2")}), true, now);
     CHECK_TRUE(versions.hasLost());
     const auto record = versions.nextRecord(now);
     CHECK_TRUE(record.has_value());
     LONGS_EQUAL(2, record->versions.size());
     versions.noteWritten(*record);
     CHECK_FALSE(versions.hasLost());
+    // Another instance may write it first.
+    versions.setRecorded(versionsOf({service_version("v2")}), true, now);
+    CHECK_TRUE(versions.hasLost());
+    versions.setRecorded(versionsOf({service_version("v1"), service_version("v2")}), false, now);
+    CHECK_FALSE(versions.hasLost());
+    CHECK_FALSE(versions.nextRecord(now).has_value());
+}
+
+// Guards against a version that another instance has removed and that is written again, so that versions stay mixed for ever.
+TEST(recorded_versions, areNotWrittenAgainAfterAnotherInstanceHasRemovedThem)
+{
+    recorded_versions versions(10000ms);
+    const instant now(1000s);
+    versions.setRegistered(versionsOf({service_version("v1"), service_version("v2")}), now);
+    versions.noteWritten(*versions.nextRecord(now));
+    versions.setRegistered(versionsOf({service_version("v2")}), now);
+    const instant later = now + 45s;
+    versions.setRecorded(versionsOf({service_version("v2")}), false, later);
+    CHECK_FALSE(versions.hasLost());
+    CHECK_FALSE(versions.nextRecord(later).has_value());
+}
+
+// Guards against a stream that begins at a version which has returned, after another instance has removed its record.
+TEST(recorded_versions, areReadAgainWhenAVersionReturns)
+{
+    recorded_versions versions(10000ms);
+    const instant now(1000s);
+    versions.setRegistered(versionsOf({service_version("v1"), service_version("v2")}), now);
+    versions.noteWritten(*versions.nextRecord(now));
+    versions.setRegistered(versionsOf({service_version("v2")}), now);
+    versions.setRegistered(versionsOf({service_version("v1"), service_version("v2")}), now + 65s);
+    CHECK_TRUE(versions.recorded() == versionsOf({service_version("v2")}));
+    CHECK_TRUE(versions.nextRecord(now + 65s).has_value());
 }
 
 // Guards against an unknown version that is taken for the only one.
--- a/tests/gateway/stream_versions_test.cpp
+++ b/tests/gateway/stream_versions_test.cpp
@@ -194,6 +194,26 @@
     CHECK_FALSE(fleet.isTimedOut);
 }
 
+// Guards against a stream that goes on at the only version which a restored store still knows, after all instances were lost.
+TEST(stream_versions, areRecordedAgainAfterTheStoreCameBackFromAnOlderCopy)
+{
+    const std::string stream = beginAt(fresh, 0);
+    while (!fleet.isTimedOut && takeUp(1, stream).status != 200) {
+        wait(20ms);
+    }
+    const std::size_t runsAtOld = countRuns(old);
+    fleet.store.restore({{"keyed.versions", 1}});
+    fleet.waitForLog(0, "event=records_lost");
+    fleet.waitForLog(1, "event=records_lost");
+    for (const std::size_t gateway : {0, 1}) {
+        fleet.start(gateway);
+    }
+    for (const std::size_t gateway : {0, 1}) {
+        LONGS_EQUAL(200, takeUpWhenReady(gateway, stream).status);
+    }
+    LONGS_EQUAL(runsAtOld, countRuns(old));
+}
+
 // Guards against an instance that cannot ask the store and goes on at the version that it knows.
 TEST(stream_versions, areNotConcludedWithoutTheStore)
 {
