--- a/src/gateway/version_task.cpp
+++ b/src/gateway/version_task.cpp
@@ -222,7 +222,7 @@
     if (!end || isRestored) {
         m_mustRead = true;
         if (isRestored || end.error().code == error_code::conflict) {
-            // Another instance has written meanwhile, or the end was that of an earlier era.
+            // Another instance has written since the read, or the end was that of an earlier era.
             proceed();
         } else {
             // The write may have been done.
