Read the records of versions again when the store is restored during a read

A read that was under way when the store was restored counted as the one that is due after the restore, and might hold the records from before it: an instance would not have written what the copy lacks until its next read. What asks for a read while one is running asks for another one now.

Found by reading; no test brings the two moments together. stream_versions of gateway_test passes twice (4 tests), that of system_test once.

--- a/src/gateway/version_task.cpp
+++ b/src/gateway/version_task.cpp
@@ -121,7 +121,9 @@
 
 void version_task::beginRead()
 {
-    // The records have to be read after a caller has taken its stream up, so a read that is running does not count for it.
+    // The records have to be read after a caller has taken its stream up or the store was restored, so a read that is running does not
+    // count for it.
+    m_mustRead = false;
     m_covered.insert(m_covered.end(), m_waiting.begin(), m_waiting.end());
     m_waiting.clear();
     m_afterKey.clear();
@@ -158,6 +160,7 @@
     }
     const auto page = response ? m_dialect.decodeNewest(response.value()) : outcome<store_page>(response.error());
     if (!page) {
+        m_mustRead = true;
         retryLater("read_versions", page.error().message);
         return;
     }
@@ -184,7 +187,6 @@
 
 void version_task::finishVersions()
 {
-    m_mustRead = false;
     m_isFailing = false;
     m_versions.setRecorded(m_page, std::exchange(m_isRestored, false), boot_clock::now());
     publishRecorded();
