--- a/src/forwarding/recorded_versions.h
+++ b/src/forwarding/recorded_versions.h
@@ -12,12 +12,12 @@
 {
 
 /// Decides which records of versions an instance writes to the store. A version is recorded before any instance begins a stream at it, and
-/// stays recorded for as long as a stream that it began may be taken up. A record that is read after a caller has taken a stream up
-/// therefore contains the version of that stream. Does no I/O.
+/// stays recorded for the retention after its last endpoint. A record that is read after a caller has taken a stream up therefore contains
+/// the version of that stream, unless the stream is older than that. Does no I/O.
 class recorded_versions
 {
 public:
-    /// Longest time for which a caller may take up a stream after the last endpoint of its version.
+    /// How long a version stays recorded after its last endpoint. Callers give their streams up sooner.
     static constexpr std::chrono::milliseconds retention {60000};
     /// Instances remove a version at different times within this period, so that one does it and the others read of it.
     static constexpr std::chrono::milliseconds retentionSpread {10000};
