Count as ready only once resumable streams may begin

An instance that had just started said that it was ready and refused resumable streams with 503 until the versions of their service were recorded, up to 100 ms.

--- a/src/gateway/dispatch_streams.cpp
+++ b/src/gateway/dispatch_streams.cpp
@@ -111,6 +111,7 @@
 void dispatch_task::apply(versions_recorded &&recorded)
 {
     m_recordedVersions = std::move(recorded.versions);
+    updateReadiness();
     if (!m_openStreamsTimer.isArmed()) {
         publishOpenStreams();
     }
@@ -125,6 +126,13 @@
     m_streams.begin(facts.resumedAttempt, action.origin, facts.callerDeadline, now);
 }
 
+bool dispatch_task::hasInitialState() const
+{
+    return m_fleet.hasInitialState() && std::all_of(m_publishedVersions.begin(), m_publishedVersions.end(), [this](const auto &entry) {
+               return m_recordedVersions.count(entry.first) > 0;
+           });
+}
+
 void dispatch_task::endStream(const forward_facts &facts)
 {
     m_streams.end(facts.id);
--- a/src/gateway/dispatch_task.cpp
+++ b/src/gateway/dispatch_task.cpp
@@ -82,7 +82,7 @@
         return;
     }
     const admission_inputs inputs = {m_fleet.plan(),
-                                     m_fleet.hasInitialState(),
+                                     hasInitialState(),
                                      m_shutdown.finishRequestsBy,
                                      m_shutdown.estimateStreamsUntil,
                                      &m_durations,
@@ -415,7 +415,7 @@
 
 void dispatch_task::updateReadiness()
 {
-    const bool isReady = m_fleet.hasInitialState() && !m_isShuttingDown;
+    const bool isReady = hasInitialState() && !m_isShuttingDown;
     if (isReady == m_isReady) {
         return;
     }
--- a/src/gateway/dispatch_task.h
+++ b/src/gateway/dispatch_task.h
@@ -148,6 +148,8 @@
     /// Records the open streams while versions are mixed, so that other instances can find their origins.
     void publishOpenStreams();
     void endStream(const forward_facts &facts);
+    /// False until the fleet is known and, for each service with resumable streams, versions that may begin them.
+    bool hasInitialState() const;
     void updateReadiness();
     /// Judges the rollouts, shares the evidence and, as the holder, decides.
     void reviewRollouts();
