--- a/tests/platform/platform_test.cpp
+++ b/tests/platform/platform_test.cpp
@@ -213,7 +213,7 @@
 }
 
 // A response without the endpoint's proof of origin must not be taken for a success.
-// Guards against a conditional write that is taken for done although another instance has written meanwhile.
+// Guards against a conditional write that is taken for done although another instance has written since the read.
 TEST(platform, writesOnlyAtTheExpectedEnd)
 {
     const store_dialect &store = adapter.dialects().store;
