Pause between the calls that wait for a scripted gateway to serve

../tests/gateway/slow_caller_test.cpp:61: error: Failure in TEST(slow_caller, isDisconnectedWhenItLeavesTooMuchOfAStreamUnread) CHECK(site.logText().find("event=request_done request=slow") ...) failed

Cause: startServing() called the gateway again and again without a pause until it served. The request log writes 300 lines of failures in a period; the refusals used them up, and the line of the request that the test looks for was left out. The product does what it promises; the fixture was at fault.

startServing() now pauses for 5 ms between calls, as a caller that honours Retry-After would.

--- a/tests/gateway/scripted_deployment.h
+++ b/tests/gateway/scripted_deployment.h
@@ -23,6 +23,7 @@
 {
     static constexpr std::chrono::seconds testTimeout {20};
     static constexpr std::chrono::milliseconds requestTime {4000};
+    static constexpr std::chrono::milliseconds startRetryPause {5};
 
     burdockshelf::event_loop loop;
     burdockshelf::timer guard;
@@ -118,11 +119,14 @@
         client = std::make_unique<http_client>(loop, gateway->callerAddress());
     }
 
-    /// Starts the gateway and waits until it serves.
+    /// Starts the gateway and waits until it serves. The pause between the calls keeps their refusals below the lines that the request log
+    /// writes in a period, so that later failures are still logged.
     void startServing()
     {
         start();
-        while (call("GET", "/safe/x").status != 200 && !isTimedOut) { }
+        while (call("GET", "/safe/x").status != 200 && !isTimedOut) {
+            pause(startRetryPause);
+        }
     }
 
     void pause(std::chrono::milliseconds time)
