Await the recorded versions only at the start of an instance

An instance refused every request of every route as not ready, and its readiness address said so, when a configuration in force moved resumable streams to a service whose versions were not recorded yet, and when records were lost with a restore of the store. While the store did not record, that had no end; an instance that started then never served.

Cause: readiness was computed anew from the recorded versions for each request, although it only had to cover the short time after a start in which none are known.

Now the versions are awaited once, for 1 s at most from the time at which the fleet is known. Later, a service without recorded versions holds up its own resumable streams only, as before.

--- a/src/gateway/dispatch_streams.cpp
+++ b/src/gateway/dispatch_streams.cpp
@@ -15,6 +15,9 @@
 
 // Two reads at the store take some ten milliseconds.
 constexpr milliseconds lookupTimeout {600};
+// Recording takes a few calls, after a delay of up to 100 ms. A store that does not record may not keep an instance from serving its other
+// routes.
+constexpr milliseconds maxInitialVersionsWait {1000};
 constexpr milliseconds minOpenStreamsInterval {250};
 // Bounds the writes of all instances together to a hundred a second.
 constexpr milliseconds openStreamsIntervalPerInstance {10};
@@ -126,11 +129,23 @@
     m_streams.begin(facts.resumedAttempt, action.origin, facts.callerDeadline, now);
 }
 
+void dispatch_task::noteRecordedVersions(instant now)
+{
+    if (m_haveVersionsBeenAwaited || !m_fleet.hasInitialState()) {
+        return;
+    }
+    if (m_versionsAwaitedUntil.isNever()) {
+        m_versionsAwaitedUntil = deadline::after(now, maxInitialVersionsWait);
+    }
+    const bool areRecorded = std::all_of(m_publishedVersions.begin(), m_publishedVersions.end(), [this](const auto &entry) {
+        return m_recordedVersions.count(entry.first) > 0;
+    });
+    m_haveVersionsBeenAwaited = areRecorded || m_versionsAwaitedUntil.hasPassed(now);
+}
+
 bool dispatch_task::hasInitialState() const
 {
-    return m_fleet.hasInitialState() && std::all_of(m_publishedVersions.begin(), m_publishedVersions.end(), [this](const auto &entry) {
-               return m_recordedVersions.count(entry.first) > 0;
-           });
+    return m_fleet.hasInitialState() && m_haveVersionsBeenAwaited;
 }
 
 void dispatch_task::endStream(const forward_facts &facts)
--- a/src/gateway/dispatch_task.cpp
+++ b/src/gateway/dispatch_task.cpp
@@ -415,6 +415,7 @@
 
 void dispatch_task::updateReadiness()
 {
+    noteRecordedVersions(boot_clock::now());
     const bool isReady = hasInitialState() && !m_isShuttingDown;
     if (isReady == m_isReady) {
         return;
--- a/src/gateway/dispatch_task.h
+++ b/src/gateway/dispatch_task.h
@@ -148,7 +148,9 @@
     /// Records the open streams while versions are mixed, so that other instances can find their origins.
     void publishOpenStreams();
     void endStream(const forward_facts &facts);
-    /// False until the fleet is known and, for each service with resumable streams, versions that may begin them.
+    /// Notes that the versions of the services with resumable streams are recorded, or have been awaited for long enough after the start.
+    void noteRecordedVersions(instant now);
+    /// False until the fleet is known and the versions were recorded or awaited.
     bool hasInitialState() const;
     void updateReadiness();
     /// Judges the rollouts, shares the evidence and, as the holder, decides.
@@ -187,6 +189,9 @@
     /// The versions that may begin streams.
     service_versions m_recordedVersions;
     service_versions m_publishedVersions;
+    /// Whether the wait for recorded versions after the start has ended. A service that is added later holds up its own streams only.
+    bool m_haveVersionsBeenAwaited = false;
+    deadline m_versionsAwaitedUntil = deadline::never();
     timer m_openStreamsTimer;
     /// State of m_streams when it was last recorded; unset when nothing is recorded.
     std::optional<std::uint64_t> m_recordedStreams;
--- a/tests/gateway/dispatch_test.cpp
+++ b/tests/gateway/dispatch_test.cpp
@@ -144,6 +144,46 @@
     }
 }
 
+// Guards against an instance that answers no request any more because a new configuration has streams at a service whose versions are not
+// recorded, for example while the store does not respond.
+TEST(dispatcher, staysReadyWhileTheVersionsOfAnAddedServiceAreNotRecorded)
+{
+    dispatch_fixture fixture;
+    fixture.setConfiguration(dispatch_fixture::resumableConfiguration(4), 4);
+    fixture.run(20ms);
+    CHECK(!fixture.toVersions.empty() && std::holds_alternative<versions_registered>(fixture.toVersions.back()));
+    fixture.arrive(1);
+    fixture.run(20ms);
+    CHECK_TRUE(fixture.isAdmitted(1));
+    CHECK(fixture.responseTo(1) == nullptr);
+}
+
+// Guards against the same after a restore of the store that has lost the records.
+TEST(dispatcher, staysReadyWhenTheRecordedVersionsAreLost)
+{
+    dispatch_fixture fixture(dispatch_fixture::capacity, dispatch_fixture::capacity, dispatch_fixture::resumableConfiguration(3));
+    fixture.post(versions_recorded {{{service_id("streams"), {service_version("v1")}}}});
+    fixture.post(versions_recorded {});
+    fixture.arrive(1);
+    fixture.run(20ms);
+    CHECK_TRUE(fixture.isAdmitted(1));
+}
+
+// Guards against an instance that never becomes ready because the store gives it everything but the recorded versions. Until they are
+// recorded or have been awaited for long enough, requests are refused as not ready.
+TEST(dispatcher, awaitsTheRecordedVersionsForALimitedTime)
+{
+    dispatch_fixture fixture(dispatch_fixture::capacity, dispatch_fixture::capacity, dispatch_fixture::resumableConfiguration(3));
+    fixture.arrive(1);
+    fixture.run(20ms);
+    CHECK_FALSE(fixture.isAdmitted(1));
+    CHECK(fixture.responseTo(1) != nullptr);
+    fixture.run(2200ms);
+    fixture.arrive(2);
+    fixture.run(20ms);
+    CHECK_TRUE(fixture.isAdmitted(2));
+}
+
 // Failures that are not passed on, because the request is retried, were kept until the request had ended, outside of every bound.
 TEST(dispatcher, keepsNoFailuresThatAreRetried)
 {
