Use one term for streams that callers resume

"Take up" and "resume" stood for the same thing; the wire field, the configuration and most types already said resume. stream_not_found was easy to confuse with stream_unknown; it means that the store did not answer, and is stream_lookup_failed now. The log event is stream_resumed, the metric streams_resumed_total.

--- a/src/forwarding/flow_messages.cpp
+++ b/src/forwarding/flow_messages.cpp
@@ -23,7 +23,7 @@
         "endpoints_pausing",
         "endpoints_leaving",
         "stream_unknown",
-        "stream_not_found",
+        "stream_lookup_failed",
         "stream_version_gone",
     };
     return names.at(static_cast<std::size_t>(cause));
--- a/src/forwarding/flow_messages.h
+++ b/src/forwarding/flow_messages.h
@@ -40,7 +40,7 @@
     std::optional<token_count> expectedOutputTokens;
     /// The parts of the prompt; empty for requests that are not for a language model.
     prompt_parts parts;
-    /// The caller takes a stream up after the event with this id.
+    /// The caller resumes a stream after the event with this id.
     std::optional<std::int64_t> resumeAfter;
     /// The caller's try that brought the first event of that stream; empty if it names none.
     attempt_id resumedAttempt;
@@ -87,11 +87,11 @@
     endpoints_pausing,
     /// No endpoint that could serve the request is left but those that have said that they leave.
     endpoints_leaving,
-    /// It is not known which version began the stream that the caller takes up.
+    /// It is not known which version began the stream that the caller resumes.
     stream_unknown,
-    /// It cannot be found out at present which version began the stream that the caller takes up.
-    stream_not_found,
-    /// No endpoint has the version that began the stream that the caller takes up, or its route no longer leads there.
+    /// It cannot be found out at present which version began the stream that the caller resumes.
+    stream_lookup_failed,
+    /// No endpoint has the version that began the stream that the caller resumes, or its route no longer leads there.
     stream_version_gone,
 };
 
--- a/src/forwarding/forward_flow.h
+++ b/src/forwarding/forward_flow.h
@@ -26,7 +26,7 @@
     prompt_quarantine &quarantine;
     random_source &random;
     capacity_sharing &sharing;
-    /// The versions that may begin streams which can be taken up; null where that is not limited.
+    /// The versions that may begin streams which can be resumed; null where that is not limited.
     const service_versions *recordedVersions = nullptr;
 };
 
@@ -43,7 +43,7 @@
     std::optional<quota_grant> grant;
     std::int64_t priority = 0;
     instant arrived;
-    /// Where the stream that the caller takes up began; unset for a new request.
+    /// Where the stream that the caller resumes began; unset for a new request.
     std::optional<stream_origin> origin;
 };
 
--- a/src/forwarding/recorded_versions.h
+++ b/src/forwarding/recorded_versions.h
@@ -12,7 +12,7 @@
 {
 
 /// Decides which records of versions an instance writes to the store. A version is recorded before any instance begins a stream at it, and
-/// stays recorded for the retention after its last endpoint. A record that is read after a caller has taken a stream up therefore contains
+/// stays recorded for the retention after its last endpoint. A record that is read after a caller has resumed a stream therefore contains
 /// the version of that stream, unless the stream is older than that. Does no I/O.
 class recorded_versions
 {
@@ -59,7 +59,7 @@
     std::map<std::pair<service_id, service_version>, instant> m_unregisteredSince;
 };
 
-/// The origin of a stream that may have begun at any of the services, if the records, read after the caller has taken it up, leave only
+/// The origin of a stream that may have begun at any of the services, if the records, read after the caller has resumed it, leave only
 /// one. An unknown version is none.
 std::optional<stream_origin> onlyOrigin(const std::vector<service_id> &services, const service_versions &recorded);
 
--- a/src/forwarding/refusal_policy.cpp
+++ b/src/forwarding/refusal_policy.cpp
@@ -79,7 +79,7 @@
         return {cause, noEndpointWait};
     case refusal_cause::overloaded:
         return {cause, facts.isCapacityExhausted ? waitForCapacity(facts, now) : overloadWait};
-    case refusal_cause::stream_not_found:
+    case refusal_cause::stream_lookup_failed:
         return {cause, noEndpointWait};
     case refusal_cause::expired:
         return {cause, overloadWait};
--- a/src/forwarding/stream_origins.h
+++ b/src/forwarding/stream_origins.h
@@ -12,7 +12,7 @@
 namespace burdockshelf
 {
 
-/// A stream that its caller may take up, by the id of the try that began it.
+/// A stream that its caller may resume, by the id of the try that began it.
 struct open_stream
 {
     attempt_id attempt;
@@ -35,7 +35,7 @@
     /// The caller has the whole stream, or has got nothing of it.
     void end(const attempt_id &attempt);
     std::optional<stream_origin> find(const attempt_id &attempt, instant now) const;
-    /// The newest streams that may be taken up, at most the given number.
+    /// The newest streams that may be resumed, at most the given number.
     std::vector<open_stream> newest(std::size_t most, instant now) const;
     void removeExpired(instant now);
     /// Changes with every begin and end.
--- a/src/forwarding/version_record.h
+++ b/src/forwarding/version_record.h
@@ -8,7 +8,7 @@
 namespace burdockshelf
 {
 
-/// The software versions of each service that may have begun streams which callers still take up. An empty version stands for endpoints
+/// The software versions of each service that may have begun streams which callers still resume. An empty version stands for endpoints
 /// that state none.
 using service_versions = std::map<service_id, std::set<service_version>>;
 
--- a/src/gateway/dispatch_streams.cpp
+++ b/src/gateway/dispatch_streams.cpp
@@ -1,4 +1,4 @@
-// Streams that callers take up, and the versions that began them.
+// Streams that callers resume, and the versions that began them.
 
 #include "gateway/dispatch_task.h"
 
@@ -57,16 +57,16 @@
 
 } // namespace
 
-void dispatch_task::takeUp(flow_id flow, waiting_request &&request)
+void dispatch_task::resume(flow_id flow, waiting_request &&request)
 {
     const admitted_request &admitted = *request.admission.request;
     const instant now = boot_clock::now();
     if (const auto known = m_streams.find(admitted.facts.resumedAttempt, now)) {
-        takeUpAt(flow, std::move(request), *known, "own");
+        resumeAt(flow, std::move(request), *known, "own");
         return;
     }
     if (!m_outbox.toVersions(stream_lookup {flow, admitted.facts.resumedAttempt, servicesOf(*admitted.route)})) {
-        refuseTakeUp(flow, request.admission, refusal_cause::stream_not_found);
+        refuseResumption(flow, request.admission, refusal_cause::stream_lookup_failed);
         return;
     }
     m_deadlines.set(flow, std::min(deadline::after(now, lookupTimeout), admitted.facts.callerDeadline));
@@ -82,26 +82,27 @@
     }
     m_deadlines.remove(found.flow);
     if (found.origin) {
-        takeUpAt(found.flow, std::move(waiting.mapped()), *found.origin, "store");
+        resumeAt(found.flow, std::move(waiting.mapped()), *found.origin, "store");
         return;
     }
-    refuseTakeUp(found.flow, waiting.mapped().admission, found.isCertain ? refusal_cause::stream_unknown : refusal_cause::stream_not_found);
+    refuseResumption(
+        found.flow, waiting.mapped().admission, found.isCertain ? refusal_cause::stream_unknown : refusal_cause::stream_lookup_failed);
 }
 
-void dispatch_task::takeUpAt(flow_id flow, waiting_request &&request, const stream_origin &origin, std::string_view source)
+void dispatch_task::resumeAt(flow_id flow, waiting_request &&request, const stream_origin &origin, std::string_view source)
 {
     admitted_request &admitted = *request.admission.request;
     if (!leadsTo(*admitted.route, origin.service) || !contains(m_fleet.endpoints().versions(), origin)) {
-        refuseTakeUp(flow, request.admission, refusal_cause::stream_version_gone);
+        refuseResumption(flow, request.admission, refusal_cause::stream_version_gone);
         return;
     }
     admitted.origin = origin;
-    m_requests.writeTakenUp(admitted.facts, origin, source);
-    m_outbox.count("streams_taken_up_total", "source", source);
+    m_requests.writeResumed(admitted.facts, origin, source);
+    m_outbox.count("streams_resumed_total", "source", source);
     charge(flow, std::move(request));
 }
 
-void dispatch_task::refuseTakeUp(flow_id flow, admission_decision &decision, refusal_cause cause)
+void dispatch_task::refuseResumption(flow_id flow, admission_decision &decision, refusal_cause cause)
 {
     refusal_facts refusal;
     refusal.cause = cause;
@@ -125,7 +126,7 @@
     const forward_facts &facts = flow.flow.request().facts;
     const instant now = boot_clock::now();
     m_streams.begin(facts.id, action.origin, facts.callerDeadline, now);
-    // A caller names the try that began its stream, however often it has taken it up.
+    // A caller names the try that began its stream, however often it has resumed it.
     m_streams.begin(facts.resumedAttempt, action.origin, facts.callerDeadline, now);
 }
 
--- a/src/gateway/dispatch_task.cpp
+++ b/src/gateway/dispatch_task.cpp
@@ -98,7 +98,7 @@
     const bool takesUpStream = decided.request->route->kind == request_kind::streaming && facts.resumeAfter;
     waiting_request request {std::move(arrived.request), std::move(arrived.memory), std::move(decided)};
     if (takesUpStream) {
-        takeUp(arrived.flow, std::move(request));
+        resume(arrived.flow, std::move(request));
     } else {
         charge(arrived.flow, std::move(request));
     }
@@ -345,7 +345,7 @@
         return;
     }
     if (auto waiting = m_awaitingOrigin.extract(flow)) {
-        refuseTakeUp(flow, waiting.mapped().admission, refusal_cause::stream_not_found);
+        refuseResumption(flow, waiting.mapped().admission, refusal_cause::stream_lookup_failed);
         return;
     }
     if (active_flow *target = find(flow)) {
--- a/src/gateway/dispatch_task.h
+++ b/src/gateway/dispatch_task.h
@@ -52,7 +52,7 @@
 private:
     using active_flows = std::map<flow_id, std::unique_ptr<active_flow>>;
 
-    /// An admitted request that waits for its quota, or for the origin of the stream that it takes up. Its deadline is in m_deadlines, as
+    /// An admitted request that waits for its quota, or for the origin of the stream that it resumes. Its deadline is in m_deadlines, as
     /// for requests in progress.
     struct waiting_request
     {
@@ -91,12 +91,12 @@
 
     /// Charges the request to the quota of its workspace, if it has one, and begins it.
     void charge(flow_id flow, waiting_request &&request);
-    /// Finds the origin of the stream that the request takes up.
-    void takeUp(flow_id flow, waiting_request &&request);
-    /// Begins a request that takes a stream up, or refuses it if nothing is left of the origin.
-    void takeUpAt(flow_id flow, waiting_request &&request, const stream_origin &origin, std::string_view source);
+    /// Finds the origin of the stream that the request resumes.
+    void resume(flow_id flow, waiting_request &&request);
+    /// Begins a request that resumes a stream, or refuses it if nothing is left of the origin.
+    void resumeAt(flow_id flow, waiting_request &&request, const stream_origin &origin, std::string_view source);
     /// Refuses a request whose stream cannot go on; it has not run.
-    void refuseTakeUp(flow_id flow, admission_decision &decision, refusal_cause cause);
+    void refuseResumption(flow_id flow, admission_decision &decision, refusal_cause cause);
     void begin(flow_id flow, http_request &&original, memory_charge &&memory, admitted_request &&admitted);
     void refuse(flow_id flow, const admission_decision &decision, const forward_facts &facts);
     /// Refuses an admitted request for which the quota broker gives no decision; it has not run.
--- a/src/gateway/request_log.cpp
+++ b/src/gateway/request_log.cpp
@@ -113,10 +113,10 @@
                    .add("leased_rate", static_cast<std::int64_t>(refused.leasedRate)));
 }
 
-void request_log::writeTakenUp(const forward_facts &facts, const stream_origin &origin, std::string_view source)
+void request_log::writeResumed(const forward_facts &facts, const stream_origin &origin, std::string_view source)
 {
     if (mayWrite(false)) {
-        m_to.write(log_line("dispatch", "stream_taken_up")
+        m_to.write(log_line("dispatch", "stream_resumed")
                        .add("request", facts.id)
                        .add("resumes", facts.resumedAttempt)
                        .add("after_event", facts.resumeAfter.value_or(0))
--- a/src/gateway/request_log.h
+++ b/src/gateway/request_log.h
@@ -44,8 +44,8 @@
     void writeDropped(const forward_facts &facts, std::string_view cause);
     void
     writeOverQuota(const forward_facts &facts, const admission_decision &decision, const quota_refused &refused, std::int64_t instances);
-    /// A stream that a caller takes up, and how its origin is known.
-    void writeTakenUp(const forward_facts &facts, const stream_origin &origin, std::string_view source);
+    /// A stream that a caller resumes, and how its origin is known.
+    void writeResumed(const forward_facts &facts, const stream_origin &origin, std::string_view source);
     void writeSent(const admitted_request &request, const start_attempt &sent, const endpoint_state *endpoint, instant now);
     void writeFailed(const admitted_request &request, const start_attempt &sent, const attempt_ended &ended, token_count ownTokens);
     void writeFailedReservations(const admitted_request &request, const report_failed_reservations &round, instant now);
--- a/src/gateway/version_messages.h
+++ b/src/gateway/version_messages.h
@@ -19,13 +19,13 @@
     service_versions versions;
 };
 
-/// The streams of this instance that their callers may take up; replaces those sent before.
+/// The streams of this instance that their callers may resume; replaces those sent before.
 struct open_streams
 {
     std::vector<open_stream> streams;
 };
 
-/// Asks for the origin of a stream that a caller takes up and that this instance has not seen.
+/// Asks for the origin of a stream that a caller resumes and that this instance has not seen.
 struct stream_lookup
 {
     flow_id flow;
--- a/src/gateway/version_task.cpp
+++ b/src/gateway/version_task.cpp
@@ -121,7 +121,7 @@
 
 void version_task::beginRead()
 {
-    // The records have to be read after a caller has taken its stream up or the store was restored, so a read that is running does not
+    // The records have to be read after a caller has resumed its stream or the store was restored, so a read that is running does not
     // count for it.
     m_mustRead = false;
     m_covered.insert(m_covered.end(), m_waiting.begin(), m_waiting.end());
--- a/tests/forwarding/recorded_versions_test.cpp
+++ b/tests/forwarding/recorded_versions_test.cpp
@@ -82,7 +82,7 @@
         }
     }
 
-    /// Every stream that a caller may still take up goes on at its own version, or is refused.
+    /// Every stream that a caller may still resume goes on at its own version, or is refused.
     bool areOriginsRight(instance &at)
     {
         read(at);
@@ -160,7 +160,7 @@
     CHECK_FALSE(versions.isMixed());
 }
 
-// Guards against records that grow for ever, and against a version that is removed while its streams may be taken up.
+// Guards against records that grow for ever, and against a version that is removed while its streams may be resumed.
 TEST(recorded_versions, areRemovedAfterTheRetention)
 {
     recorded_versions versions(0ms);
--- a/tests/forwarding/stream_origins_test.cpp
+++ b/tests/forwarding/stream_origins_test.cpp
@@ -19,7 +19,7 @@
     stream_origins streams;
 };
 
-// Guards against a chain of take-ups that moves from version to version.
+// Guards against a chain of resumptions that moves from version to version.
 TEST(stream_origins, keepTheFirstOriginOfATry)
 {
     streams.begin(attempt_id("a"), first, deadline::never(), now);
@@ -56,7 +56,7 @@
     LONGS_EQUAL(stream_origins::maxStreams, streams.newest(stream_origins::maxStreams + 1, now).size());
 }
 
-// Guards against a request without an id that takes up another one's stream.
+// Guards against a request without an id that resumes another one's stream.
 TEST(stream_origins, doNotKeepATryWithoutAnId)
 {
     streams.begin(attempt_id(), first, deadline::never(), now);
--- a/tests/forwarding/stream_version_test.cpp
+++ b/tests/forwarding/stream_version_test.cpp
@@ -220,8 +220,8 @@
     CHECK(stream.find(attempt_kind::decode) == nullptr);
 }
 
-// Guards against a stream that its caller takes up again and that goes on at another version than the one it began at.
-TEST(stream_version, isThatOfTheStreamWhichTheCallerTakesUp)
+// Guards against a stream that its caller resumes and that goes on at another version than the one it began at.
+TEST(stream_version, isThatOfTheStreamWhichTheCallerResumes)
 {
     versioned_stream stream(decode_versions {{"d1", "v1"}, {"d2", "v2"}, {"d3", "v1"}});
     stream.begin(stream_origin {service_id("engine"), service_version("v2")});
@@ -230,8 +230,8 @@
     LONGS_EQUAL(1, stream.find(attempt_kind::decode)->resumeAfter.value_or(0));
 }
 
-// Guards against a take-up that is kept waiting or begins anew when no endpoint has its version.
-TEST(stream_version, refusesATakeUpWithoutAnEndpointOfItsVersion)
+// Guards against a resumption that is kept waiting or begins anew when no endpoint has its version.
+TEST(stream_version, refusesAResumptionWithoutAnEndpointOfItsVersion)
 {
     versioned_stream stream(decode_versions {{"d1", "v1"}, {"d2", "v1"}});
     stream.begin(stream_origin {service_id("engine"), service_version("v2")});
--- a/tests/gateway/dispatch_fixture.h
+++ b/tests/gateway/dispatch_fixture.h
@@ -71,7 +71,7 @@
  "tenants":[{"name":"w","api_keys":["k1"],"unit":"tokens","plain_tokens":200,"rate_per_s":470000,"burst":470000}]})";
     }
 
-    /// As configuration(), with a route whose streams may be taken up, to a further service.
+    /// As configuration(), with a route whose streams may be resumed, to a further service.
     static std::string resumableConfiguration(int version)
     {
         std::string text = configuration(version);
--- a/tests/gateway/stream_versions_test.cpp
+++ b/tests/gateway/stream_versions_test.cpp
@@ -21,7 +21,7 @@
  "services":[{"name":"engine","max_conns":100,"engine":{"slots":8,"kv_capacity":40000}}]})";
 }
 
-/// Answers of an engine that breaks off every new stream after its first event, and completes the streams that are taken up.
+/// Answers of an engine that breaks off every new stream after its first event, and completes the streams that are resumed.
 void answer(scripted_connection &from, const http_request &request)
 {
     if (request.path() == "/hold-take") {
@@ -120,18 +120,18 @@
         return {};
     }
 
-    http_response takeUp(std::size_t gateway, const std::string &stream)
+    http_response resume(std::size_t gateway, const std::string &stream)
     {
         return send(gateway, "t" + std::to_string(++lastRequest), {{"Resumes", stream}, {"Last-Event-Id", "1"}});
     }
 
-    /// Takes the stream up until a gateway that has just started serves.
-    http_response takeUpWhenReady(std::size_t gateway, const std::string &stream)
+    /// Resumes the stream until a gateway that has just started serves.
+    http_response resumeWhenReady(std::size_t gateway, const std::string &stream)
     {
-        http_response response = takeUp(gateway, stream);
+        http_response response = resume(gateway, stream);
         while (!fleet.isTimedOut && response.body.find("not_ready") != std::string::npos) {
             wait(20ms);
-            response = takeUp(gateway, stream);
+            response = resume(gateway, stream);
         }
         return response;
     }
@@ -146,20 +146,20 @@
     }
 };
 
-// Guards against a stream that its caller takes up and that goes on at another version, at the instance that began it, at another one, and
+// Guards against a stream that its caller resumes and that goes on at another version, at the instance that began it, at another one, and
 // after all instances were lost at once.
 TEST(stream_versions, areKeptWhenACallerTakesItsStreamUp)
 {
     const std::string atOld = beginAt(old, 0);
     const std::string atFresh = beginAt(fresh, 0);
     // Until the streams are recorded, the other instance refuses them.
-    while (!fleet.isTimedOut && takeUp(1, atFresh).status != 200) {
+    while (!fleet.isTimedOut && resume(1, atFresh).status != 200) {
         wait(20ms);
     }
     const std::size_t runsAtOld = countRuns(old);
     const std::size_t runsAtFresh = countRuns(fresh);
     for (const std::size_t gateway : {0, 1}) {
-        LONGS_EQUAL(200, takeUp(gateway, atOld).status);
+        LONGS_EQUAL(200, resume(gateway, atOld).status);
     }
     LONGS_EQUAL(runsAtOld + 2, countRuns(old));
     LONGS_EQUAL(runsAtFresh, countRuns(fresh));
@@ -167,27 +167,27 @@
         fleet.start(gateway);
     }
     for (const std::size_t gateway : {0, 1}) {
-        LONGS_EQUAL(200, takeUpWhenReady(gateway, atOld).status);
+        LONGS_EQUAL(200, resumeWhenReady(gateway, atOld).status);
     }
     LONGS_EQUAL(runsAtOld + 4, countRuns(old));
     LONGS_EQUAL(runsAtFresh, countRuns(fresh));
     CHECK_FALSE(fleet.isTimedOut);
 }
 
-// Guards against a take-up that begins at whatever version is there when the one of the stream is not known or has left, and against one
+// Guards against a resumption that begins at whatever version is there when the one of the stream is not known or has left, and against one
 // that is kept waiting.
-TEST(stream_versions, refuseATakeUpThatCannotGoOn)
+TEST(stream_versions, refuseAResumptionThatCannotGoOn)
 {
     const std::string atOld = beginAt(old, 0);
     const std::size_t runs = countRuns(old) + countRuns(fresh);
     for (const std::string stream : {"unknown", ""}) {
-        const http_response refused = takeUp(1, stream);
+        const http_response refused = resume(1, stream);
         LONGS_EQUAL(503, refused.status);
         STRCMP_CONTAINS("stream_unknown", refused.body.c_str());
     }
     fleet.store.drop("keyed.servers", "old");
     fleet.waitForLog(0, "event=endpoint_gone endpoint=old");
-    const http_response refused = takeUp(0, atOld);
+    const http_response refused = resume(0, atOld);
     LONGS_EQUAL(503, refused.status);
     STRCMP_CONTAINS("stream_version_gone", refused.body.c_str());
     LONGS_EQUAL(runs, countRuns(fresh) + countRuns(old));
@@ -198,7 +198,7 @@
 TEST(stream_versions, areRecordedAgainAfterTheStoreCameBackFromAnOlderCopy)
 {
     const std::string stream = beginAt(fresh, 0);
-    while (!fleet.isTimedOut && takeUp(1, stream).status != 200) {
+    while (!fleet.isTimedOut && resume(1, stream).status != 200) {
         wait(20ms);
     }
     const std::size_t runsAtOld = countRuns(old);
@@ -209,7 +209,7 @@
         fleet.start(gateway);
     }
     for (const std::size_t gateway : {0, 1}) {
-        LONGS_EQUAL(200, takeUpWhenReady(gateway, stream).status);
+        LONGS_EQUAL(200, resumeWhenReady(gateway, stream).status);
     }
     LONGS_EQUAL(runsAtOld, countRuns(old));
 }
@@ -219,8 +219,8 @@
 {
     const std::string stream = beginAt(fresh, 0);
     fleet.store.setSecondaryRefusing(true);
-    const http_response refused = takeUp(1, stream);
+    const http_response refused = resume(1, stream);
     LONGS_EQUAL(503, refused.status);
-    STRCMP_CONTAINS("stream_not_found", refused.body.c_str());
+    STRCMP_CONTAINS("stream_lookup_failed", refused.body.c_str());
     CHECK_TRUE(refused.headers.has("Retry-After"));
 }
--- a/tests/platform/platform_test.cpp
+++ b/tests/platform/platform_test.cpp
@@ -158,7 +158,7 @@
 }
 
 // Statuses 429 and 503 guarantee that the request was not run, so a request that may have run must never be refused with them.
-TEST(platform, decodesTheTryThatATakeUpNames)
+TEST(platform, decodesTheTryThatAResumptionNames)
 {
     http_request request;
     request.headers = {{"X-Attempt-Id", "b"}, {"Resumes", "a"}, {"Last-Event-Id", "7"}};
--- a/tests/system/stream_versions_test.cpp
+++ b/tests/system/stream_versions_test.cpp
@@ -26,7 +26,7 @@
   "resumable":true}],
  "services":[{"name":"engine","max_conns":100,"engine":{"slots":8,"kv_capacity":40000}}]})";
 
-/// Two gateway processes and decode engines of two versions. New streams stay open after their first event; those that are taken up are
+/// Two gateway processes and decode engines of two versions. New streams stay open after their first event; those that are resumed are
 /// completed.
 struct killed_fleet
 {
@@ -37,9 +37,9 @@
                         loop.stop();
                     }};
     std::vector<std::shared_ptr<http_exchange>> open;
-    /// The engine at which each stream began, and those at which it was taken up, by the id of the try that began it.
+    /// The engine at which each stream began, and those at which it was resumed, by the id of the try that began it.
     std::map<std::string, std::string> begunAt;
-    std::map<std::string, std::set<std::string>> takenUpAt;
+    std::map<std::string, std::set<std::string>> resumedAt;
     int lastRequest = 0;
 
     killed_fleet()
@@ -68,7 +68,7 @@
         const http_headers &headers = exchange->request().headers;
         exchange->startStream(statusOk, engine.backend->success(exchange->request()).headers);
         if (headers.has("Last-Event-Id")) {
-            takenUpAt[std::string(headers.value("Resumes"))].insert(engine.id);
+            resumedAt[std::string(headers.value("Resumes"))].insert(engine.id);
             exchange->sendData("id: 2\ndata: b\n\n");
             exchange->endStream();
             return;
@@ -103,7 +103,7 @@
         gateway.client->send(request, std::move(handlers), deadline::after(boot_clock::now(), callLimit));
     }
 
-    http_response takeUp(soak_gateway &gateway, const std::string &stream)
+    http_response resume(soak_gateway &gateway, const std::string &stream)
     {
         http_request request = streamRequest("t" + std::to_string(++lastRequest));
         request.headers.add("Resumes", stream);
@@ -122,13 +122,13 @@
         return response;
     }
 
-    /// Waits until the gateway has read its configuration, without beginning or taking up any stream.
+    /// Waits until the gateway has read its configuration, without beginning or resuming any stream.
     void waitUntilReady(soak_gateway &gateway)
     {
         const deadline until = deadline::after(boot_clock::now(), callLimit);
         std::string answered;
         while (!until.hasPassed(boot_clock::now())) {
-            answered = takeUp(gateway, "none").body;
+            answered = resume(gateway, "none").body;
             if (answered.find("stream_unknown") != std::string::npos) {
                 return;
             }
@@ -174,7 +174,7 @@
     killed_fleet fleet;
 };
 
-// Guards against streams that their callers take up after all instances were killed at once, and that go on at another version than the one
+// Guards against streams that their callers resume after all instances were killed at once, and that go on at another version than the one
 // that began them, with nothing in the answer to show it.
 TEST(stream_versions, areKeptWhenAllInstancesAreKilled)
 {
@@ -185,15 +185,15 @@
     fleet.wait(recordTime);
     fleet.killAll();
     for (const auto &[stream, engine] : fleet.begunAt) {
-        LONGS_EQUAL(statusOk, fleet.takeUp(fleet.site.gateways().back(), stream).status);
-        CHECK_TRUE(fleet.takenUpAt[stream] == std::set<std::string> {engine});
+        LONGS_EQUAL(statusOk, fleet.resume(fleet.site.gateways().back(), stream).status);
+        CHECK_TRUE(fleet.resumedAt[stream] == std::set<std::string> {engine});
     }
     // The old version leaves, and all instances are killed once more.
     fleet.site.store().drop("keyed.servers", "d1");
     fleet.killAll();
     for (const auto &[stream, engine] : fleet.begunAt) {
-        const int status = fleet.takeUp(fleet.site.gateways().back(), stream).status;
+        const int status = fleet.resume(fleet.site.gateways().back(), stream).status;
         LONGS_EQUAL(engine == "d1" ? statusUnavailable : statusOk, status);
-        CHECK_TRUE(fleet.takenUpAt[stream] == std::set<std::string> {engine});
+        CHECK_TRUE(fleet.resumedAt[stream] == std::set<std::string> {engine});
     }
 }
