Look up and record streams through others while the store refuses an instance

Its calls for configuration go through other instances already; these did not.

Now such an instance asks the holders of quota partitions, to which the mesh connects it anyway. The holder reads at the store after it was asked, so that its answer is as certain as an own one, and records open streams under a key of their own.

--- a/src/gateway/gateway_tree.cpp
+++ b/src/gateway/gateway_tree.cpp
@@ -106,6 +106,7 @@
                           mesh_sinks outlets;
                           outlets.received.pool = makeSink<peer_message_received>(address(m_quotaMailbox));
                           outlets.received.topics = makeSink<peer_message_received>(address(m_storeMailbox));
+                          outlets.received.streams = makeSink<peer_message_received>(address(m_versionMailbox));
                           outlets.status = {makeSink<peer_status>(address(m_quotaMailbox))};
                           outlets.listening = sink<mesh_listening>([this](const mesh_listening &bound) {
                               m_peerAddress = bound.address;
@@ -154,8 +155,8 @@
                           return std::make_unique<dispatch_task>(m_loop, m_dispatchMailbox, dispatch, dialects, to, m_log, random_source());
                       }});
     m_root->addChild({"versions", [this, settings, incarnation, &store = dialects.store] {
-                          const version_task_settings versions = {settings.storeAddress, incarnation};
-                          const version_addresses to = {address(m_dispatchMailbox), storeCallCounter()};
+                          const version_task_settings versions = {settings.storeAddress, settings.instance, incarnation};
+                          const version_addresses to = {address(m_dispatchMailbox), address(m_meshMailbox), storeCallCounter()};
                           return std::make_unique<version_task>(m_loop, m_versionMailbox, versions, store, to, m_log, random_source());
                       }});
     m_root->addChild({"store", [this, settings, &store = dialects.store] {
@@ -183,6 +184,7 @@
                           const group_addresses to = {address(m_stageControlMailbox),
                                                       address(m_quotaMailbox),
                                                       address(m_storeMailbox),
+                                                      address(m_versionMailbox),
                                                       address(m_meshMailbox),
                                                       storeCallCounter()};
                           return std::make_unique<group_task>(m_loop, m_groupMailbox, group, store, to, m_log);
--- a/src/gateway/group_task.cpp
+++ b/src/gateway/group_task.cpp
@@ -160,6 +160,7 @@
     connectToHolders(holders.value());
     m_log.write(log_line("group", "holders_listed").add("parts", holders.value().size()));
     logUndelivered(m_to.quotas.post(holders_listed {holders.value()}), "quotas");
+    logUndelivered(m_to.versions.post(holders_listed {holders.value()}), "versions");
     logUndelivered(m_to.store.post(holders_listed {std::move(holders.value())}), "store");
 }
 
--- a/src/gateway/group_task.h
+++ b/src/gateway/group_task.h
@@ -24,6 +24,7 @@
     address<stage_control_message> stageControl;
     address<quota_broker_message> quotas;
     address<store_message> store;
+    address<version_message> versions;
     address<mesh_supervisor_message> mesh;
     store_call_counter calls;
 };
--- a/src/gateway/version_messages.h
+++ b/src/gateway/version_messages.h
@@ -3,6 +3,8 @@
 #include "forwarding/flow_messages.h"
 #include "forwarding/stream_origins.h"
 #include "forwarding/version_record.h"
+#include "gateway/quota_broker_messages.h"
+#include "mesh/mesh_messages.h"
 
 #include <optional>
 #include <variant>
@@ -40,7 +42,8 @@
 {
 };
 
-using version_message = std::variant<versions_registered, open_streams, stream_lookup, store_restored>;
+using version_message =
+    std::variant<versions_registered, open_streams, stream_lookup, store_restored, holders_listed, peer_message_received, peer_response>;
 
 // From version_task to the dispatcher.
 
--- a/src/gateway/version_task.cpp
+++ b/src/gateway/version_task.cpp
@@ -49,6 +49,8 @@
     , m_streamRetry(loop, [this] { writeStreams(); })
     , m_backoff(minRetryDelay, maxRetryDelay)
     , m_versions(drawTime(recorded_versions::retentionSpread, m_random))
+    , m_relayClient(m_to.mesh, makeSink<peer_response>(self()), m_log)
+    , m_relayedWriter(loop, m_settings.store, m_dialect, m_to.calls, m_log)
 {
 }
 
@@ -73,13 +75,41 @@
 void version_task::apply(open_streams &&open)
 {
     m_unwrittenStreams = std::move(open.streams);
+    m_areStreamsRelayed = false;
+    if (m_isStreamWriteFailing) {
+        relayStreams();
+    }
     writeStreams();
 }
 
 void version_task::apply(stream_lookup &&lookup)
+{
+    add({std::move(lookup), {}});
+}
+
+void version_task::apply(const holders_listed &listed)
+{
+    m_relayClient.setHolders(chooseOtherHolders(m_settings.instance, {}, listed.holders));
+}
+
+void version_task::apply(peer_message_received &&received)
+{
+    if (auto *lookup = std::get_if<peer_stream_lookup>(&received.message)) {
+        add({{flow_id(), std::move(lookup->stream), std::move(lookup->services)}, std::move(received.reply)});
+    } else if (auto *open = std::get_if<peer_open_streams>(&received.message)) {
+        m_relayedWriter.write(received.from.incarnation, std::move(open->record), std::move(received.reply));
+    }
+}
+
+void version_task::apply(const peer_response &response)
+{
+    m_relayClient.receive(response);
+}
+
+void version_task::add(pending_lookup &&lookup)
 {
     if (m_isFailing && m_next.isArmed()) {
-        answer(lookup, std::nullopt, false);
+        answerWithoutStore(lookup);
         return;
     }
     m_waiting.push_back(std::move(lookup));
@@ -299,11 +329,11 @@
 
 void version_task::answerFromVersions()
 {
-    for (stream_lookup &lookup : std::exchange(m_covered, {})) {
-        const auto origin = onlyOrigin(lookup.services, m_versions.possible());
+    for (pending_lookup &lookup : std::exchange(m_covered, {})) {
+        const auto origin = onlyOrigin(lookup.lookup.services, m_versions.possible());
         if (origin) {
             answer(lookup, origin, true);
-        } else if (lookup.stream.isEmpty()) {
+        } else if (lookup.lookup.stream.isEmpty()) {
             answer(lookup, std::nullopt, true);
         } else {
             m_needStreams.push_back(std::move(lookup));
@@ -313,17 +343,36 @@
 
 void version_task::answerFromStreams()
 {
-    for (const stream_lookup &lookup : std::exchange(m_needStreams, {})) {
-        const auto found = m_streamsRead.find(lookup.stream);
+    for (const pending_lookup &lookup : std::exchange(m_needStreams, {})) {
+        const auto found = m_streamsRead.find(lookup.lookup.stream);
         const bool isKnown = found != m_streamsRead.end() && !found->second.version.isEmpty();
         answer(lookup, isKnown ? std::optional(found->second) : std::nullopt, true);
     }
     m_streamsRead.clear();
 }
 
-void version_task::answer(const stream_lookup &lookup, const std::optional<stream_origin> &origin, bool isCertain)
+void version_task::answer(const pending_lookup &lookup, const std::optional<stream_origin> &origin, bool isCertain)
 {
-    post(stream_found {lookup.flow, origin, isCertain});
+    if (!lookup.reply.isValid()) {
+        post(stream_found {lookup.lookup.flow, origin, isCertain});
+        return;
+    }
+    const stream_origin found = origin.value_or(stream_origin());
+    if (lookup.reply.post(peer_stream_origin {found.service, found.version, isCertain}) != post_result::delivered) {
+        m_log.write(log_line("versions", "message_dropped").add("receiver", "mesh"));
+    }
+}
+
+void version_task::answerWithoutStore(const pending_lookup &lookup)
+{
+    if (lookup.reply.isValid()) {
+        answer(lookup, std::nullopt, false);
+        return;
+    }
+    m_relayClient.lookUp(lookup.lookup, boot_clock::now(), [this, lookup](const peer_stream_origin &found) {
+        const bool isKnown = !found.version.isEmpty();
+        answer(lookup, isKnown ? std::optional(stream_origin {found.service, found.version}) : std::nullopt, found.isCertain);
+    });
 }
 
 void version_task::retryLater(std::string_view call, std::string_view cause)
@@ -332,8 +381,8 @@
     m_isFailing = true;
     m_covered.insert(m_covered.end(), m_needStreams.begin(), m_needStreams.end());
     m_needStreams.clear();
-    for (const stream_lookup &lookup : std::exchange(m_covered, {})) {
-        answer(lookup, std::nullopt, false);
+    for (const pending_lookup &lookup : std::exchange(m_covered, {})) {
+        answerWithoutStore(lookup);
     }
     m_next.start(deadline::after(boot_clock::now(), m_backoff.next(m_random)));
 }
@@ -365,9 +414,11 @@
         response_limits::acknowledgement,
         [this, streams = std::move(streams)](const outcome<http_response> &response) {
             const auto written = response ? m_dialect.decodeWriteResult(response.value()) : outcome<void>(response.error());
+            m_isStreamWriteFailing = !written;
             if (!written) {
                 m_log.write(log_line("versions", "call_failed").add("call", "write_streams").add("cause", written.error().message));
                 m_unwrittenStreams = m_unwrittenStreams ? std::move(m_unwrittenStreams) : std::optional(streams);
+                relayStreams();
                 m_streamRetry.start(deadline::after(boot_clock::now(), streamRetryDelay));
                 return;
             }
@@ -376,6 +427,18 @@
         });
 }
 
+void version_task::relayStreams()
+{
+    if (m_areStreamsRelayed || m_unwrittenStreams->empty()) {
+        return;
+    }
+    m_areStreamsRelayed = true;
+    m_relayClient.record(encodeOpenStreams(*m_unwrittenStreams), boot_clock::now(), [this](bool isRecorded) {
+        // Otherwise the next write that fails asks another instance. Newer streams may have been relayed meanwhile; once more does no harm.
+        m_areStreamsRelayed = m_areStreamsRelayed && isRecorded;
+    });
+}
+
 void version_task::dropStreamRecords()
 {
     if (m_obsoleteKeys.empty() || m_streamWriter.isBusy()) {
--- a/src/gateway/version_task.h
+++ b/src/gateway/version_task.h
@@ -4,9 +4,11 @@
 #include "forwarding/recorded_versions.h"
 #include "gateway/dialects.h"
 #include "gateway/gateway_messages.h"
+#include "gateway/relayed_streams_writer.h"
 #include "gateway/serial_http_client.h"
 #include "gateway/store_call_counter.h"
 #include "gateway/version_messages.h"
+#include "gateway/version_relay_client.h"
 #include "logging/log_writer_task.h"
 #include "runtime/backoff.h"
 #include "runtime/task.h"
@@ -23,6 +25,7 @@
 struct version_task_settings
 {
     socket_address store;
+    instance_id instance;
     /// The key under which this process records its open streams.
     incarnation_id incarnation;
 };
@@ -31,11 +34,13 @@
 struct version_addresses
 {
     address<dispatch_message> dispatcher;
+    address<mesh_supervisor_message> mesh;
     store_call_counter calls;
 };
 
 /// Keeps the records of versions and of open streams in the platform's store, and finds the origins of streams there that this instance has
-/// not seen. Reads only when something is asked or has to be written; see recorded_versions.
+/// not seen. Reads only when something is asked or has to be written; see recorded_versions. While the store does not respond to this
+/// instance, others read and write for it.
 class version_task : public task<version_message>
 {
 public:
@@ -50,12 +55,24 @@
     outcome<void> start() override;
 
 private:
+    /// A question for the origin of a stream, of the dispatcher or of another instance.
+    struct pending_lookup
+    {
+        stream_lookup lookup;
+        /// Set for another instance.
+        sink<peer_message> reply;
+    };
+
     void handle(version_message &&message) override;
     void apply(versions_registered &&registered);
     void apply(open_streams &&open);
     void apply(stream_lookup &&lookup);
     void apply(const store_restored &restored);
+    void apply(const holders_listed &listed);
+    void apply(peer_message_received &&received);
+    void apply(const peer_response &response);
 
+    void add(pending_lookup &&lookup);
     /// Makes the next call that is needed, unless one is running.
     void proceed();
     /// Reads the records for the lookups that have arrived.
@@ -75,11 +92,15 @@
     /// Answers the lookups for which the records of versions are enough; the others need the open streams.
     void answerFromVersions();
     void answerFromStreams();
-    void answer(const stream_lookup &lookup, const std::optional<stream_origin> &origin, bool isCertain);
+    void answer(const pending_lookup &lookup, const std::optional<stream_origin> &origin, bool isCertain);
+    /// The store does not respond: another instance is asked for a lookup of this one.
+    void answerWithoutStore(const pending_lookup &lookup);
     /// A read or write has failed: the lookups that waited for it are answered, and the work is tried again later.
     void retryLater(std::string_view call, std::string_view cause);
     void publishRecorded();
     void writeStreams();
+    /// Lets another instance write the open streams, unless one has done so.
+    void relayStreams();
     /// Drops the records of open streams that were read, one after the other. No version is mixed any more, so that they are obsolete; the
     /// processes that wrote them may have ended.
     void dropStreamRecords();
@@ -117,12 +138,18 @@
     std::vector<std::string> m_obsoleteKeys;
     bool m_isDropping = false;
     /// Lookups that wait for the next read of the records, for the present one, and for the open streams.
-    std::vector<stream_lookup> m_waiting;
-    std::vector<stream_lookup> m_covered;
-    std::vector<stream_lookup> m_needStreams;
+    std::vector<pending_lookup> m_waiting;
+    std::vector<pending_lookup> m_covered;
+    std::vector<pending_lookup> m_needStreams;
     /// The open streams to be written; unset when the store has them.
     std::optional<std::vector<open_stream>> m_unwrittenStreams;
     bool m_hasStreamRecord = false;
+    /// The last write of the open streams has failed.
+    bool m_isStreamWriteFailing = false;
+    /// Another instance is writing or has written the newest open streams.
+    bool m_areStreamsRelayed = false;
+    version_relay_client m_relayClient;
+    relayed_streams_writer m_relayedWriter;
 };
 
 } // namespace burdockshelf
--- a/src/mesh/peer_sinks.cpp
+++ b/src/mesh/peer_sinks.cpp
@@ -30,6 +30,9 @@
     &peer_sinks::topics, // peer_records_request
     nullptr, // peer_records_response
     &peer_sinks::topics, // peer_crash_report
+    &peer_sinks::streams, // peer_stream_lookup
+    nullptr, // peer_stream_origin
+    &peer_sinks::streams, // peer_open_streams
     nullptr, // acknowledgement
 };
 
--- a/src/policy/peer_message.h
+++ b/src/policy/peer_message.h
@@ -218,6 +218,29 @@
     std::string report;
 };
 
+/// Asks the receiver to find out at the platform's store which software version began a stream, because the store does not respond to the
+/// sender. The services are those at which the stream may have begun.
+struct peer_stream_lookup
+{
+    attempt_id stream;
+    std::vector<service_id> services;
+};
+
+/// Without a version, the origin of the stream is not known; that is certain only if the store has answered.
+struct peer_stream_origin
+{
+    service_id service;
+    service_version version;
+    bool isCertain = false;
+};
+
+/// The open streams of the sender, in the encoding in which it records them in the platform's store. The receiver records them there,
+/// because the store does not respond to the sender.
+struct peer_open_streams
+{
+    std::string record;
+};
+
 /// A response without content, or the refusal of a message.
 struct acknowledgement
 {
@@ -243,6 +266,9 @@
                                   peer_records_request,
                                   peer_records_response,
                                   peer_crash_report,
+                                  peer_stream_lookup,
+                                  peer_stream_origin,
+                                  peer_open_streams,
                                   acknowledgement>;
 
 } // namespace burdockshelf
--- a/src/wire/gateway_message_codec.cpp
+++ b/src/wire/gateway_message_codec.cpp
@@ -174,4 +174,54 @@
     body.read("v", message.report);
 }
 
+json write(const peer_stream_lookup &lookup, const record_codec_table & /*records*/)
+{
+    json services = json::array();
+    for (const service_id &service : lookup.services) {
+        services.push_back(service.value());
+    }
+    // The id is chosen by a caller.
+    return {{"a", json::array({encodeBytes(lookup.stream.value())})}, {"s", std::move(services)}};
+}
+
+void read(member_reader &body, peer_stream_lookup &lookup, const record_codec_table & /*records*/)
+{
+    const json &ids = body.elements("a");
+    const std::optional<std::string> id = ids.size() == 1 ? decodeBytes(ids.front()) : std::nullopt;
+    if (!id) {
+        body.reject("member 'a' must contain one id");
+        return;
+    }
+    lookup.stream = attempt_id(*id);
+    for (const json &service : body.elements("s")) {
+        if (!service.is_string()) {
+            body.reject("member 's' must contain only names");
+            return;
+        }
+        lookup.services.emplace_back(service.get<std::string>());
+    }
+}
+
+json write(const peer_stream_origin &origin, const record_codec_table & /*records*/)
+{
+    return {{"s", origin.service.value()}, {"v", origin.version.value()}, {"c", origin.isCertain}};
+}
+
+void read(member_reader &body, peer_stream_origin &origin, const record_codec_table & /*records*/)
+{
+    body.read("s", origin.service);
+    body.read("v", origin.version);
+    body.read("c", origin.isCertain);
+}
+
+json write(const peer_open_streams &message, const record_codec_table & /*records*/)
+{
+    return {{"v", message.record}};
+}
+
+void read(member_reader &body, peer_open_streams &message, const record_codec_table & /*records*/)
+{
+    body.read("v", message.record);
+}
+
 } // namespace burdockshelf
--- a/src/wire/gateway_message_codec.h
+++ b/src/wire/gateway_message_codec.h
@@ -23,5 +23,11 @@
 void read(member_reader &body, peer_records_response &response, const record_codec_table &records);
 nlohmann::json write(const peer_crash_report &message, const record_codec_table &records);
 void read(member_reader &body, peer_crash_report &message, const record_codec_table &records);
+nlohmann::json write(const peer_stream_lookup &lookup, const record_codec_table &records);
+void read(member_reader &body, peer_stream_lookup &lookup, const record_codec_table &records);
+nlohmann::json write(const peer_stream_origin &origin, const record_codec_table &records);
+void read(member_reader &body, peer_stream_origin &origin, const record_codec_table &records);
+nlohmann::json write(const peer_open_streams &message, const record_codec_table &records);
+void read(member_reader &body, peer_open_streams &message, const record_codec_table &records);
 
 } // namespace burdockshelf
--- a/src/wire/peer_codec.cpp
+++ b/src/wire/peer_codec.cpp
@@ -283,6 +283,9 @@
     entryOf<peer_records_request>("records_ask"),
     entryOf<peer_records_response>("records_answer"),
     entryOf<peer_crash_report>("crash_report"),
+    entryOf<peer_stream_lookup>("stream_ask"),
+    entryOf<peer_stream_origin>("stream_answer"),
+    entryOf<peer_open_streams>("open_streams"),
     entryOf<acknowledgement>("acknowledgement"),
 };
 
--- a/tests/gateway/stream_versions_test.cpp
+++ b/tests/gateway/stream_versions_test.cpp
@@ -62,6 +62,7 @@
         fleet.store.put("keyed.servers", "fresh", withVersion(fresh.entry("engine", "z", "decode"), "v2"));
         for (const std::size_t gateway : {0, 1}) {
             fleet.waitForLog(gateway, "plan=5");
+            fleet.waitForLog(gateway, "event=ready");
         }
         while (!fleet.isTimedOut && (countRuns(old) == 0 || countRuns(fresh) == 0)) {
             begin(0);
@@ -214,13 +215,44 @@
     LONGS_EQUAL(runsAtOld, countRuns(old));
 }
 
-// Guards against an instance that cannot ask the store and goes on at the version that it knows.
+// Guards against an instance that can ask neither the store nor another instance and goes on at the version that it knows.
 TEST(stream_versions, areNotConcludedWithoutTheStore)
 {
     const std::string stream = beginAt(fresh, 0);
     fleet.store.setSecondaryRefusing(true);
+    fleet.gateways[0].reset();
     const http_response refused = resume(1, stream);
     LONGS_EQUAL(503, refused.status);
     STRCMP_CONTAINS("stream_lookup_failed", refused.body.c_str());
     CHECK_TRUE(refused.headers.has("Retry-After"));
 }
+
+// Guards against callers that cannot resume their streams at an instance because the store does not respond to it alone.
+TEST(stream_versions, areLookedUpByAnotherInstanceWhileTheStoreRefusesThisOne)
+{
+    const std::string stream = beginAt(old, 0);
+    const std::string later = beginAt(fresh, 0);
+    // All open streams are recorded together, so the first one is recorded when the second one is.
+    while (!fleet.isTimedOut && resume(1, later).status != 200) {
+        wait(20ms);
+    }
+    const std::size_t runs = countRuns(old);
+    fleet.waitForLog(1, "event=reader_chosen reader=one");
+    fleet.store.setSecondaryRefusing(true);
+    LONGS_EQUAL(200, resume(1, stream).status);
+    LONGS_EQUAL(runs + 1, countRuns(old));
+}
+
+// Guards against streams that can be resumed nowhere else because the store does not respond to the instance that began them.
+TEST(stream_versions, areRecordedByAnotherInstanceWhileTheStoreRefusesThisOne)
+{
+    fleet.waitForLog(1, "event=reader_chosen reader=one");
+    fleet.store.setSecondaryRefusing(true);
+    const std::string stream = beginAt(fresh, 1);
+    const std::size_t runs = countRuns(fresh);
+    while (!fleet.isTimedOut && resume(0, stream).status != 200) {
+        wait(20ms);
+    }
+    CHECK_FALSE(fleet.isTimedOut);
+    LONGS_EQUAL(runs + 1, countRuns(fresh));
+}
