--- a/src/gateway/version_relay_client.cpp
+++ b/src/gateway/version_relay_client.cpp
@@ -28,7 +28,7 @@
     m_holders.set(std::move(holders));
 }
 
-void version_relay_client::lookUp(const stream_lookup &lookup, instant now, origin_handler onFound)
+void version_relay_client::lookUp(const stream_lookup &lookup, instant now, const origin_handler &onFound)
 {
     auto onAnswer = [this, lookup, onFound](const outcome<peer_message> &answer) {
         const auto *origin = answer ? std::get_if<peer_stream_origin>(&answer.value()) : nullptr;
@@ -43,7 +43,7 @@
     }
 }
 
-void version_relay_client::record(const std::string &streams, instant now, record_handler onDone)
+void version_relay_client::record(const std::string &streams, instant now, const record_handler &onDone)
 {
     auto onAnswer = [onDone](const outcome<peer_message> &answer) {
         const auto *acknowledged = answer ? std::get_if<acknowledgement>(&answer.value()) : nullptr;
--- a/src/gateway/version_relay_client.h
+++ b/src/gateway/version_relay_client.h
@@ -26,9 +26,9 @@
     /// Sets the instances to ask, in order of preference.
     void setHolders(std::vector<peer_instance> holders);
     /// Asks one instance after the other until one has an answer of the store. The handler receives an uncertain answer if none has.
-    void lookUp(const stream_lookup &lookup, instant now, origin_handler onFound);
+    void lookUp(const stream_lookup &lookup, instant now, const origin_handler &onFound);
     /// Asks one instance to record the open streams of this one.
-    void record(const std::string &streams, instant now, record_handler onDone);
+    void record(const std::string &streams, instant now, const record_handler &onDone);
     void receive(const peer_response &response);
 
 private:
