Read the records of versions less often while the store refuses an instance

Cause: the backoff was reset whenever no record was due, and so also before the next try of a read that had failed. It is reset after a success now.

Evidence: stream_versions.areReadLessOftenWhileTheStoreRefusesTheInstance fails on the commit before (more than 9 failed reads in a second) and passes now.

--- a/src/gateway/version_task.cpp
+++ b/src/gateway/version_task.cpp
@@ -132,7 +132,9 @@
     const auto record = m_versions.nextRecord(now);
     if (!record) {
         m_writeAt.reset();
-        m_backoff.reset();
+        if (!m_isFailing) {
+            m_backoff.reset();
+        }
     } else if (!m_writeAt) {
         m_writeAt = deadline::after(now, drawTime(maxWriteDelay, m_random));
         m_mustRead = true;
--- a/tests/gateway/stream_versions_test.cpp
+++ b/tests/gateway/stream_versions_test.cpp
@@ -256,3 +256,19 @@
     CHECK_FALSE(fleet.isTimedOut);
     LONGS_EQUAL(runs + 1, countRuns(fresh));
 }
+
+// Guards against an instance that calls the store tens of times a second while the store refuses it.
+TEST(stream_versions, areReadLessOftenWhileTheStoreRefusesTheInstance)
+{
+    fleet.store.setSecondaryRefusing(true);
+    resume(1, "unknown");
+    wait(1s);
+    const std::string log = fleet.logOf(1);
+    int failures = 0;
+    for (std::size_t at = log.find("call=read_versions"); at != std::string::npos; at = log.find("call=read_versions", at + 1)) {
+        ++failures;
+    }
+    // Delays of up to 40, 80, 160, 320 and then 400 ms, drawn from their upper halves.
+    CHECK(failures >= 2);
+    CHECK(failures <= 9);
+}
