Don't expect both instances to find the restored records lacking

In the log of one, the second gateway wrote the lost record 4 ms before the first one read, which then had nothing to report: what the product is to do.

--- a/tests/gateway/stream_versions_test.cpp
+++ b/tests/gateway/stream_versions_test.cpp
@@ -204,8 +204,13 @@
     }
     const std::size_t runsAtOld = countRuns(old);
     fleet.store.restore({{"keyed.versions", 1}});
-    fleet.waitForLog(0, "event=records_lost");
-    fleet.waitForLog(1, "event=records_lost");
+    // The instance that reads first writes the lost record again, so that the other one may find nothing lost.
+    while (!fleet.isTimedOut && (fleet.logOf(0) + fleet.logOf(1)).find("event=records_lost") == std::string::npos) {
+        wait(20ms);
+    }
+    for (const std::size_t gateway : {0, 1}) {
+        fleet.waitForLog(gateway, "event=store_restored");
+    }
     for (const std::size_t gateway : {0, 1}) {
         fleet.start(gateway);
     }
