Read the records of versions again after a failed read of open streams

If the page of versions was read and the one of open streams failed, nothing was due any more, and the task counted the store as failing until something else had to be read, up to 70 s later. Lookups were sent to other instances meanwhile, and those of other instances refused. The failed read is repeated now, which ends that state once the store responds. The group stream_versions passes (7 tests).

--- a/src/gateway/version_task.cpp
+++ b/src/gateway/version_task.cpp
@@ -303,6 +303,8 @@
 {
     const auto page = response ? m_dialect.decodeNewest(response.value()) : outcome<store_page>(response.error());
     if (!page) {
+        // Without another read, lookups would be answered as if the store still failed.
+        m_mustRead = true;
         retryLater("read_streams", page.error().message);
         return;
     }
