--- a/src/gateway/version_task.cpp
+++ b/src/gateway/version_task.cpp
@@ -438,7 +438,7 @@
     }
     m_areStreamsRelayed = true;
     m_relayClient.record(encodeOpenStreams(*m_unwrittenStreams), boot_clock::now(), [this](bool isRecorded) {
-        // Otherwise the next write that fails asks another instance. Newer streams may have been relayed meanwhile; once more does no harm.
+        // Otherwise the next write that fails asks another instance. Relaying newer streams twice does no harm.
         m_areStreamsRelayed = m_areStreamsRelayed && isRecorded;
     });
 }
